Lay out the workspace and the shared vocabulary

Cause: nothing stood yet; five lanes need one set of names, messages and result codes before they can go on side by side. Ruled out: one crate (tools would pull their libraries into the core) and message types per role (each would be written twice). Before: no code.

--- /dev/null
+++ b/daisyhinge-cli/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder of the cli program.
+
+fn main() {}
--- /dev/null
+++ b/daisyhinge-control/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder of the control program.
+
+fn main() {}
--- /dev/null
+++ b/daisyhinge-entry/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder of the entry program.
+
+fn main() {}
--- /dev/null
+++ b/daisyhinge-fakes/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for what surrounds the system: a backend server, a slow link, callers under load.
--- /dev/null
+++ b/daisyhinge/src/lib.rs
@@ -0,0 +1,9 @@
+//! A query tier over many shards.
+//!
+//! Decisions are plain structs with one entrance, `step(now, event, &mut actions)`, free of
+//! clocks, sockets, threads and locks. The modules under `shell` turn bytes into events and
+//! actions into bytes. Imports run one way: shells import decisions, decisions import
+//! [`vocabulary`], never back.
+
+pub mod prelude;
+pub mod vocabulary;
--- /dev/null
+++ b/daisyhinge/src/prelude.rs
@@ -0,0 +1,9 @@
+//! The types that nearly every module uses.
+
+pub use crate::vocabulary::clock::MonotonicTime;
+pub use crate::vocabulary::code::ResultCode;
+pub use crate::vocabulary::name::{
+    AttemptId, CentreName, ChangeId, EnvironmentName, IncarnationNumber, ReplicaName,
+    RequestDigest, RequestId, ServiceName, ShardNumber, SnapshotNumber, VersionNumber, VmName,
+};
+pub use crate::vocabulary::run::RunState;
--- /dev/null
+++ b/daisyhinge/src/vocabulary.rs
@@ -0,0 +1,15 @@
+//! Identifiers, messages and result codes that all roles share. No logic beyond checks.
+
+pub mod announcement;
+pub mod answer;
+pub mod claim;
+pub mod clock;
+pub mod code;
+pub mod environment;
+pub mod freshness;
+pub mod name;
+pub mod query;
+pub mod replica;
+pub mod run;
+pub mod subrequest;
+pub mod view;
--- /dev/null
+++ b/daisyhinge/src/vocabulary/code.rs
@@ -0,0 +1,244 @@
+//! Numbered result codes. `docs/ERRORS.md` tables them, and a test compares the two.
+
+use displaydoc::Display;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+macro_rules! result_codes {
+    ($($(#[$doc:meta])* $name:ident = $number:literal, $status:literal;)*) => {
+        /// A numbered result. The number is part of every interface and never changes meaning.
+        #[derive(Clone, Copy, Debug, Display, Eq, Hash, Ord, PartialEq, PartialOrd)]
+        #[repr(u16)]
+        pub enum ResultCode {
+            $($(#[$doc])* $name = $number,)*
+        }
+
+        impl ResultCode {
+            /// Every code, by number.
+            pub const ALL: &'static [Self] = &[$(Self::$name,)*];
+
+            /// The code with that number.
+            pub fn from_number(number: u16) -> Option<Self> {
+                match number {
+                    $($number => Some(Self::$name),)*
+                    _ => None,
+                }
+            }
+
+            /// The name, as the table in the docs has it.
+            pub fn name(self) -> &'static str {
+                match self {
+                    $(Self::$name => stringify!($name),)*
+                }
+            }
+
+            /// The HTTP status that carries it.
+            pub fn http_status(self) -> u16 {
+                match self {
+                    $(Self::$name => $status,)*
+                }
+            }
+        }
+    };
+}
+
+result_codes! {
+    /// success
+    Ok = 0, 200;
+
+    // 1xxx: faults of a caller's request. Nothing ran.
+    /// the request is malformed
+    MalformedRequest = 1001, 400;
+    /// the body is not valid JSON of the expected shape
+    MalformedJson = 1002, 400;
+    /// the body is larger than allowed
+    BodyTooLarge = 1003, 413;
+    /// no such service in this environment
+    UnknownService = 1004, 404;
+    /// the deadline is zero or beyond the largest that is allowed
+    BadDeadline = 1005, 400;
+    /// a header has a value that is not allowed
+    BadHeader = 1006, 400;
+    /// no such path
+    UnknownPath = 1007, 404;
+    /// the path does not take this method
+    BadMethod = 1008, 405;
+    /// a request that may not be repeated needs an identifier from the caller
+    MissingRequestId = 1009, 400;
+    /// the identifier was used before for another request
+    RequestIdReused = 1010, 409;
+    /// the request is older than claims are kept
+    RequestTooOld = 1011, 400;
+    /// a request that may not be repeated must name one shard or have a service of one shard
+    AmbiguousShard = 1012, 400;
+    /// no such shard in the pinned snapshot
+    UnknownShard = 1013, 404;
+    /// a name is empty, too long or has a character that is not allowed
+    BadName = 1014, 400;
+
+    // 2xxx: refusals by an entry.
+    /// too much is running; come back later
+    Overloaded = 2001, 503;
+    /// this entry cannot prove that its configuration is the newest
+    NoLease = 2002, 503;
+    /// this entry shuts down
+    ShuttingDown = 2003, 503;
+    /// no usable replica
+    NoReplica = 2004, 503;
+    /// less than the minimum coverage could be had
+    CoverageTooLow = 2005, 503;
+    /// the deadline passed
+    DeadlinePassed = 2006, 504;
+    /// no snapshot has enough usable shards
+    NoSnapshot = 2007, 503;
+    /// this request crashed backend servers and is not run again for a while
+    RequestPoisoned = 2008, 422;
+    /// it was claimed before and its outcome is not known; it is not run again
+    OutcomeUnknown = 2009, 409;
+    /// no quorum of control could be reached to claim the request
+    ClaimUnavailable = 2010, 503;
+    /// the caller gave the request up
+    CallerGone = 2011, 499;
+    /// the request could not be finished in time; answered now since waiting is of no use
+    GivenUp = 2012, 503;
+    /// the data centre's power cap is reached
+    PowerCapReached = 2013, 503;
+
+    // 3xxx: why a sub-request brought no answer.
+    /// the replica has no free slot and its queue is full
+    SlotsBusy = 3001, 503;
+    /// the backend server could not be connected to
+    ConnectFailed = 3002, 502;
+    /// the connection ended after bytes may have left
+    ConnectionReset = 3003, 502;
+    /// the backend server shed the sub-request
+    ServerShed = 3004, 503;
+    /// the sub-request expired before an answer came
+    SubRequestExpired = 3005, 504;
+    /// the answer names another request, shard or snapshot
+    AnswerMismatch = 3006, 502;
+    /// the answer is cut short or its checksum is wrong
+    AnswerDamaged = 3007, 502;
+    /// this entry does not keep that replica
+    NotKeeper = 3008, 503;
+    /// the sub-request was cancelled
+    Cancelled = 3009, 499;
+    /// the replica drains or has left
+    ReplicaDraining = 3010, 503;
+    /// the keeper could not be reached
+    KeeperUnreachable = 3011, 502;
+    /// the replica's data centre is taken out
+    CentreOut = 3012, 503;
+    /// the replica does not hold the snapshot
+    SnapshotNotHeld = 3013, 409;
+    /// the backend server failed with an error of its own
+    ServerFailed = 3014, 502;
+    /// the backend server is cold and takes only what it bears
+    ServerCold = 3015, 503;
+    /// the keeper waits until the former keeper's lease has ended
+    KeeperWaiting = 3016, 503;
+    /// no replica of the shard has announced itself
+    ShardAbsent = 3017, 503;
+    /// the shard had not answered when the answer was given
+    ShardLate = 3018, 504;
+
+    // 4xxx: faults of an announcement.
+    /// an announcement contradicts itself or another one
+    AnnouncementContradicts = 4001, 409;
+    /// an announcement's partition is not possible
+    BadPartition = 4002, 400;
+    /// a newer announcement or incarnation is known
+    AnnouncementStale = 4003, 409;
+    /// an announcement's numbers are out of range
+    AnnouncementRange = 4004, 400;
+    /// the data centre is not in this environment
+    UnknownCentre = 4005, 404;
+    /// more replicas than this entry may keep
+    TooManyReplicas = 4006, 503;
+
+    // 5xxx: control.
+    /// the change was made from a version that is no longer the newest
+    VersionConflict = 5001, 409;
+    /// this control VM does not lead
+    NotLeader = 5002, 421;
+    /// no quorum of control VMs could be reached
+    NoQuorum = 5003, 503;
+    /// the operator's token is missing or wrong
+    BadToken = 5004, 401;
+    /// no such environment
+    UnknownEnvironment = 5005, 404;
+    /// the version to promote is not the one that the environment has
+    PromoteMismatch = 5006, 409;
+    /// the change identifier was used before for another change
+    ChangeIdReused = 5007, 409;
+    /// another change of voters is under way
+    VoterChangeRunning = 5008, 409;
+    /// no such control VM
+    UnknownVoter = 5009, 404;
+    /// the control VM is a member already
+    VoterPresent = 5010, 409;
+    /// the last voter cannot be removed
+    LastVoter = 5011, 409;
+    /// the outcome of the change is not known; send it again with the same identifier
+    ChangeOutcomeUnknown = 5012, 504;
+    /// too many claims are kept
+    ClaimsFull = 5013, 503;
+    /// the change would alter nothing
+    NothingChanged = 5014, 409;
+    /// another process is listed under this VM's name with a later start
+    EntryReplaced = 5015, 409;
+
+    // 6xxx: faults of a settings file or environment document, each given with its path.
+    /// the file is not valid JSON
+    NotJson = 6001, 400;
+    /// no such field
+    UnknownField = 6002, 400;
+    /// a field is missing
+    MissingField = 6003, 400;
+    /// a value has the wrong type
+    WrongType = 6004, 400;
+    /// a value is out of range
+    OutOfRange = 6005, 400;
+    /// a value names something that does not exist
+    UnknownReference = 6006, 400;
+    /// a name is used twice
+    DuplicateName = 6007, 400;
+    /// two settings contradict each other
+    SettingsContradict = 6008, 400;
+    /// the document is larger than allowed
+    DocumentTooLarge = 6009, 413;
+
+    // 7xxx: the data folder.
+    /// a stored record is damaged and later records exist
+    RecordDamaged = 7001, 500;
+    /// reading or writing the data folder failed
+    StorageFailed = 7002, 500;
+    /// another process uses the data folder
+    FolderInUse = 7003, 500;
+    /// the data folder belongs to another control VM or an unknown format
+    FolderMismatch = 7004, 500;
+    /// an address could not be bound
+    BindFailed = 7005, 500;
+}
+
+impl ResultCode {
+    /// The number.
+    pub fn number(self) -> u16 {
+        self as u16
+    }
+}
+
+impl std::error::Error for ResultCode {}
+
+impl Serialize for ResultCode {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_u16(self.number())
+    }
+}
+
+impl<'de> Deserialize<'de> for ResultCode {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let number = u16::deserialize(deserializer)?;
+        Self::from_number(number)
+            .ok_or_else(|| serde::de::Error::custom(format_args!("unknown result code {number}")))
+    }
+}
