Add messages between processes, changes, settings and events

Cause: lanes for control, operating and measuring need these types. Ruled out: leaving them to each lane, since two lanes would write them twice. Before: names, codes and caller messages only.

--- a/daisyhinge/src/lib.rs
+++ b/daisyhinge/src/lib.rs
@@ -7,3 +7,5 @@
 
 pub mod prelude;
 pub mod vocabulary;
+
+pub mod shell;
--- /dev/null
+++ b/daisyhinge/src/shell/link.rs
@@ -0,0 +1,31 @@
+//! The calls that processes of the system make to one another.
+
+use crate::vocabulary::announcement::{AnnounceReply, ReplicaAnnouncement, ReplicaLeave};
+use crate::vocabulary::claim::{ClaimAsk, ClaimEnd, ClaimReply};
+use crate::vocabulary::freshness::{FreshAsk, FreshReply};
+use crate::vocabulary::replica::{TableAsk, TableDelta};
+use crate::vocabulary::subrequest::{SubAsk, SubReply};
+
+/// Calls that an entry takes from other entries. A call whose caller goes away is cancelled.
+#[tarpc::service]
+pub trait PeerLink {
+    /// Runs a sub-request on a replica that this entry keeps.
+    async fn run(ask: SubAsk) -> SubReply;
+    /// Takes an announcement of a replica that this entry keeps.
+    async fn announce(announcement: ReplicaAnnouncement) -> AnnounceReply;
+    /// Takes the leave of a replica that this entry keeps.
+    async fn leave(leave: ReplicaLeave) -> AnnounceReply;
+    /// Tells what changed in this entry's table of kept replicas.
+    async fn table(ask: TableAsk) -> TableDelta;
+}
+
+/// Calls that a control VM takes from entries.
+#[tarpc::service]
+pub trait ControlLink {
+    /// Proves freshness and lists the asker as a member.
+    async fn fresh(ask: FreshAsk) -> FreshReply;
+    /// Claims a request that may not be repeated.
+    async fn claim(ask: ClaimAsk) -> ClaimReply;
+    /// Records how a claimed request ended. `true` once it is committed.
+    async fn end_claim(end: ClaimEnd) -> bool;
+}
--- a/daisyhinge/src/vocabulary.rs
+++ b/daisyhinge/src/vocabulary.rs
@@ -2,14 +2,17 @@
 
 pub mod announcement;
 pub mod answer;
+pub mod change;
 pub mod claim;
 pub mod clock;
 pub mod code;
 pub mod environment;
+pub mod event;
 pub mod freshness;
 pub mod name;
 pub mod query;
 pub mod replica;
 pub mod run;
+pub mod setting;
 pub mod subrequest;
 pub mod view;
