Add the time line, logs and the port for metrics

Cause: operators need one time line of events over all processes, logs of one key=value line an event, and metrics on an address of their own.

--- a/daisyhinge/src/lib.rs
+++ b/daisyhinge/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`vocabulary`], never back.
 
 pub mod prelude;
+pub mod timeline;
 pub mod vocabulary;
 
 pub mod shell;
--- a/daisyhinge/src/shell.rs
+++ b/daisyhinge/src/shell.rs
@@ -3,4 +3,8 @@
 //! Lock order: a shell takes at most one of its table locks at a time and holds none across an
 //! await, unless the module that owns the table states otherwise.
 
+pub mod http_port;
 pub mod link;
+pub mod log;
+pub mod metric;
+pub mod timeline;
--- /dev/null
+++ b/daisyhinge/src/shell/http_port/reply.rs
@@ -0,0 +1,65 @@
+//! Replies of a port.
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{Response, StatusCode};
+use serde::{Deserialize, Serialize};
+
+use crate::prelude::*;
+use crate::vocabulary::fault::FieldFault;
+
+/// Body of a reply, held whole.
+pub type ReplyBody = Full<Bytes>;
+
+/// A numbered refusal by a port.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PortRefusal {
+    /// The reason.
+    pub code: ResultCode,
+    /// Its name.
+    pub name: String,
+    /// Its meaning.
+    pub message: String,
+    /// Faults of what was sent, each with its path.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub faults: Vec<FieldFault>,
+}
+
+impl PortRefusal {
+    /// A refusal for that reason.
+    pub fn new(code: ResultCode, faults: Vec<FieldFault>) -> Self {
+        Self {
+            code,
+            name: code.name().to_owned(),
+            message: code.to_string(),
+            faults,
+        }
+    }
+}
+
+/// A reply of that status with `value` as JSON.
+pub fn reply_json(status: u16, value: &impl Serialize) -> Response<ReplyBody> {
+    match serde_json::to_vec(value) {
+        Ok(body) => build_reply(status, "application/json", Bytes::from(body)),
+        Err(_error) => build_reply(500, "text/plain", Bytes::from_static(b"not serialisable")),
+    }
+}
+
+/// A reply of status 200 with a text.
+pub fn reply_text(content_type: &'static str, text: String) -> Response<ReplyBody> {
+    build_reply(200, content_type, Bytes::from(text))
+}
+
+/// A numbered refusal.
+pub fn reply_refusal(code: ResultCode, faults: Vec<FieldFault>) -> Response<ReplyBody> {
+    reply_json(code.http_status(), &PortRefusal::new(code, faults))
+}
+
+fn build_reply(status: u16, content_type: &'static str, body: Bytes) -> Response<ReplyBody> {
+    let mut reply = Response::new(Full::new(body));
+    *reply.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let content_type = HeaderValue::from_static(content_type);
+    reply.headers_mut().insert(CONTENT_TYPE, content_type);
+    reply
+}
--- /dev/null
+++ b/daisyhinge/src/shell/log.rs
@@ -0,0 +1,36 @@
+//! Sets up logs: one line of `key=value` pairs an event, on standard error.
+
+use std::sync::Arc;
+
+use spdlog::formatter::{PatternFormatter, pattern};
+use spdlog::sink::StdStreamSink;
+use spdlog::terminal_style::StyleMode;
+use spdlog::{LevelFilter, Logger};
+
+use crate::prelude::*;
+
+/// Opens the process's log and makes it the default one. Level `info` and above is written; the
+/// variable `SPDLOG_RS_LEVEL` (such as `debug`) sets another level. Events of single requests are
+/// of level `debug`.
+///
+/// # Errors
+///
+/// [`ResultCode::StorageFailed`] if the standard error stream cannot be written to.
+pub fn open_log() -> Result<Arc<Logger>, ResultCode> {
+    let line = pattern!("time={date}T{time}.{millisecond} level={level} {payload}{eol}");
+    let sink = StdStreamSink::builder()
+        .stderr()
+        .style_mode(StyleMode::Never)
+        .formatter(PatternFormatter::new(line))
+        .build_arc()
+        .map_err(|_error| ResultCode::StorageFailed)?;
+    let logger = Logger::builder()
+        .sink(sink)
+        .level_filter(LevelFilter::MoreSevereEqual(spdlog::Level::Info))
+        .build_arc()
+        .map_err(|_error| ResultCode::StorageFailed)?;
+    spdlog::set_default_logger(Arc::clone(&logger));
+    // An unreadable variable leaves the level as it is.
+    let _ = spdlog::init_env_level();
+    Ok(logger)
+}
--- a/daisyhinge/src/vocabulary.rs
+++ b/daisyhinge/src/vocabulary.rs
@@ -8,6 +8,7 @@
 pub mod code;
 pub mod environment;
 pub mod event;
+pub mod fault;
 pub mod freshness;
 pub mod name;
 pub mod query;
--- /dev/null
+++ b/daisyhinge/src/vocabulary/fault.rs
@@ -0,0 +1,44 @@
+//! Faults found in a settings file, an environment document or a query.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use crate::prelude::*;
+
+/// One fault of a text from outside.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct FieldFault {
+    /// JSON path of the value, such as `$.services[2].name`; `$` is the whole text.
+    pub path: String,
+    /// The fault.
+    pub code: ResultCode,
+    /// What was found and what is allowed.
+    pub detail: String,
+}
+
+impl FieldFault {
+    /// A fault at `path`.
+    pub fn new(path: impl Into<String>, code: ResultCode, detail: impl Into<String>) -> Self {
+        Self {
+            path: path.into(),
+            code,
+            detail: detail.into(),
+        }
+    }
+}
+
+impl fmt::Display for FieldFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{}: {} {}: {}",
+            self.path,
+            self.code.number(),
+            self.code,
+            self.detail
+        )
+    }
+}
+
+impl std::error::Error for FieldFault {}
