Add metric families of entries and control

Cause: an operator must be able to tell which rule refused, hedged, skipped or slowed. Ruled out: labels from what callers send (unbounded); a string per call (labels share the names that the process has already). Conclusion: one handle per service and per kept replica, fetched once.

--- a/daisyhinge/src/lib.rs
+++ b/daisyhinge/src/lib.rs
@@ -5,6 +5,7 @@
 //! actions into bytes. Imports run one way: shells import decisions, decisions import
 //! [`vocabulary`], never back.
 
+pub mod metric;
 pub mod prelude;
 pub mod timeline;
 pub mod vocabulary;
--- /dev/null
+++ b/daisyhinge/src/metric/service.rs
@@ -0,0 +1,203 @@
+//! Metrics of one service at one entry.
+
+use std::time::Duration;
+
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+use crate::metric::label::{OutcomeLabel, ServiceLabel};
+use crate::prelude::*;
+
+/// Upper bound of the first latency bucket, in seconds; each further one is 1.5 times as wide.
+const BUCKET_FIRST_SECONDS: f64 = 0.000_5;
+const BUCKET_FACTOR: f64 = 1.5;
+const BUCKET_COUNT: u16 = 28;
+
+type LatencyFamily = Family<ServiceLabel, Histogram, fn() -> Histogram>;
+
+/// Families by service, registered once per process.
+#[derive(Clone, Debug)]
+pub struct ServiceFamilies {
+    requests: Family<ServiceLabel, Counter>,
+    whole: Family<ServiceLabel, Counter>,
+    partial: Family<ServiceLabel, Counter>,
+    resent: Family<ServiceLabel, Counter>,
+    refusals: Family<OutcomeLabel, Counter>,
+    missing: Family<OutcomeLabel, Counter>,
+    sub_requests: Family<ServiceLabel, Counter>,
+    hedges: Family<ServiceLabel, Counter>,
+    retries: Family<ServiceLabel, Counter>,
+    budget_spent: Family<ServiceLabel, Counter>,
+    cancelled: Family<ServiceLabel, Counter>,
+    sub_failures: Family<OutcomeLabel, Counter>,
+    running: Family<ServiceLabel, Gauge>,
+    latency: LatencyFamily,
+    sub_latency: LatencyFamily,
+}
+
+/// Handle on one service's members; clones share them.
+#[derive(Clone, Debug)]
+pub struct ServiceMetrics {
+    service: ServiceName,
+    /// Requests that came in.
+    pub requests: Counter,
+    /// Sub-requests dispatched first for their shard; the base of the extra load ratio.
+    pub sub_requests: Counter,
+    /// Second attempts sent since the first was slow.
+    pub hedges: Counter,
+    /// Attempts on another replica after a failure.
+    pub retries: Counter,
+    /// Hedges and retries not sent since the budget of extra work was spent.
+    pub budget_spent: Counter,
+    /// Sub-requests cancelled.
+    pub cancelled: Counter,
+    /// Requests running.
+    pub running: Gauge,
+    whole: Counter,
+    partial: Counter,
+    resent: Counter,
+    latency: Histogram,
+    sub_latency: Histogram,
+    families: ServiceFamilies,
+}
+
+impl ServiceFamilies {
+    /// Registers the families.
+    pub fn register(registry: &mut Registry) -> Self {
+        let families = Self {
+            requests: Family::default(),
+            whole: Family::default(),
+            partial: Family::default(),
+            resent: Family::default(),
+            refusals: Family::default(),
+            missing: Family::default(),
+            sub_requests: Family::default(),
+            hedges: Family::default(),
+            retries: Family::default(),
+            budget_spent: Family::default(),
+            cancelled: Family::default(),
+            sub_failures: Family::default(),
+            running: Family::default(),
+            latency: Family::new_with_constructor(open_histogram as fn() -> Histogram),
+            sub_latency: Family::new_with_constructor(open_histogram as fn() -> Histogram),
+        };
+        families.register_requests(registry);
+        families.register_sub_requests(registry);
+        families
+    }
+
+    fn register_requests(&self, registry: &mut Registry) {
+        let help = "Requests from callers";
+        registry.register("requests", help, self.requests.clone());
+        let help = "Answers that cover the whole snapshot";
+        registry.register("answers_whole", help, self.whole.clone());
+        let help = "Answers that miss shards";
+        registry.register("answers_partial", help, self.partial.clone());
+        let help = "Answers repeated from a recorded outcome";
+        registry.register("answers_resent", help, self.resent.clone());
+        let help = "Requests refused, by the rule that refused them";
+        registry.register("refusals", help, self.refusals.clone());
+        let help = "Shards missing from answers, by reason";
+        registry.register("missing_shards", help, self.missing.clone());
+        let help = "Requests that run now";
+        registry.register("running_requests", help, self.running.clone());
+        let help = "Seconds from a request's arrival to its answer or refusal";
+        registry.register("request_seconds", help, self.latency.clone());
+    }
+
+    fn register_sub_requests(&self, registry: &mut Registry) {
+        let help = "First sub-requests for a shard";
+        registry.register("sub_requests", help, self.sub_requests.clone());
+        let help = "Second attempts since the first was slow";
+        registry.register("hedges", help, self.hedges.clone());
+        let help = "Attempts on another replica after a failure";
+        registry.register("retries", help, self.retries.clone());
+        let help = "Hedges and retries not sent since the budget of extra work was spent";
+        registry.register("budget_spent", help, self.budget_spent.clone());
+        let help = "Sub-requests cancelled";
+        registry.register("cancelled_sub_requests", help, self.cancelled.clone());
+        let help = "Sub-requests that brought no answer, by reason";
+        registry.register("sub_request_failures", help, self.sub_failures.clone());
+        let help = "Seconds from a sub-request's dispatch to its answer";
+        registry.register("sub_request_seconds", help, self.sub_latency.clone());
+    }
+
+    /// The members of `service`, made if they are new.
+    pub fn open_service(&self, service: &ServiceName) -> ServiceMetrics {
+        let label = ServiceLabel {
+            service: service.clone(),
+        };
+        ServiceMetrics {
+            service: service.clone(),
+            requests: self.requests.get_or_create_owned(&label),
+            sub_requests: self.sub_requests.get_or_create_owned(&label),
+            hedges: self.hedges.get_or_create_owned(&label),
+            retries: self.retries.get_or_create_owned(&label),
+            budget_spent: self.budget_spent.get_or_create_owned(&label),
+            cancelled: self.cancelled.get_or_create_owned(&label),
+            running: self.running.get_or_create_owned(&label),
+            whole: self.whole.get_or_create_owned(&label),
+            partial: self.partial.get_or_create_owned(&label),
+            resent: self.resent.get_or_create_owned(&label),
+            latency: self.latency.get_or_create_owned(&label),
+            sub_latency: self.sub_latency.get_or_create_owned(&label),
+            families: self.clone(),
+        }
+    }
+}
+
+impl ServiceMetrics {
+    /// Counts an answer that came `span` after its request.
+    pub fn record_answer(&self, whole: bool, resent: bool, span: Duration) {
+        if whole {
+            self.whole.inc();
+        } else {
+            self.partial.inc();
+        }
+        if resent {
+            self.resent.inc();
+        }
+        self.latency.observe(span.as_secs_f64());
+    }
+
+    /// Counts a refusal that came `span` after its request.
+    pub fn record_refusal(&self, code: ResultCode, span: Duration) {
+        self.count_code(&self.families.refusals, code);
+        self.latency.observe(span.as_secs_f64());
+    }
+
+    /// Counts a shard that is missing from an answer.
+    pub fn record_missing(&self, code: ResultCode) {
+        self.count_code(&self.families.missing, code);
+    }
+
+    /// Counts a sub-answer that came `span` after its dispatch.
+    pub fn record_sub_answer(&self, span: Duration) {
+        self.sub_latency.observe(span.as_secs_f64());
+    }
+
+    /// Counts a sub-request that brought no answer.
+    pub fn record_sub_failure(&self, code: ResultCode) {
+        self.count_code(&self.families.sub_failures, code);
+    }
+
+    fn count_code(&self, family: &Family<OutcomeLabel, Counter>, code: ResultCode) {
+        let label = OutcomeLabel {
+            service: self.service.clone(),
+            code,
+            name: code.name(),
+        };
+        family.get_or_create(&label).inc();
+    }
+}
+
+fn open_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(
+        BUCKET_FIRST_SECONDS,
+        BUCKET_FACTOR,
+        BUCKET_COUNT,
+    ))
+}
--- a/daisyhinge/tests/metric.rs
+++ b/daisyhinge/tests/metric.rs
@@ -1,12 +1,17 @@
 //! The port for metrics, the time line and progress, over real sockets.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
+use daisyhinge::metric::label::ReplicaLabel;
+use daisyhinge::metric::{ControlMetrics, EntryMetrics};
 use daisyhinge::prelude::*;
 use daisyhinge::shell::metric::MetricPort;
 use daisyhinge::shell::timeline::EventLog;
 use daisyhinge::timeline::EventPage;
 use daisyhinge::vocabulary::event::{EventDraft, EventKind};
+use daisyhinge::vocabulary::replica::{KeeperLoad, UseState};
+use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::registry::Registry;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -72,3 +77,72 @@
     let again = MetricPort::bind(port.address(), log.clone(), Registry::default(), || 0).await;
     assert_eq!(again.unwrap_err(), ResultCode::BindFailed);
 }
+
+fn encode_registry(registry: &Registry) -> String {
+    let mut text = String::new();
+    encode(&mut text, registry).unwrap();
+    text
+}
+
+#[test]
+fn metrics_name_the_rule_that_refused() {
+    let mut registry = Registry::default();
+    let metrics = EntryMetrics::register(&mut registry);
+    let service = metrics.open_service(&ServiceName::from("card-view"));
+    service.requests.inc();
+    service.hedges.inc_by(2);
+    service.record_refusal(ResultCode::Overloaded, Duration::from_millis(1));
+    service.record_missing(ResultCode::ShardLate);
+    service.record_answer(false, false, Duration::from_millis(3));
+    metrics.show_lease(true, Duration::from_millis(250), VersionNumber(9));
+    let text = encode_registry(&registry);
+    for line in [
+        "daisyhinge_requests_total{service=\"card-view\"} 1",
+        "daisyhinge_hedges_total{service=\"card-view\"} 2",
+        "daisyhinge_refusals_total{service=\"card-view\",code=\"2001\",name=\"Overloaded\"} 1",
+        "daisyhinge_missing_shards_total{service=\"card-view\",code=\"3018\",name=\"ShardLate\"} 1",
+        "daisyhinge_answers_partial_total{service=\"card-view\"} 1",
+        "daisyhinge_request_seconds_count{service=\"card-view\"} 2",
+        "daisyhinge_lease_age_seconds 0.25",
+        "daisyhinge_version_in_force 9",
+    ] {
+        assert!(text.contains(line), "{line}\n{text}");
+    }
+}
+
+#[test]
+fn released_replica_is_not_shown() {
+    let mut registry = Registry::default();
+    let metrics = EntryMetrics::register(&mut registry);
+    let label = ReplicaLabel {
+        replica: ReplicaName::from("card-0-a"),
+        service: ServiceName::from("card-view"),
+        data_centre: CentreName::from("lagos-1"),
+    };
+    let load = KeeperLoad {
+        running: 1,
+        queued: 4,
+        limit: 2,
+        service_us: 0,
+    };
+    metrics.open_replica(&label).show_load(load, UseState::Cold);
+    let text = encode_registry(&registry);
+    assert!(
+        text.contains("replica_queued{replica=\"card-0-a\""),
+        "{text}"
+    );
+    metrics.remove_replica(&label);
+    assert!(!encode_registry(&registry).contains("card-0-a"));
+}
+
+#[test]
+fn control_metrics_count_changes_by_outcome() {
+    let mut registry = Registry::default();
+    let metrics = ControlMetrics::register(&mut registry);
+    metrics.record_change(ResultCode::VersionConflict);
+    metrics.show_state(3, VersionNumber(12));
+    let text = encode_registry(&registry);
+    let line = "daisyhinge_control_changes_total{code=\"5001\",name=\"VersionConflict\"} 1";
+    assert!(text.contains(line), "{text}");
+    assert!(text.contains("daisyhinge_control_version 12"), "{text}");
+}
