Check settings and environment documents whole

Cause: an operator mends a file in one go only if every fault is listed at once, with its path and number; serde stops at the first one and keeps the last of two equal fields. Ruled out: a schema library (another language to learn for a dozen rules); rules only by serde attributes (one fault at a time). Conclusion: a text is walked for faults first and built by serde second; both must agree.

--- /dev/null
+++ b/daisyhinge/src/check/tree.rs
@@ -0,0 +1,121 @@
+//! A JSON value that keeps the order of fields and those that stand twice.
+
+use std::fmt;
+
+use serde::de::{Deserialize, Deserializer, MapAccess, SeqAccess, Visitor};
+
+use crate::prelude::*;
+use crate::vocabulary::fault::FieldFault;
+
+/// A JSON value.
+#[derive(Clone, Debug, PartialEq)]
+pub enum JsonTree {
+    /// `null`.
+    Null,
+    /// `true` or `false`.
+    Flag(bool),
+    /// A whole number that is not negative.
+    Whole(u64),
+    /// Any other number.
+    Number(f64),
+    /// A text.
+    Text(String),
+    /// An array.
+    Array(Vec<JsonTree>),
+    /// An object.
+    Object(Vec<JsonField>),
+}
+
+/// One field of an object.
+#[derive(Clone, Debug, PartialEq)]
+pub struct JsonField {
+    /// Its name.
+    pub name: String,
+    /// Its value.
+    pub value: JsonTree,
+}
+
+impl JsonTree {
+    /// What the value is, for messages.
+    pub fn type_name(&self) -> &'static str {
+        match self {
+            Self::Null => "null",
+            Self::Flag(_) => "true or false",
+            Self::Whole(_) | Self::Number(_) => "a number",
+            Self::Text(_) => "a text",
+            Self::Array(_) => "an array",
+            Self::Object(_) => "an object",
+        }
+    }
+}
+
+/// Reads a text of at most `max_bytes`.
+///
+/// # Errors
+///
+/// [`ResultCode::DocumentTooLarge`] or [`ResultCode::NotJson`], the latter with line and column.
+pub fn parse_tree(text: &[u8], max_bytes: usize) -> Result<JsonTree, FieldFault> {
+    if text.len() > max_bytes {
+        let detail = format!("{} bytes; at most {max_bytes}", text.len());
+        return Err(FieldFault::new("$", ResultCode::DocumentTooLarge, detail));
+    }
+    serde_json::from_slice(text)
+        .map_err(|error| FieldFault::new("$", ResultCode::NotJson, error.to_string()))
+}
+
+impl<'de> Deserialize<'de> for JsonTree {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_any(TreeVisitor)
+    }
+}
+
+struct TreeVisitor;
+
+impl<'de> Visitor<'de> for TreeVisitor {
+    type Value = JsonTree;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("a JSON value")
+    }
+
+    fn visit_unit<E>(self) -> Result<JsonTree, E> {
+        Ok(JsonTree::Null)
+    }
+
+    fn visit_bool<E>(self, v: bool) -> Result<JsonTree, E> {
+        Ok(JsonTree::Flag(v))
+    }
+
+    fn visit_u64<E>(self, v: u64) -> Result<JsonTree, E> {
+        Ok(JsonTree::Whole(v))
+    }
+
+    fn visit_i64<E>(self, v: i64) -> Result<JsonTree, E> {
+        Ok(JsonTree::Number(v as f64))
+    }
+
+    fn visit_f64<E>(self, v: f64) -> Result<JsonTree, E> {
+        Ok(JsonTree::Number(v))
+    }
+
+    fn visit_str<E>(self, v: &str) -> Result<JsonTree, E> {
+        Ok(JsonTree::Text(v.to_owned()))
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<JsonTree, A::Error> {
+        let mut values = Vec::new();
+        while let Some(value) = seq.next_element()? {
+            values.push(value);
+        }
+        Ok(JsonTree::Array(values))
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<JsonTree, A::Error> {
+        let mut fields = Vec::new();
+        while let Some(name) = map.next_key()? {
+            let value = map.next_value()?;
+            fields.push(JsonField { name, value });
+        }
+        Ok(JsonTree::Object(fields))
+    }
+}
--- /dev/null
+++ b/daisyhinge/src/environment.rs
@@ -0,0 +1,7 @@
+//! The whole check of environment documents.
+
+pub mod check;
+pub mod diff;
+
+pub use check::{DOCUMENT_MAX_BYTES, check_document};
+pub use diff::{DocumentDifference, diff_documents};
--- a/daisyhinge/src/lib.rs
+++ b/daisyhinge/src/lib.rs
@@ -5,8 +5,11 @@
 //! actions into bytes. Imports run one way: shells import decisions, decisions import
 //! [`vocabulary`], never back.
 
+pub mod check;
+pub mod environment;
 pub mod metric;
 pub mod prelude;
+pub mod setting;
 pub mod timeline;
 pub mod vocabulary;
 
--- a/daisyhinge/src/shell.rs
+++ b/daisyhinge/src/shell.rs
@@ -7,4 +7,5 @@
 pub mod link;
 pub mod log;
 pub mod metric;
+pub mod setting;
 pub mod timeline;
