Add thin machines of keeper, lease, keeper choice and search

Cause: the shells and two lanes need the entrances of these machines. Before: vocabulary only. Conclusion: the events and actions are the contract between lanes.

--- /dev/null
+++ b/daisyhinge/src/keeper/ticket.rs
@@ -0,0 +1,53 @@
+//! A sub-request as a keeper accounts for it.
+
+use std::time::Duration;
+
+use crate::prelude::*;
+
+/// The few fields of a sub-request that the keeper decides by.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct SubTicket {
+    /// The dispatch.
+    pub attempt: AttemptId,
+    /// Digest of the caller's request.
+    pub digest: RequestDigest,
+    /// Snapshot that must be held.
+    pub snapshot: SnapshotNumber,
+    /// Shard that must be held.
+    pub shard: ShardNumber,
+    /// When the work is of no use any more; the backend server stops then.
+    pub expires: MonotonicTime,
+    /// Whether it may run more than once.
+    pub repeatable: bool,
+    /// Whether another attempt for the same shard is under way.
+    pub hedge: bool,
+}
+
+/// How a dispatch to a backend server ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RunEnd {
+    /// A checked answer came.
+    Answered {
+        /// From the first byte out to the last byte in.
+        took: Duration,
+    },
+    /// Never sent: the lease or the expiry ran out at the last look.
+    NotSent,
+    /// No connection was made; nothing was sent.
+    ConnectFailed,
+    /// The connection ended after bytes may have left.
+    Reset,
+    /// The backend server shed it without running it.
+    Shed {
+        /// When it asks to be tried again; zero if it did not say.
+        retry: Duration,
+    },
+    /// The backend server does not hold the snapshot or shard.
+    NotHeld,
+    /// The backend server answered with an error of its own.
+    Failed,
+    /// The answer was damaged or belonged to something else; the connection was closed.
+    BadAnswer(ResultCode),
+    /// No answer by its expiry; the backend server has stopped by then.
+    Expired,
+}
--- a/daisyhinge/src/lib.rs
+++ b/daisyhinge/src/lib.rs
@@ -5,7 +5,11 @@
 //! actions into bytes. Imports run one way: shells import decisions, decisions import
 //! [`vocabulary`], never back.
 
+pub mod keeper;
+pub mod lease;
 pub mod prelude;
+pub mod rendezvous;
+pub mod search;
 pub mod vocabulary;
 
 pub mod shell;
--- /dev/null
+++ b/daisyhinge/src/rendezvous.rs
@@ -0,0 +1,57 @@
+//! Chooses the one keeper of each replica.
+
+use std::hash::{BuildHasher, Hasher};
+
+use foldhash::fast::FixedState;
+
+use crate::prelude::*;
+use crate::vocabulary::environment::EnvironmentDocument;
+use crate::vocabulary::view::{ControlView, EntryRecord, EntryState};
+
+/// Seed of the hash; part of the protocol, since all entries must choose the same keeper.
+const KEEPER_SEED: u64 = 0x6b65_6570_6572_0001;
+
+/// Finds the entry that keeps `replica`, which runs in `centre`: the live entry of the data
+/// centre with the highest hash, or of the same region, or of all, if a nearer one has none.
+pub fn find_keeper<'view>(
+    view: &'view ControlView,
+    environment: &EnvironmentName,
+    centre: &CentreName,
+    replica: &ReplicaName,
+) -> Option<&'view EntryRecord> {
+    let document = view.environments.get(environment);
+    let members = || {
+        view.entries
+            .iter()
+            .filter(|entry| entry.state == EntryState::Live && entry.environment == *environment)
+    };
+    let choose = |distance: u8| {
+        members()
+            .filter(|entry| centre_distance(document, &entry.data_centre, centre) <= distance)
+            .max_by_key(|entry| hash_pair(&entry.vm, replica))
+    };
+    choose(0).or_else(|| choose(1)).or_else(|| choose(2))
+}
+
+/// 0 within a data centre, 1 within a region, 2 beyond.
+pub fn centre_distance(
+    document: Option<&std::sync::Arc<EnvironmentDocument>>,
+    from: &CentreName,
+    to: &CentreName,
+) -> u8 {
+    if from == to {
+        return 0;
+    }
+    let same_region = document
+        .and_then(|document| document.find_region(from))
+        .is_some_and(|region| region.data_centres.iter().any(|centre| centre.name == *to));
+    if same_region { 1 } else { 2 }
+}
+
+fn hash_pair(vm: &VmName, replica: &ReplicaName) -> u64 {
+    let mut hasher = FixedState::with_seed(KEEPER_SEED).build_hasher();
+    hasher.write(vm.as_str().as_bytes());
+    hasher.write_u8(0);
+    hasher.write(replica.as_str().as_bytes());
+    hasher.finish()
+}
--- a/daisyhinge/src/vocabulary/freshness.rs
+++ b/daisyhinge/src/vocabulary/freshness.rs
@@ -1,6 +1,7 @@
 //! Messages by which control proves to entries that a version is the newest.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
@@ -29,3 +30,14 @@
 
 /// Control's reply to [`FreshAsk`]; the error says whom to ask instead or why there is no proof.
 pub type FreshReply = Result<FreshProof, ResultCode>;
+
+/// How long an entry acts on a version after a quorum confirmed it as newest.
+pub const LEASE_SPAN: Duration = Duration::from_secs(4);
+
+/// Allowance for clocks that run at different speeds, in parts per million of a span.
+pub const DRIFT_PPM: u32 = 1_000;
+
+/// How long after a newer view was seen every holder of an older one has certainly stopped.
+pub fn lease_wait_span() -> Duration {
+    LEASE_SPAN + LEASE_SPAN * DRIFT_PPM * 2 / 1_000_000
+}
