Serve queries: entry shell over the machines, keepers over HTTP

Cause: the machines decide, but nothing carried bytes to them yet. Ruled out: a pooling HTTP client, since it bounds neither the connections to one backend server nor the reuse of one whose answer came late; a listener of the call library, which sets no TCP_NODELAY. Before: no process of ours. Conclusion: a connection is dropped unless a whole, matching answer was read.

--- a/daisyhinge/src/shell.rs
+++ b/daisyhinge/src/shell.rs
@@ -3,4 +3,10 @@
 //! Lock order: a shell takes at most one of its table locks at a time and holds none across an
 //! await, unless the module that owns the table states otherwise.
 
+pub mod backend;
+pub mod clock;
+pub mod entry;
+pub mod header;
 pub mod link;
+pub mod pool;
+pub mod transport;
--- /dev/null
+++ b/daisyhinge/src/shell/backend.rs
@@ -0,0 +1,215 @@
+//! HTTP calls to backend servers, with every answer checked before it counts as one.
+
+use std::fmt::Display;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::HOST;
+use hyper::{HeaderMap, Method, Request, Response, StatusCode};
+
+use crate::keeper::ticket::RunEnd;
+use crate::prelude::*;
+use crate::shell::header;
+use crate::shell::pool::{PoolFault, ServerConnection, ServerPool};
+use crate::vocabulary::subrequest::SubAsk;
+
+/// Longest wait for the reply to a cancel.
+const CANCEL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// How a call ended and, if it was answered, with what.
+#[derive(Clone, Debug)]
+pub struct BackendReply {
+    /// How it ended.
+    pub end: RunEnd,
+    /// The checked payload.
+    pub body: Option<Bytes>,
+}
+
+impl From<RunEnd> for BackendReply {
+    fn from(end: RunEnd) -> Self {
+        Self { end, body: None }
+    }
+}
+
+/// Sends a sub-request and reads the answer. `left` is the time until it expires.
+pub async fn send_subrequest(
+    pool: &ServerPool,
+    ask: &SubAsk,
+    left: Duration,
+    body_max_bytes: usize,
+) -> BackendReply {
+    let started = tokio::time::Instant::now();
+    let exchange = exchange_subrequest(pool, ask, left, body_max_bytes);
+    let mut reply = match tokio::time::timeout(left, exchange).await {
+        Ok(reply) => reply,
+        Err(_elapsed) => RunEnd::Expired.into(),
+    };
+    if let RunEnd::Answered { took } = &mut reply.end {
+        *took = started.elapsed();
+    }
+    reply
+}
+
+async fn exchange_subrequest(
+    pool: &ServerPool,
+    ask: &SubAsk,
+    left: Duration,
+    body_max_bytes: usize,
+) -> BackendReply {
+    let Some(mut request) = build_subrequest(pool, ask, left) else {
+        return RunEnd::NotSent.into();
+    };
+    // An idle connection may have been closed by the other side; hyper then hands the request
+    // back unsent and a fresh connection is safe even for a request that may not be repeated.
+    for _ in 0..2 {
+        let idle = pool.take_idle();
+        let fresh = idle.is_none();
+        let connection = match idle {
+            Some(connection) => Ok(connection),
+            None => pool.connect().await,
+        };
+        let mut connection = match connection {
+            Ok(connection) => connection,
+            Err(PoolFault::Full) => return RunEnd::NotSent.into(),
+            Err(PoolFault::ConnectFailed) => return RunEnd::ConnectFailed.into(),
+        };
+        match connection.sender.try_send_request(request).await {
+            Ok(response) => return read_answer(connection, ask, response, body_max_bytes).await,
+            Err(mut fault) => match fault.take_message() {
+                Some(unsent) if !fresh => request = unsent,
+                Some(_) => return RunEnd::ConnectFailed.into(),
+                None => return RunEnd::Reset.into(),
+            },
+        }
+    }
+    RunEnd::ConnectFailed.into()
+}
+
+fn build_subrequest(
+    pool: &ServerPool,
+    ask: &SubAsk,
+    left: Duration,
+) -> Option<Request<Full<Bytes>>> {
+    Request::builder()
+        .method(Method::POST)
+        .uri("/v1/sub-request")
+        .header(HOST, pool.address().to_string())
+        .header(header::REQUEST, ask.request.as_str())
+        .header(header::ATTEMPT, ask.attempt.to_string())
+        .header(header::SERVICE, ask.service.as_str())
+        .header(header::REPLICA, ask.replica.as_str())
+        .header(header::SHARD, ask.shard.0)
+        .header(header::SNAPSHOT, ask.snapshot.0)
+        .header(header::DEADLINE_US, ask.expires_us)
+        .header(
+            header::EXPIRES_US,
+            u64::try_from(left.as_micros()).unwrap_or(u64::MAX),
+        )
+        .header(header::REPEATABLE, ask.repeatable.to_string())
+        .body(Full::new(ask.body.clone()))
+        .ok()
+}
+
+async fn read_answer(
+    connection: ServerConnection,
+    ask: &SubAsk,
+    response: Response<Incoming>,
+    body_max_bytes: usize,
+) -> BackendReply {
+    let (parts, body) = response.into_parts();
+    let body = match Limited::new(body, body_max_bytes).collect().await {
+        Ok(collected) => collected.to_bytes(),
+        Err(_) if parts.status == StatusCode::OK => {
+            return RunEnd::BadAnswer(ResultCode::AnswerDamaged).into();
+        }
+        Err(_) => return RunEnd::Reset.into(),
+    };
+    if parts.status != StatusCode::OK {
+        connection.give_back();
+        return refusal_end(parts.status, &parts.headers).into();
+    }
+    if let Some(code) = find_answer_fault(ask, &parts.headers, &body) {
+        return RunEnd::BadAnswer(code).into();
+    }
+    connection.give_back();
+    BackendReply {
+        end: RunEnd::Answered {
+            took: Duration::ZERO,
+        },
+        body: Some(body),
+    }
+}
+
+fn refusal_end(status: StatusCode, headers: &HeaderMap) -> RunEnd {
+    let shed = headers
+        .get(header::SHED)
+        .is_some_and(|value| value == "true");
+    match status {
+        StatusCode::SERVICE_UNAVAILABLE if shed => {
+            let retry_ms = header::parse_number(headers, header::RETRY_MS).unwrap_or(0);
+            RunEnd::Shed {
+                retry: Duration::from_millis(retry_ms),
+            }
+        }
+        StatusCode::CONFLICT => RunEnd::NotHeld,
+        StatusCode::GATEWAY_TIMEOUT => RunEnd::Expired,
+        _ => RunEnd::Failed,
+    }
+}
+
+/// Checks that an answer is whole and belongs to the sub-request.
+pub fn find_answer_fault(ask: &SubAsk, headers: &HeaderMap, body: &[u8]) -> Option<ResultCode> {
+    let same = |name: &str, want: &dyn Display| {
+        headers
+            .get(name)
+            .is_some_and(|value| value.as_bytes() == want.to_string().as_bytes())
+    };
+    let matches = same(header::REQUEST, &ask.request)
+        && same(header::ATTEMPT, &ask.attempt)
+        && same(header::SHARD, &ask.shard)
+        && same(header::SNAPSHOT, &ask.snapshot);
+    if !matches {
+        return Some(ResultCode::AnswerMismatch);
+    }
+    let checksum = format!("{:08x}", crc32fast::hash(body));
+    let whole = same(header::LENGTH, &body.len()) && same(header::CHECKSUM, &checksum);
+    let json = || serde_json::from_slice::<serde::de::IgnoredAny>(body).is_ok();
+    (!whole || !json()).then_some(ResultCode::AnswerDamaged)
+}
+
+/// Asks the backend server to stop; returns whether the work has certainly stopped.
+pub async fn send_cancel(pool: &ServerPool, attempt: AttemptId) -> bool {
+    tokio::time::timeout(CANCEL_TIMEOUT, exchange_cancel(pool, attempt))
+        .await
+        .unwrap_or(false)
+}
+
+async fn exchange_cancel(pool: &ServerPool, attempt: AttemptId) -> bool {
+    let connection = match pool.take_idle() {
+        Some(connection) => Ok(connection),
+        None => pool.connect().await,
+    };
+    let Ok(mut connection) = connection else {
+        return false;
+    };
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri("/v1/cancel")
+        .header(HOST, pool.address().to_string())
+        .header(header::ATTEMPT, attempt.to_string())
+        .body(Full::new(Bytes::new()));
+    let Ok(request) = request else { return false };
+    let Ok(response) = connection.sender.send_request(request).await else {
+        return false;
+    };
+    let stopped = response
+        .headers()
+        .get(header::CANCELLED)
+        .is_some_and(|value| value == "true");
+    if response.into_body().collect().await.is_ok() {
+        connection.give_back();
+    }
+    stopped
+}
--- /dev/null
+++ b/daisyhinge/src/shell/entry/driving.rs
@@ -0,0 +1,271 @@
+//! Drives callers' requests through the search machine.
+
+use std::collections::HashMap;
+use std::hash::{BuildHasher, Hasher};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use foldhash::fast::FixedState;
+use tokio::sync::mpsc;
+use tokio::task::{AbortHandle, JoinSet};
+
+use crate::prelude::*;
+use crate::search::plan::SearchPlan;
+use crate::search::{RequestSearch, SearchAction, SearchEvent, SubPlan};
+use crate::shell::entry::following::{claim_request, end_claim};
+use crate::shell::entry::keeping::run_sub;
+use crate::shell::entry::state::{EntryPhase, EntryState};
+use crate::vocabulary::answer::{QueryAnswer, QueryRefusal};
+use crate::vocabulary::claim::{ClaimAsk, ClaimEnd, ClaimEnding};
+use crate::vocabulary::clock::span_to_micros;
+use crate::vocabulary::environment::ServiceEntry;
+use crate::vocabulary::query::CallerQuery;
+use crate::vocabulary::subrequest::{SubAsk, SubRefusal, SubReply};
+
+/// Seed of the request digest; part of the protocol, since crash records carry digests.
+const DIGEST_SEED: u64 = 0x6469_6765_7374_0001;
+
+/// When to come back to an entry that could not prove its freshness, in milliseconds.
+const LEASE_RETRY_MS: u64 = 1_000;
+
+/// What a caller gets.
+pub type QueryResult = Result<QueryAnswer, QueryRefusal>;
+
+/// Runs a caller's request. Dropping the future gives it up, unless it may not be repeated:
+/// such a request goes on, so that its outcome is there when the caller sends it again.
+///
+/// # Errors
+///
+/// A numbered refusal that states whether anything ran.
+pub async fn run_query(state: &Arc<EntryState>, query: CallerQuery) -> QueryResult {
+    let refuse = |code| refuse_query(state, &query.request, code);
+    if state.phase() == EntryPhase::Closed {
+        return Err(refuse(ResultCode::ShuttingDown));
+    }
+    if !state.may_dispatch() {
+        return Err(refuse(ResultCode::NoLease));
+    }
+    let Some(document) = state.document() else {
+        return Err(refuse(ResultCode::NoLease));
+    };
+    let Some(service) = document.find_service(&query.service).cloned() else {
+        return Err(refuse(ResultCode::UnknownService));
+    };
+    if !service.repeatable && !query.named_by_caller {
+        return Err(refuse(ResultCode::MissingRequestId));
+    }
+    if state.running_of(&service.name) >= service.running_max
+        || state.running_count() >= state.settings.limits.running_max
+    {
+        return Err(refuse(ResultCode::Overloaded));
+    }
+    let guard = state.begin_request(&service.name);
+    let driver = SearchDriver::new(state, &query, &service);
+    if service.repeatable {
+        return driver.run().await;
+    }
+    let running = tokio::spawn(async move {
+        let _counted = guard;
+        driver.run().await
+    });
+    match running.await {
+        Ok(result) => result,
+        Err(_) => Err(QueryRefusal {
+            run: RunState::Unknown,
+            ..refuse_query(state, &query.request, ResultCode::OutcomeUnknown)
+        }),
+    }
+}
+
+/// A refusal of a request of which nothing ran.
+pub fn refuse_query(state: &EntryState, request: &RequestId, code: ResultCode) -> QueryRefusal {
+    let elsewhere = matches!(code, ResultCode::NoLease | ResultCode::ShuttingDown);
+    QueryRefusal {
+        request: request.clone(),
+        code,
+        run: RunState::NotRun,
+        retry_ms: match code {
+            ResultCode::NoLease => Some(LEASE_RETRY_MS),
+            ResultCode::ShuttingDown => Some(0),
+            ResultCode::Overloaded => Some(100),
+            _ => None,
+        },
+        addresses: if elsewhere {
+            state.other_addresses()
+        } else {
+            Vec::new()
+        },
+    }
+}
+
+/// Digest of a request by which crashes are told of one another.
+pub fn digest_request(service: &ServiceName, body: &[u8]) -> RequestDigest {
+    let mut hasher = FixedState::with_seed(DIGEST_SEED).build_hasher();
+    hasher.write(service.as_str().as_bytes());
+    hasher.write_u8(0);
+    hasher.write(body);
+    RequestDigest(hasher.finish())
+}
+
+/// Runs one request: turns replies into events and actions into calls.
+#[derive(Debug)]
+struct SearchDriver {
+    state: Arc<EntryState>,
+    plan: SearchPlan,
+    body: Bytes,
+    age: Duration,
+    calls: JoinSet<()>,
+    aborts: HashMap<AttemptId, AbortHandle>,
+    sender: mpsc::UnboundedSender<SearchEvent>,
+    receiver: mpsc::UnboundedReceiver<SearchEvent>,
+}
+
+impl SearchDriver {
+    fn new(state: &Arc<EntryState>, query: &CallerQuery, service: &ServiceEntry) -> Self {
+        let now = state.now();
+        let span = query
+            .deadline
+            .unwrap_or(Duration::from_millis(service.deadline_ms));
+        let (sender, receiver) = mpsc::unbounded_channel();
+        let plan = SearchPlan {
+            request: query.request.clone(),
+            digest: digest_request(&query.service, &query.body),
+            service: query.service.clone(),
+            shard: query.shard,
+            arrived: now,
+            deadline: now + span,
+            minimum_ppm: query.minimum_ppm.unwrap_or(service.minimum_coverage_ppm),
+            preference: query.preference.unwrap_or(service.preference),
+            repeatable: service.repeatable,
+            extra_work_ppm: service.extra_work_ppm,
+            origin: state.origin,
+            sequence_base: state.next_sequence_base(),
+        };
+        Self {
+            state: Arc::clone(state),
+            plan,
+            body: query.body.clone(),
+            age: query.age,
+            calls: JoinSet::new(),
+            aborts: HashMap::new(),
+            sender,
+            receiver,
+        }
+    }
+
+    async fn run(mut self) -> QueryResult {
+        let mut search = RequestSearch::new(self.plan.clone());
+        let mut event = SearchEvent::Start;
+        loop {
+            let mut actions = Vec::new();
+            {
+                let mut routes = self.state.routes.lock();
+                search.step(self.state.now(), event, &mut routes, &mut actions)
+            };
+            if let Some(result) = self.perform(actions).await {
+                return result;
+            }
+            event = self.next_event(&search).await;
+        }
+    }
+
+    async fn next_event(&mut self, search: &RequestSearch) -> SearchEvent {
+        let wake = search.next_wake().unwrap_or(self.plan.deadline);
+        let wake = tokio::time::Instant::from_std(self.state.clock.instant(wake));
+        tokio::select! {
+            event = self.receiver.recv() => event.unwrap_or(SearchEvent::Tick),
+            () = tokio::time::sleep_until(wake) => SearchEvent::Tick,
+        }
+    }
+
+    async fn perform(&mut self, actions: Vec<SearchAction>) -> Option<QueryResult> {
+        let mut result = None;
+        for action in actions {
+            match action {
+                SearchAction::Claim(attempt) => self.spawn_claim(attempt),
+                SearchAction::EndClaim { attempt, end } => self.end_claim(attempt, end).await,
+                SearchAction::Dispatch(sub) => self.spawn_sub(sub),
+                SearchAction::Cancel(attempt) => {
+                    if let Some(handle) = self.aborts.remove(&attempt) {
+                        handle.abort();
+                    }
+                }
+                SearchAction::Finish(finished) => result = Some(finished),
+                SearchAction::Note(draft) => self.state.note(draft),
+            }
+        }
+        result
+    }
+
+    fn spawn_claim(&mut self, attempt: AttemptId) {
+        let ask = ClaimAsk {
+            service: self.plan.service.clone(),
+            request: self.plan.request.clone(),
+            digest: self.plan.digest,
+            attempt,
+            age_ms: u64::try_from(self.age.as_millis()).unwrap_or(u64::MAX),
+        };
+        let state = Arc::clone(&self.state);
+        let sender = self.sender.clone();
+        self.calls.spawn(async move {
+            let reply = claim_request(&state, ask).await;
+            let _search_may_be_over = sender.send(SearchEvent::Claimed(reply));
+        });
+    }
+
+    /// Waited for before the caller is answered, so that a resend finds the outcome.
+    async fn end_claim(&self, attempt: AttemptId, end: ClaimEnding) {
+        let end = ClaimEnd {
+            service: self.plan.service.clone(),
+            request: self.plan.request.clone(),
+            attempt,
+            end,
+        };
+        let _kept_as_unknown_if_lost = end_claim(&self.state, end).await;
+    }
+
+    fn spawn_sub(&mut self, sub: SubPlan) {
+        let attempt = sub.attempt;
+        let ask = self.build_ask(&sub);
+        let state = Arc::clone(&self.state);
+        let sender = self.sender.clone();
+        let handle = self.calls.spawn(async move {
+            let reply = call_keeper(&state, &sub.keeper, ask).await;
+            let _search_may_be_over = sender.send(SearchEvent::SubEnded { attempt, reply });
+        });
+        self.aborts.insert(attempt, handle);
+    }
+
+    fn build_ask(&self, sub: &SubPlan) -> SubAsk {
+        SubAsk {
+            attempt: sub.attempt,
+            request: self.plan.request.clone(),
+            digest: self.plan.digest,
+            service: self.plan.service.clone(),
+            replica: sub.replica.clone(),
+            shard: sub.shard,
+            snapshot: sub.snapshot,
+            version: self.state.lease().version(),
+            expires_us: span_to_micros(sub.expires.since(self.state.now())),
+            repeatable: self.plan.repeatable,
+            hedge: sub.hedge,
+            body: self.body.clone(),
+        }
+    }
+}
+
+async fn call_keeper(state: &Arc<EntryState>, keeper: &VmName, ask: SubAsk) -> SubReply {
+    // The last look: a process that was frozen since the decision must not send old work.
+    if !state.may_dispatch() {
+        return Err(SubRefusal::not_run(ResultCode::NoLease));
+    }
+    if *keeper == state.settings.vm {
+        return run_sub(state, ask).await;
+    }
+    let view = state.view();
+    match view.entries.iter().find(|entry| entry.vm == *keeper) {
+        Some(entry) => state.peers.run(entry.peer_address, ask).await,
+        None => Err(SubRefusal::not_run(ResultCode::KeeperUnreachable)),
+    }
+}
--- /dev/null
+++ b/daisyhinge/src/shell/entry/following.rs
@@ -0,0 +1,197 @@
+//! Follows control's freshness and other entries' tables.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use futures::future::join_all;
+use parking_lot::Mutex;
+use tarpc::client::Config;
+
+use crate::prelude::*;
+use crate::shell::entry::keeping::review_keeping;
+use crate::shell::entry::state::{EntryPhase, EntryState};
+use crate::shell::link::ControlLinkClient;
+use crate::shell::transport::connect_link;
+use crate::vocabulary::claim::{ClaimAsk, ClaimEnd, ClaimReply};
+use crate::vocabulary::event::{EventDraft, EventKind};
+use crate::vocabulary::freshness::{FreshAsk, FreshProof};
+use crate::vocabulary::view::EntryRecord;
+
+/// How often a proof of freshness is asked for.
+const FRESH_PERIOD: Duration = Duration::from_millis(500);
+
+/// How soon another control VM is asked after a failure.
+const FRESH_RETRY: Duration = Duration::from_millis(50);
+
+/// Longest wait for a control VM.
+const CONTROL_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// How often other entries' tables are asked for.
+const TABLE_PERIOD: Duration = Duration::from_millis(100);
+
+/// Rounds over all control VMs for a claim before it is given up as unavailable.
+const CLAIM_ROUNDS: usize = 2;
+
+/// The control VM that answered last.
+#[derive(Debug, Default)]
+pub struct ControlPool {
+    current: Mutex<ControlChoice>,
+}
+
+#[derive(Debug, Default)]
+struct ControlChoice {
+    index: usize,
+    link: Option<ControlLinkClient>,
+}
+
+impl ControlPool {
+    async fn link(&self, control: &[SocketAddr]) -> Option<ControlLinkClient> {
+        let index = {
+            let current = self.current.lock();
+            if let Some(link) = &current.link {
+                return Some(link.clone());
+            }
+            current.index
+        };
+        let address = *control.get(index % control.len().max(1))?;
+        let transport = connect_link(address, CONTROL_TIMEOUT).await?;
+        let link = ControlLinkClient::new(Config::default(), transport).spawn();
+        self.current.lock().link = Some(link.clone());
+        Some(link)
+    }
+
+    /// Goes on to the next control VM.
+    fn advance(&self) {
+        let mut current = self.current.lock();
+        current.index = current.index.wrapping_add(1);
+        current.link = None;
+    }
+}
+
+/// Asks for proofs of freshness until the process stops.
+pub async fn follow_control(state: Arc<EntryState>) {
+    let mut held = false;
+    loop {
+        let renewed = ask_freshness(&state).await;
+        let holds = state.may_dispatch();
+        if holds != held {
+            held = holds;
+            let kind = if holds {
+                EventKind::LeaseGained
+            } else {
+                EventKind::LeaseLost
+            };
+            state.note(EventDraft::new(kind).with_version(state.lease().version()));
+        }
+        tokio::time::sleep(if renewed { FRESH_PERIOD } else { FRESH_RETRY }).await;
+    }
+}
+
+async fn ask_freshness(state: &Arc<EntryState>) -> bool {
+    let ask = FreshAsk {
+        entry: state.record(),
+        holds: state.view().version,
+        released: state.is_released(),
+    };
+    // Taken before the question leaves: the proof is at least as old as this.
+    let asked = state.now();
+    let proof = match state.control.link(&state.settings.control).await {
+        Some(link) => link
+            .fresh(control_context(), ask)
+            .await
+            .ok()
+            .and_then(Result::ok),
+        None => None,
+    };
+    let Some(proof) = proof else {
+        state.control.advance();
+        return false;
+    };
+    take_proof(state, proof, asked);
+    true
+}
+
+fn take_proof(state: &Arc<EntryState>, proof: FreshProof, asked: MonotonicTime) {
+    let version = proof.version;
+    if let Some(view) = proof.view
+        && view.version > state.view().version {
+            state.note(EventDraft::new(EventKind::ViewAdopted).with_version(view.version));
+            state.adopt_view(view);
+        }
+    // A proof is only of use for the view that is held.
+    if state.view().version == version {
+        state.renew_lease(version, asked, Duration::from_micros(proof.age_us));
+    }
+    review_keeping(state);
+    if state.phase() != EntryPhase::Serving && state.keeping.lock().is_empty() {
+        state.set_released();
+    }
+}
+
+/// Claims a request that may not be repeated.
+pub async fn claim_request(state: &EntryState, ask: ClaimAsk) -> ClaimReply {
+    for _ in 0..state.settings.control.len() * CLAIM_ROUNDS {
+        if let Some(link) = state.control.link(&state.settings.control).await {
+            match link.claim(control_context(), ask.clone()).await {
+                Ok(ClaimReply::Refused(ResultCode::NotLeader | ResultCode::NoQuorum)) | Err(_) => {}
+                Ok(reply) => return reply,
+            }
+        }
+        state.control.advance();
+    }
+    ClaimReply::Refused(ResultCode::ClaimUnavailable)
+}
+
+/// Records how a claimed request ended. `true` once it is committed.
+pub async fn end_claim(state: &EntryState, end: ClaimEnd) -> bool {
+    for _ in 0..state.settings.control.len() * CLAIM_ROUNDS {
+        if let Some(link) = state.control.link(&state.settings.control).await
+            && link
+                .end_claim(control_context(), end.clone())
+                .await
+                .unwrap_or(false)
+            {
+                return true;
+            }
+        state.control.advance();
+    }
+    false
+}
+
+fn control_context() -> tarpc::context::Context {
+    let mut context = tarpc::context::current();
+    context.deadline = Instant::now() + CONTROL_TIMEOUT;
+    context
+}
+
+/// Asks other entries what changed in their tables until the process stops.
+pub async fn follow_tables(state: Arc<EntryState>) {
+    loop {
+        let view = state.view();
+        forget_departed(&state, &view.entries);
+        join_all(view.entries.iter().map(|entry| follow_table(&state, entry))).await;
+        tokio::time::sleep(TABLE_PERIOD).await;
+    }
+}
+
+async fn follow_table(state: &Arc<EntryState>, entry: &EntryRecord) {
+    let ask = state.routes.lock().table_ask(&entry.vm);
+    let delta = if entry.vm == state.settings.vm {
+        Some(crate::shell::entry::keeping::table_delta(state, ask))
+    } else {
+        state.peers.table(entry.peer_address, ask).await
+    };
+    if let Some(delta) = delta {
+        state.routes.lock().apply_delta(&entry.vm, delta);
+    }
+}
+
+fn forget_departed(state: &EntryState, entries: &[EntryRecord]) {
+    let mut routes = state.routes.lock();
+    for keeper in routes.keepers() {
+        if !entries.iter().any(|entry| entry.vm == keeper) {
+            routes.drop_keeper(&keeper);
+        }
+    }
+}
--- /dev/null
+++ b/daisyhinge/src/shell/entry/querying.rs
@@ -0,0 +1,98 @@
+//! Reads a caller's request from HTTP.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::HeaderMap;
+
+use crate::prelude::*;
+use crate::shell::header;
+use crate::vocabulary::environment::WHOLE_PPM;
+use crate::vocabulary::name::check_name;
+use crate::vocabulary::query::{AnswerPreference, CallerQuery};
+
+/// Reads the headers of a query to `service`.
+///
+/// # Errors
+///
+/// The 10xx code of the first fault; nothing ran.
+pub fn read_query(
+    service: &str,
+    headers: &HeaderMap,
+    body: Bytes,
+    deadline_max_ms: u64,
+) -> Result<CallerQuery, ResultCode> {
+    if !check_name(service) {
+        return Err(ResultCode::BadName);
+    }
+    let named = find_text(headers, header::REQUEST)?;
+    if named.is_some_and(|name| !check_name(name)) {
+        return Err(ResultCode::BadName);
+    }
+    let deadline_ms = find_number(headers, header::DEADLINE_MS)?;
+    if deadline_ms.is_some_and(|span| span == 0 || span > deadline_max_ms) {
+        return Err(ResultCode::BadDeadline);
+    }
+    Ok(CallerQuery {
+        request: named.map_or_else(draw_request_id, RequestId::from),
+        named_by_caller: named.is_some(),
+        service: ServiceName::from(service),
+        deadline: deadline_ms.map(Duration::from_millis),
+        minimum_ppm: find_coverage(headers)?,
+        preference: find_preference(headers)?,
+        shard: find_shard(headers)?,
+        age: Duration::from_millis(find_number(headers, header::AGE_MS)?.unwrap_or(0)),
+        body,
+    })
+}
+
+fn draw_request_id() -> RequestId {
+    RequestId::from(format!("r{:032x}", rand::random::<u128>()))
+}
+
+fn find_text<'headers>(
+    headers: &'headers HeaderMap,
+    name: &str,
+) -> Result<Option<&'headers str>, ResultCode> {
+    let text = headers.get(name).map(|value| value.to_str()).transpose();
+    text.map_err(|_fault| ResultCode::BadHeader)
+}
+
+fn find_number(headers: &HeaderMap, name: &str) -> Result<Option<u64>, ResultCode> {
+    let number = find_text(headers, name)?.map(str::parse).transpose();
+    number.map_err(|_fault| ResultCode::BadHeader)
+}
+
+fn find_shard(headers: &HeaderMap) -> Result<Option<ShardNumber>, ResultCode> {
+    let number = find_number(headers, header::SHARD)?
+        .map(u32::try_from)
+        .transpose();
+    Ok(number
+        .map_err(|_fault| ResultCode::BadHeader)?
+        .map(ShardNumber))
+}
+
+fn find_preference(headers: &HeaderMap) -> Result<Option<AnswerPreference>, ResultCode> {
+    match find_text(headers, header::PREFERENCE)? {
+        None => Ok(None),
+        Some("coverage") => Ok(Some(AnswerPreference::Coverage)),
+        Some("latency") => Ok(Some(AnswerPreference::Latency)),
+        Some(_) => Err(ResultCode::BadHeader),
+    }
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the value was checked to lie between 0 and a million"
+)]
+fn find_coverage(headers: &HeaderMap) -> Result<Option<u32>, ResultCode> {
+    let Some(text) = find_text(headers, header::MINIMUM_COVERAGE)? else {
+        return Ok(None);
+    };
+    let share: f64 = text.parse().map_err(|_fault| ResultCode::BadHeader)?;
+    if !(0.0..=1.0).contains(&share) {
+        return Err(ResultCode::BadHeader);
+    }
+    Ok(Some((share * f64::from(WHOLE_PPM)).ceil() as u32))
+}
--- /dev/null
+++ b/daisyhinge/src/shell/entry/serving.rs
@@ -0,0 +1,218 @@
+//! HTTP for callers and backend servers.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, RETRY_AFTER};
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::prelude::*;
+use crate::shell::entry::answering::{write_answer, write_refusal};
+use crate::shell::entry::driving::{QueryResult, refuse_query, run_query};
+use crate::shell::entry::keeping::{take_announcement, take_leave};
+use crate::shell::entry::querying::read_query;
+use crate::shell::entry::state::{EntryPhase, EntryState};
+use crate::vocabulary::announcement::AnnounceReply;
+use crate::vocabulary::answer::{AddressAnswer, QueryRefusal};
+use crate::vocabulary::clock::span_to_millis;
+
+/// Longest wait for the headers of a request.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+
+type HttpReply = Response<Full<Bytes>>;
+
+/// Accepts callers and backend servers until the process stops.
+pub async fn serve_callers(state: Arc<EntryState>, listener: TcpListener) {
+    // Ends with this task: connections do not outlive the listener.
+    let mut connections = tokio::task::JoinSet::new();
+    loop {
+        let Ok(permit) = Arc::clone(&state.connections).acquire_owned().await else {
+            return;
+        };
+        tokio::select! {
+            accepted = listener.accept() => {
+                if let Ok((stream, _)) = accepted {
+                    let state = Arc::clone(&state);
+                    connections.spawn(async move {
+                        serve_connection(state, stream).await;
+                        drop(permit);
+                    });
+                }
+            }
+            Some(_) = connections.join_next() => {}
+        }
+    }
+}
+
+async fn serve_connection(state: Arc<EntryState>, stream: TcpStream) {
+    let _delay_is_advisory = stream.set_nodelay(true);
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEADER_TIMEOUT);
+    builder.http2().timer(TokioTimer::new());
+    let watched = Arc::clone(&state);
+    let service = service_fn(move |request| {
+        let state = Arc::clone(&state);
+        async move { Ok::<_, Infallible>(answer_request(&state, request).await) }
+    });
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    tokio::select! {
+        _ended = connection.as_mut() => return,
+        () = wait_closed(&watched) => {}
+    }
+    connection.as_mut().graceful_shutdown();
+    let _ended = connection.await;
+}
+
+async fn wait_closed(state: &EntryState) {
+    while state.phase() != EntryPhase::Closed {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+async fn answer_request(state: &Arc<EntryState>, request: Request<Incoming>) -> HttpReply {
+    let path = request.uri().path().to_owned();
+    let service = path
+        .strip_prefix("/v1/services/")
+        .and_then(|rest| rest.strip_suffix("/query"));
+    let wanted = match (path.as_str(), service) {
+        ("/v1/addresses", _) => Method::GET,
+        ("/v1/announce" | "/v1/leave", _) | (_, Some(_)) => Method::POST,
+        _ => return refusal_reply(state, ResultCode::UnknownPath),
+    };
+    if *request.method() != wanted {
+        return refusal_reply(state, ResultCode::BadMethod);
+    }
+    match (path.as_str(), service) {
+        ("/v1/addresses", _) => answer_addresses(state, &request),
+        ("/v1/announce", _) => match read_json(state, request).await {
+            Ok(announcement) => announce_reply(&take_announcement(state, announcement, true).await),
+            Err(code) => refusal_reply(state, code),
+        },
+        ("/v1/leave", _) => match read_json(state, request).await {
+            Ok(leave) => announce_reply(&take_leave(state, leave, true).await),
+            Err(code) => refusal_reply(state, code),
+        },
+        (_, Some(service)) => answer_query(state, service, request).await,
+        _ => refusal_reply(state, ResultCode::UnknownPath),
+    }
+}
+
+async fn answer_query(
+    state: &Arc<EntryState>,
+    service: &str,
+    request: Request<Incoming>,
+) -> HttpReply {
+    let (parts, body) = request.into_parts();
+    let body = match read_body(state, body).await {
+        Ok(body) => body,
+        Err(code) => return refusal_reply(state, code),
+    };
+    let deadline_max_ms = state.settings.limits.deadline_max_ms;
+    match read_query(service, &parts.headers, body, deadline_max_ms) {
+        Ok(query) => query_reply(&run_query(state, query).await),
+        Err(code) => refusal_reply(state, code),
+    }
+}
+
+fn query_reply(result: &QueryResult) -> HttpReply {
+    match result {
+        Ok(answer) => text_reply(StatusCode::OK, write_answer(answer)),
+        Err(refusal) => write_refusal_reply(refusal),
+    }
+}
+
+fn refusal_reply(state: &EntryState, code: ResultCode) -> HttpReply {
+    write_refusal_reply(&refuse_query(state, &RequestId::from(""), code))
+}
+
+fn write_refusal_reply(refusal: &QueryRefusal) -> HttpReply {
+    let mut reply = text_reply(status_of(refusal.code), write_refusal(refusal));
+    if let Some(retry_ms) = refusal.retry_ms {
+        reply
+            .headers_mut()
+            .insert(RETRY_AFTER, retry_ms.div_ceil(1_000).into());
+    }
+    reply
+}
+
+fn answer_addresses(state: &EntryState, request: &Request<Incoming>) -> HttpReply {
+    let wanted = request.uri().query().and_then(|query| {
+        query
+            .split('&')
+            .find_map(|pair| pair.strip_prefix("service=").map(ServiceName::from))
+    });
+    let Some(document) = state.document() else {
+        return refusal_reply(state, ResultCode::NoLease);
+    };
+    let Some(service) = wanted else {
+        return refusal_reply(state, ResultCode::MalformedRequest);
+    };
+    if document.find_service(&service).is_none() {
+        return refusal_reply(state, ResultCode::UnknownService);
+    }
+    let mut addresses = state.other_addresses();
+    if state.phase() == EntryPhase::Serving && state.may_dispatch() {
+        addresses.insert(0, state.settings.caller_address);
+    }
+    addresses.truncate(document.addresses.count as usize);
+    let keep_ms = span_to_millis(state.address_keep());
+    json_reply(StatusCode::OK, &AddressAnswer { addresses, keep_ms })
+}
+
+fn announce_reply(reply: &AnnounceReply) -> HttpReply {
+    json_reply(status_of(reply.code), reply)
+}
+
+async fn read_json<T: DeserializeOwned>(
+    state: &EntryState,
+    request: Request<Incoming>,
+) -> Result<T, ResultCode> {
+    let body = read_body(state, request.into_body()).await?;
+    serde_json::from_slice(&body).map_err(|_fault| ResultCode::MalformedJson)
+}
+
+async fn read_body(state: &EntryState, body: Incoming) -> Result<Bytes, ResultCode> {
+    let longest = usize::try_from(state.settings.limits.body_max_bytes).unwrap_or(usize::MAX);
+    match Limited::new(body, longest).collect().await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(fault) if fault.is::<http_body_util::LengthLimitError>() => {
+            Err(ResultCode::BodyTooLarge)
+        }
+        Err(_) => Err(ResultCode::MalformedRequest),
+    }
+}
+
+fn status_of(code: ResultCode) -> StatusCode {
+    StatusCode::from_u16(code.http_status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR)
+}
+
+fn json_reply<T: Serialize>(status: StatusCode, value: &T) -> HttpReply {
+    text_reply(status, serde_json::to_vec(value).ok())
+}
+
+fn text_reply(status: StatusCode, text: Option<Vec<u8>>) -> HttpReply {
+    let status = if text.is_some() {
+        status
+    } else {
+        StatusCode::INTERNAL_SERVER_ERROR
+    };
+    let mut reply = Response::new(Full::new(Bytes::from(text.unwrap_or_default())));
+    *reply.status_mut() = status;
+    let json = hyper::header::HeaderValue::from_static("application/json");
+    reply.headers_mut().insert(CONTENT_TYPE, json);
+    reply
+}
--- /dev/null
+++ b/daisyhinge/src/shell/entry/state.rs
@@ -0,0 +1,282 @@
+//! What the tasks of one entry share.
+//!
+//! Lock order: none of these locks is taken while another is held, but for `keeping`, under
+//! which `view` and `lease` may be read.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering};
+use std::time::Duration;
+
+use parking_lot::{Mutex, RwLock};
+use tokio::sync::Semaphore;
+
+use crate::keeper::gate::KeeperGate;
+use crate::lease::FreshnessLease;
+use crate::prelude::*;
+use crate::search::plan::SEQUENCE_STRIDE;
+use crate::search::route::RouteTable;
+use crate::shell::clock::{ProcessClock, wall_micros};
+use crate::shell::entry::following::ControlPool;
+use crate::shell::entry::keeping::KeepingTable;
+use crate::shell::entry::peering::PeerPool;
+use crate::vocabulary::environment::{CentreState, EnvironmentDocument};
+use crate::vocabulary::event::EventDraft;
+use crate::vocabulary::setting::EntrySettings;
+use crate::vocabulary::view::{ControlView, EntryRecord, EntryState as MemberState};
+
+/// Takes events for the time line.
+pub type NoteSink = Arc<dyn Fn(EventDraft) + Send + Sync>;
+
+/// How far an entry is in its life.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[repr(u8)]
+pub enum EntryPhase {
+    /// Serves.
+    Serving = 0,
+    /// Leaves: keeps nothing, still answers callers.
+    Leaving = 1,
+    /// Refuses callers.
+    Closed = 2,
+}
+
+/// Shared state of one entry.
+pub struct EntryState {
+    /// Its settings, with the addresses that were bound.
+    pub settings: EntrySettings,
+    /// The process's clock.
+    pub clock: ProcessClock,
+    /// Random number drawn at start, by which its attempts are told apart.
+    pub origin: u64,
+    /// Connections from callers and backend servers that may still be accepted.
+    pub connections: Arc<Semaphore>,
+    /// Set when the process stops.
+    pub stopped: AtomicBool,
+    pub(super) routes: Mutex<RouteTable>,
+    pub(super) keeping: Mutex<KeepingTable>,
+    pub(super) peers: PeerPool,
+    pub(super) control: ControlPool,
+    incarnation: IncarnationNumber,
+    view: RwLock<Arc<ControlView>>,
+    lease: Mutex<FreshnessLease>,
+    members_changed: Mutex<MonotonicTime>,
+    phase: AtomicU8,
+    released: AtomicBool,
+    running: Mutex<HashMap<ServiceName, u32>>,
+    sequence: AtomicU64,
+    note: NoteSink,
+}
+
+impl fmt::Debug for EntryState {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("EntryState")
+            .field("vm", &self.settings.vm)
+            .finish_non_exhaustive()
+    }
+}
+
+impl EntryState {
+    pub(super) fn new(settings: EntrySettings, note: NoteSink) -> Self {
+        let origin = rand::random();
+        Self {
+            connections: Arc::new(Semaphore::new(settings.limits.connections_max as usize)),
+            clock: ProcessClock::open(),
+            origin,
+            stopped: AtomicBool::new(false),
+            routes: Mutex::default(),
+            keeping: Mutex::new(KeepingTable::new(origin)),
+            peers: PeerPool::default(),
+            control: ControlPool::default(),
+            members_changed: Mutex::default(),
+            incarnation: IncarnationNumber(wall_micros()),
+            view: RwLock::default(),
+            lease: Mutex::default(),
+            phase: AtomicU8::new(EntryPhase::Serving as u8),
+            released: AtomicBool::new(false),
+            running: Mutex::default(),
+            sequence: AtomicU64::new(0),
+            note,
+            settings,
+        }
+    }
+
+    /// The current reading of the clock.
+    pub fn now(&self) -> MonotonicTime {
+        self.clock.now()
+    }
+
+    /// Puts an event on the time line.
+    pub fn note(&self, draft: EventDraft) {
+        (self.note)(draft);
+    }
+
+    /// The view in force here.
+    pub fn view(&self) -> Arc<ControlView> {
+        Arc::clone(&self.view.read())
+    }
+
+    /// The document of this entry's environment, if there is one.
+    pub fn document(&self) -> Option<Arc<EnvironmentDocument>> {
+        self.view
+            .read()
+            .environments
+            .get(&self.settings.environment)
+            .cloned()
+    }
+
+    /// The lease as it is now.
+    pub fn lease(&self) -> FreshnessLease {
+        *self.lease.lock()
+    }
+
+    /// Whether work may be dispatched now. To be asked immediately before each dispatch.
+    pub fn may_dispatch(&self) -> bool {
+        self.lease().holds(self.now())
+    }
+
+    pub(super) fn renew_lease(&self, version: VersionNumber, asked: MonotonicTime, age: Duration) {
+        self.lease.lock().renew(version, asked, age);
+    }
+
+    pub(super) fn adopt_view(&self, view: Arc<ControlView>) {
+        let mut current = self.view.write();
+        assert!(
+            view.version >= current.version,
+            "an accepted configuration never reverts"
+        );
+        if view.entries != current.entries {
+            *self.members_changed.lock() = self.now();
+        }
+        *current = view;
+    }
+
+    /// When the list of entries last changed in the view in force here.
+    pub(super) fn members_changed(&self) -> MonotonicTime {
+        *self.members_changed.lock()
+    }
+
+    /// How far this entry is in its life.
+    pub fn phase(&self) -> EntryPhase {
+        match self.phase.load(Ordering::Acquire) {
+            0 => EntryPhase::Serving,
+            1 => EntryPhase::Leaving,
+            _ => EntryPhase::Closed,
+        }
+    }
+
+    pub(super) fn set_phase(&self, phase: EntryPhase) {
+        self.phase.store(phase as u8, Ordering::Release);
+    }
+
+    /// Whether a leaving entry has given up all that it kept.
+    pub fn is_released(&self) -> bool {
+        self.released.load(Ordering::Acquire)
+    }
+
+    pub(super) fn set_released(&self) {
+        self.released.store(true, Ordering::Release);
+    }
+
+    /// This entry as it wants to be listed.
+    pub fn record(&self) -> EntryRecord {
+        let serving = self.phase() == EntryPhase::Serving;
+        EntryRecord {
+            vm: self.settings.vm.clone(),
+            environment: self.settings.environment.clone(),
+            data_centre: self.settings.data_centre.clone(),
+            incarnation: self.incarnation,
+            caller_address: self.settings.caller_address,
+            peer_address: self.settings.peer_address,
+            state: if serving {
+                MemberState::Live
+            } else {
+                MemberState::Leaving
+            },
+        }
+    }
+
+    /// How long callers may keep an address.
+    pub fn address_keep(&self) -> Duration {
+        let keep_ms = self
+            .document()
+            .map_or(0, |document| document.addresses.keep_ms);
+        Duration::from_millis(keep_ms)
+    }
+
+    /// Where callers should go instead of here, in order of preference.
+    pub fn other_addresses(&self) -> Vec<SocketAddr> {
+        let view = self.view();
+        let usable = view.entries.iter().filter(|entry| {
+            entry.state == MemberState::Live
+                && entry.environment == self.settings.environment
+                && entry.vm != self.settings.vm
+        });
+        let mut others: Vec<&EntryRecord> = usable.collect();
+        others.sort_by_key(|entry| entry.data_centre != self.settings.data_centre);
+        others.iter().map(|entry| entry.caller_address).collect()
+    }
+
+    /// What must hold before a replica of `centre` gets anything.
+    pub(super) fn gate(&self, centre: &CentreName, opens: MonotonicTime) -> KeeperGate {
+        let centre_in = self.document().is_some_and(|document| {
+            document
+                .find_centre(centre)
+                .is_some_and(|entry| entry.state == CentreState::In)
+        });
+        KeeperGate {
+            lease_ends: self.lease().ends(),
+            opens,
+            centre_in,
+            is_keeper: true,
+        }
+    }
+
+    /// Numbers for the attempts of one request.
+    pub(super) fn next_sequence_base(&self) -> u64 {
+        self.sequence.fetch_add(SEQUENCE_STRIDE, Ordering::Relaxed)
+    }
+
+    /// Counts a request in; the guard counts it out.
+    pub(super) fn begin_request(self: &Arc<Self>, service: &ServiceName) -> RunningGuard {
+        *self.running.lock().entry(service.clone()).or_default() += 1;
+        RunningGuard {
+            state: Arc::clone(self),
+            service: service.clone(),
+        }
+    }
+
+    /// Requests of callers that run here.
+    pub fn running_count(&self) -> u32 {
+        self.running.lock().values().sum()
+    }
+
+    /// Requests of callers that run here, of one service.
+    pub fn running_of(&self, service: &ServiceName) -> u32 {
+        self.running.lock().get(service).copied().unwrap_or(0)
+    }
+
+    /// Waits until all connections of callers ended, at most `longest`.
+    pub(super) async fn wait_connections(&self, longest: Duration) {
+        let all = self.settings.limits.connections_max;
+        let _closed_or_late =
+            tokio::time::timeout(longest, self.connections.acquire_many(all)).await;
+    }
+}
+
+/// Counts a running request out when dropped.
+#[derive(Debug)]
+pub struct RunningGuard {
+    state: Arc<EntryState>,
+    service: ServiceName,
+}
+
+impl Drop for RunningGuard {
+    fn drop(&mut self) {
+        let mut running = self.state.running.lock();
+        if let Some(count) = running.get_mut(&self.service) {
+            *count = count.saturating_sub(1);
+        }
+    }
+}
--- a/daisyhinge/src/vocabulary/freshness.rs
+++ b/daisyhinge/src/vocabulary/freshness.rs
@@ -15,6 +15,9 @@
     pub entry: EntryRecord,
     /// Version that the entry holds; 0 if none.
     pub holds: VersionNumber,
+    /// Set once a leaving entry keeps nothing and nothing that it dispatched still runs. It is
+    /// then taken off the list as released, and still gets proofs while it answers callers.
+    pub released: bool,
 }
 
 /// A proof that a quorum confirmed `version` as newest.
@@ -37,7 +40,12 @@
 /// Allowance for clocks that run at different speeds, in parts per million of a span.
 pub const DRIFT_PPM: u32 = 1_000;
 
-/// How long after a newer view was seen every holder of an older one has certainly stopped.
+/// A keeper's dispatch expires at the latest this long after the end of the lease it is sent
+/// under, so that a new keeper can tell when the slots of the former one are free.
+pub const RUN_TAIL: Duration = Duration::from_millis(1_500);
+
+/// How long after a newer view was seen nothing dispatched under an older one still runs.
 pub fn lease_wait_span() -> Duration {
-    LEASE_SPAN + LEASE_SPAN * DRIFT_PPM * 2 / 1_000_000
+    let span = LEASE_SPAN + RUN_TAIL;
+    span + span * DRIFT_PPM * 2 / 1_000_000
 }
--- a/daisyhinge/src/vocabulary/subrequest.rs
+++ b/daisyhinge/src/vocabulary/subrequest.rs
@@ -61,5 +61,25 @@
     pub load: KeeperLoad,
 }
 
+impl SubRefusal {
+    /// A refusal of which no backend server saw anything.
+    pub fn not_run(code: ResultCode) -> Self {
+        Self {
+            code,
+            run: RunState::NotRun,
+            retry_ms: 0,
+            load: KeeperLoad::default(),
+        }
+    }
+
+    /// A refusal of which a backend server may have seen something.
+    pub fn with_run(code: ResultCode, run: RunState) -> Self {
+        Self {
+            run,
+            ..Self::not_run(code)
+        }
+    }
+}
+
 /// A keeper's reply to [`SubAsk`].
 pub type SubReply = Result<SubAnswer, SubRefusal>;
