Add a fake backend server with faults and its own records

Cause: nothing stood for a backend server yet, so neither the path nor its policy could be tried. Ruled out: binding a new port at each restart (a real server returns at its address); stopping work when the sender's connection goes (a real server goes on working, which is what a keeper that frees slots at a timeout gets wrong). Conclusion: FakeServer::spawn and the server subcommand stand; faults change at run time through the handle and POST /fake/...

--- /dev/null
+++ b/daisyhinge-fakes/src/http.rs
@@ -0,0 +1,149 @@
+//! Small helpers around hyper that all stand-ins share.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use daisyhinge::prelude::*;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::{HeaderMap, Method, Request, Response, StatusCode};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Largest body that the stand-ins read, in bytes.
+const BODY_MAX_BYTES: usize = 8 << 20;
+
+/// An HTTP/1.1 caller with pooled connections.
+pub type HttpCaller = Client<HttpConnector, Full<Bytes>>;
+
+/// A response read whole.
+#[derive(Clone, Debug)]
+pub struct WholeResponse {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl WholeResponse {
+    /// The body as JSON, if it is of that shape.
+    pub fn read_json<T: DeserializeOwned>(&self) -> Option<T> {
+        serde_json::from_slice(&self.body).ok()
+    }
+}
+
+/// Makes a caller whose idle connections are kept for a while.
+pub fn build_caller() -> HttpCaller {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    Client::builder(TokioExecutor::new()).build(connector)
+}
+
+/// Reads a body whole; `None` if it ends early or is too large.
+pub async fn read_body(body: Incoming) -> Option<Bytes> {
+    let body = Limited::new(body, BODY_MAX_BYTES);
+    body.collect()
+        .await
+        .ok()
+        .map(http_body_util::Collected::to_bytes)
+}
+
+/// Sends `request` and reads the response whole, within `limit`.
+///
+/// # Errors
+///
+/// `ConnectFailed` if no connection came about, `ConnectionReset` if it ended early,
+/// `SubRequestExpired` after `limit`.
+pub async fn send_request(
+    caller: &HttpCaller,
+    request: Request<Full<Bytes>>,
+    limit: Duration,
+) -> Result<WholeResponse, ResultCode> {
+    let exchange = async {
+        let response = caller.request(request).await.map_err(|error| {
+            if error.is_connect() {
+                ResultCode::ConnectFailed
+            } else {
+                ResultCode::ConnectionReset
+            }
+        })?;
+        let (parts, body) = response.into_parts();
+        let body = read_body(body).await.ok_or(ResultCode::ConnectionReset)?;
+        Ok(WholeResponse {
+            status: parts.status,
+            headers: parts.headers,
+            body,
+        })
+    };
+    tokio::time::timeout(limit, exchange)
+        .await
+        .unwrap_or(Err(ResultCode::SubRequestExpired))
+}
+
+/// Posts `value` as JSON to `path` at `address`.
+///
+/// # Errors
+///
+/// As [`send_request`]; `MalformedRequest` if `path` is not a path.
+pub async fn post_json<T: Serialize>(
+    caller: &HttpCaller,
+    address: SocketAddr,
+    path: &str,
+    value: &T,
+    limit: Duration,
+) -> Result<WholeResponse, ResultCode> {
+    let body = serde_json::to_vec(value).map_err(|_not_json| ResultCode::MalformedJson)?;
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri(format!("http://{address}{path}"))
+        .header("content-type", "application/json")
+        .body(Full::new(Bytes::from(body)))
+        .map_err(|_not_a_path| ResultCode::MalformedRequest)?;
+    send_request(caller, request, limit).await
+}
+
+/// Gets `path` at `address`.
+///
+/// # Errors
+///
+/// As [`send_request`]; `MalformedRequest` if `path` is not a path.
+pub async fn get_path(
+    caller: &HttpCaller,
+    address: SocketAddr,
+    path: &str,
+    limit: Duration,
+) -> Result<WholeResponse, ResultCode> {
+    let request = Request::builder()
+        .uri(format!("http://{address}{path}"))
+        .body(Full::default())
+        .map_err(|_not_a_path| ResultCode::MalformedRequest)?;
+    send_request(caller, request, limit).await
+}
+
+/// A response with a JSON body.
+pub fn json_response<T: Serialize>(status: StatusCode, value: &T) -> Response<Full<Bytes>> {
+    let body = serde_json::to_vec(value).unwrap_or_default();
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    *response.status_mut() = status;
+    response.headers_mut().insert(
+        "content-type",
+        hyper::header::HeaderValue::from_static("application/json"),
+    );
+    response
+}
+
+/// A header's value as text.
+pub fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+/// A header's value as a number.
+pub fn header_number(headers: &HeaderMap, name: &str) -> Option<u64> {
+    header_text(headers, name)?.parse().ok()
+}
--- /dev/null
+++ b/daisyhinge-fakes/src/server/answer.rs
@@ -0,0 +1,95 @@
+//! Answers of a fake backend server, whole or damaged.
+
+use bytes::Bytes;
+use daisyhinge::prelude::*;
+use http_body_util::Full;
+use hyper::header::HeaderValue;
+use hyper::{HeaderMap, Response, StatusCode};
+use serde::{Deserialize, Serialize};
+
+use crate::server::fault::DamageKind;
+use crate::server::sub::SubTask;
+
+/// Payload of an answer, from which an oracle recomputes what the answer must be.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EchoPayload {
+    /// Replica that answered.
+    pub replica: ReplicaName,
+    /// Shard that it answered for.
+    pub shard: ShardNumber,
+    /// Snapshot that it answered from.
+    pub snapshot: SnapshotNumber,
+    /// The caller's request.
+    pub request: RequestId,
+    /// CRC-32 of the request's payload, 8 hexadecimal digits.
+    pub echo_crc: String,
+}
+
+/// CRC-32 of `bytes` as 8 hexadecimal digits.
+pub fn format_crc(bytes: &[u8]) -> String {
+    format!("{:08x}", crc32fast::hash(bytes))
+}
+
+/// Answers `task`. `former` is the sub-request before it, which a crossed answer is for.
+pub(crate) fn build_answer(
+    task: &SubTask,
+    former: Option<&SubTask>,
+    incarnation: IncarnationNumber,
+    damage: DamageKind,
+) -> Response<Full<Bytes>> {
+    let mut named = task.clone();
+    match damage {
+        DamageKind::Crossed => named = former.unwrap_or(task).clone(),
+        DamageKind::WrongShard => named.shard = ShardNumber(task.shard.0 + 1),
+        DamageKind::WrongSnapshot => named.snapshot = SnapshotNumber(task.snapshot.0 + 1),
+        _ => {}
+    }
+    let payload = EchoPayload {
+        replica: named.replica.clone(),
+        shard: named.shard,
+        snapshot: named.snapshot,
+        request: named.request.clone(),
+        echo_crc: format_crc(&named.body),
+    };
+    let body = Bytes::from(serde_json::to_vec(&payload).unwrap_or_default());
+    let checksum = if damage == DamageKind::WrongChecksum {
+        format_crc(b"another body")
+    } else {
+        format_crc(&body)
+    };
+    let sent = if damage == DamageKind::Truncated {
+        body.slice(..body.len() / 2)
+    } else {
+        body.clone()
+    };
+    let mut response = Response::new(Full::new(sent));
+    let headers = response.headers_mut();
+    insert_text(headers, "daisyhinge-request", named.request.as_str());
+    insert_text(headers, "daisyhinge-attempt", &named.attempt);
+    insert_text(headers, "daisyhinge-shard", &named.shard.to_string());
+    insert_text(headers, "daisyhinge-snapshot", &named.snapshot.to_string());
+    insert_text(headers, "daisyhinge-length", &body.len().to_string());
+    insert_text(headers, "daisyhinge-checksum", &checksum);
+    insert_text(headers, "daisyhinge-incarnation", &incarnation.to_string());
+    insert_text(headers, "content-type", "application/json");
+    response
+}
+
+/// A response without a body, with `header` set to `value` if one is given.
+pub(crate) fn build_plain(
+    status: StatusCode,
+    header: Option<(&'static str, &str)>,
+) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = status;
+    if let Some((name, value)) = header {
+        insert_text(response.headers_mut(), name, value);
+    }
+    response
+}
+
+fn insert_text(headers: &mut HeaderMap, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(name, value);
+    }
+}
--- /dev/null
+++ b/daisyhinge-fakes/src/server/core.rs
@@ -0,0 +1,397 @@
+//! The fake backend server's own state: what it holds, what runs, what went wrong.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use daisyhinge::prelude::*;
+use daisyhinge::vocabulary::announcement::{HeldSnapshot, ServerState};
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use tokio_util::sync::CancellationToken;
+
+use crate::server::fault::{ColdSettings, DamageKind, FaultSettings};
+use crate::server::record::{FakeRecord, SubRecord};
+use crate::server::settings::FakeSettings;
+use crate::server::sub::SubTask;
+
+/// Finished attempts that are remembered, so that a late cancel is answered truly.
+const ENDED_MAX: usize = 8_192;
+/// A sub-request slower than this many times the mean shows that the server is cold.
+const SIGN_TIMES: f64 = 1.9;
+
+/// What is to be done with a sub-request that arrived.
+#[derive(Debug)]
+pub(crate) enum TakeOutcome {
+    /// Work on it.
+    Run(WorkPlan),
+    /// Shed it.
+    Shed,
+    /// The snapshot or shard is not held.
+    NotHeld,
+    /// Another replica is meant.
+    Misdirected,
+    /// Fail with an error of the server's own.
+    Fail,
+    /// It was cancelled before it arrived.
+    Cancelled,
+    /// The server crashes.
+    Crash,
+    /// The server collapses under more than it bears.
+    Collapse,
+}
+
+/// How a sub-request is worked on.
+#[derive(Clone, Debug)]
+pub(crate) struct WorkPlan {
+    /// Time that the work takes.
+    pub service: Duration,
+    /// Fires when it is cancelled.
+    pub cancel: CancellationToken,
+    /// Damage to the answer.
+    pub damage: DamageKind,
+    /// How late a late answer is.
+    pub late: Duration,
+}
+
+/// How work ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum WorkEnd {
+    /// Answered.
+    Answered,
+    /// Cancelled by its sender.
+    Cancelled,
+    /// Expired.
+    Expired,
+    /// Lost in a crash or collapse.
+    Lost,
+}
+
+#[derive(Debug)]
+enum AttemptState {
+    Running(CancellationToken),
+    Stopped,
+    Answered,
+}
+
+#[derive(Debug)]
+struct ColdState {
+    settings: ColdSettings,
+    done: u32,
+}
+
+/// Identity that the next announcement carries.
+#[derive(Clone, Debug)]
+pub(crate) struct AnnounceState {
+    pub state: ServerState,
+    pub incarnation: IncarnationNumber,
+    pub sequence: u64,
+    pub snapshots: Vec<HeldSnapshot>,
+    pub silent: bool,
+}
+
+#[derive(Debug)]
+pub(crate) struct FakeCore {
+    settings: FakeSettings,
+    pub faults: FaultSettings,
+    pub snapshots: Vec<HeldSnapshot>,
+    pub state: ServerState,
+    pub incarnation: IncarnationNumber,
+    pub record: FakeRecord,
+    pub left: bool,
+    sequence: u64,
+    cold: Option<ColdState>,
+    attempts: HashMap<String, AttemptState>,
+    ended: VecDeque<String>,
+    random: ChaCha8Rng,
+}
+
+impl FakeCore {
+    pub fn new(settings: &FakeSettings) -> Self {
+        let mut core = Self {
+            faults: settings.faults.clone(),
+            snapshots: settings.snapshots.clone(),
+            state: settings.state,
+            incarnation: settings.incarnation,
+            record: FakeRecord::default(),
+            left: false,
+            sequence: 0,
+            cold: None,
+            attempts: HashMap::new(),
+            ended: VecDeque::new(),
+            random: ChaCha8Rng::seed_from_u64(settings.seed),
+            settings: settings.clone(),
+        };
+        if let Some(cold) = core.faults.cold {
+            core.turn_cold(cold);
+        }
+        core
+    }
+
+    /// Decides on a sub-request that arrived.
+    pub fn take(&mut self, task: &SubTask) -> TakeOutcome {
+        self.note_arrival(task);
+        if task.replica != self.settings.replica || task.service != self.settings.service {
+            self.record.misdirected += 1;
+            return TakeOutcome::Misdirected;
+        }
+        if !self.holds(task) {
+            self.record.not_held += 1;
+            return TakeOutcome::NotHeld;
+        }
+        if matches!(
+            self.attempts.get(&task.attempt),
+            Some(AttemptState::Stopped)
+        ) {
+            return TakeOutcome::Cancelled;
+        }
+        if self.draw(self.faults.fail_one_in) {
+            self.record.failed += 1;
+            return TakeOutcome::Fail;
+        }
+        let full =
+            self.record.in_hand >= self.settings.slots.saturating_add(self.settings.queue_max);
+        if full || self.draw(self.faults.shed_one_in) {
+            self.record.shed += 1;
+            self.note_sign();
+            return TakeOutcome::Shed;
+        }
+        self.start(task)
+    }
+
+    fn start(&mut self, task: &SubTask) -> TakeOutcome {
+        self.record.started += 1;
+        if !task.repeatable {
+            *self
+                .record
+                .single_runs
+                .entry(task.request.clone())
+                .or_default() += 1;
+        }
+        if self.is_marked(task) {
+            *self
+                .record
+                .marked_runs
+                .entry(task.request.clone())
+                .or_default() += 1;
+            return TakeOutcome::Crash;
+        }
+        self.record.slots_exceeded += u64::from(self.record.in_hand >= self.settings.slots);
+        self.record.in_hand += 1;
+        self.record.peak_in_hand = self.record.peak_in_hand.max(self.record.in_hand);
+        let cancel = CancellationToken::new();
+        self.attempts
+            .insert(task.attempt.clone(), AttemptState::Running(cancel.clone()));
+        if self.exceeds_cold() {
+            return TakeOutcome::Collapse;
+        }
+        TakeOutcome::Run(self.plan(cancel))
+    }
+
+    fn plan(&mut self, cancel: CancellationToken) -> WorkPlan {
+        let mut times = self.random.random_range(0.5..1.5) * self.faults.slow_times;
+        if self.draw(self.faults.straggle_one_in) {
+            times *= self.faults.straggle_times;
+        }
+        times *= self.cold.as_ref().map_or(1.0, |cold| cold.settings.times);
+        let damaged =
+            self.faults.damage != DamageKind::None && self.draw(self.faults.damage_one_in);
+        WorkPlan {
+            service: Duration::from_micros(self.settings.service_us).mul_f64(times),
+            cancel,
+            damage: if damaged {
+                self.faults.damage
+            } else {
+                DamageKind::None
+            },
+            late: Duration::from_millis(self.faults.late_ms),
+        }
+    }
+
+    /// Records how the work on an attempt ended.
+    pub fn finish(&mut self, attempt: &str, end: WorkEnd) {
+        self.record.in_hand = self.record.in_hand.saturating_sub(1);
+        let counter = match end {
+            WorkEnd::Answered => &mut self.record.answered,
+            WorkEnd::Cancelled => &mut self.record.cancelled,
+            WorkEnd::Expired => &mut self.record.expired,
+            WorkEnd::Lost => &mut self.record.lost,
+        };
+        *counter += 1;
+        let state = if end == WorkEnd::Answered {
+            AttemptState::Answered
+        } else {
+            AttemptState::Stopped
+        };
+        self.remember(attempt, state);
+        if end == WorkEnd::Answered {
+            self.warm_up();
+        }
+    }
+
+    /// Cancels an attempt; `true` if its work has certainly stopped or will never start.
+    pub fn cancel(&mut self, attempt: &str) -> bool {
+        match self.attempts.get(attempt) {
+            Some(AttemptState::Running(cancel)) => {
+                cancel.cancel();
+                true
+            }
+            Some(AttemptState::Stopped) => true,
+            Some(AttemptState::Answered) => false,
+            None => {
+                self.remember(attempt, AttemptState::Stopped);
+                true
+            }
+        }
+    }
+
+    fn remember(&mut self, attempt: &str, state: AttemptState) {
+        self.attempts.insert(attempt.to_owned(), state);
+        self.ended.push_back(attempt.to_owned());
+        if self.ended.len() > ENDED_MAX
+            && let Some(oldest) = self.ended.pop_front()
+        {
+            self.attempts.remove(&oldest);
+        }
+    }
+
+    /// Turns the server cold now.
+    pub fn turn_cold(&mut self, settings: ColdSettings) {
+        self.cold = Some(ColdState { settings, done: 0 });
+        self.record.cold_at_us = read_wall_us();
+        self.record.warm_at_us = 0;
+        self.record.sign_at_us = if settings.announced {
+            self.record.cold_at_us
+        } else {
+            0
+        };
+        if settings.announced {
+            self.state = ServerState::Cold;
+        }
+    }
+
+    /// Begins a new incarnation after a crash, cold again if the faults say so.
+    pub fn restart(&mut self) {
+        self.incarnation = IncarnationNumber(self.incarnation.0 + 1);
+        self.sequence = 0;
+        self.attempts.clear();
+        self.ended.clear();
+        self.state = ServerState::Ready;
+        self.cold = None;
+        if let Some(cold) = self.faults.cold {
+            self.turn_cold(cold);
+        }
+    }
+
+    /// What the next announcement says.
+    pub fn next_announcement(&mut self) -> AnnounceState {
+        self.sequence += 1;
+        AnnounceState {
+            state: self.state,
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            snapshots: self.snapshots.clone(),
+            silent: self.left || self.faults.mute || self.faults.frozen,
+        }
+    }
+
+    /// Records that the server gave a sign of a silent cold state.
+    pub fn note_sign(&mut self) {
+        if self.cold.is_some() && self.record.sign_at_us == 0 {
+            self.record.sign_at_us = read_wall_us();
+        }
+    }
+
+    /// Records a sign if work of `times` the mean service time is one.
+    pub fn note_service(&mut self, service: Duration) {
+        let mean = Duration::from_micros(self.settings.service_us);
+        if service >= mean.mul_f64(SIGN_TIMES) {
+            self.note_sign();
+        }
+    }
+
+    /// Time that a collapse lasts.
+    pub fn collapse_time(&self) -> Duration {
+        Duration::from_millis(
+            self.cold
+                .as_ref()
+                .map_or(0, |cold| cold.settings.collapse_ms),
+        )
+    }
+
+    fn holds(&self, task: &SubTask) -> bool {
+        self.snapshots
+            .iter()
+            .any(|held| held.snapshot == task.snapshot && held.shard == task.shard)
+    }
+
+    fn is_marked(&self, task: &SubTask) -> bool {
+        let marker = self.faults.crash_marker.as_bytes();
+        !marker.is_empty()
+            && task
+                .body
+                .windows(marker.len())
+                .any(|window| window == marker)
+    }
+
+    fn draw(&mut self, one_in: u32) -> bool {
+        one_in > 0 && self.random.random_range(0..one_in) == 0
+    }
+
+    fn exceeds_cold(&mut self) -> bool {
+        let Some(cold) = &mut self.cold else {
+            return false;
+        };
+        self.record.peak_cold = self.record.peak_cold.max(self.record.in_hand);
+        if self.record.in_hand <= cold.settings.bears {
+            return false;
+        }
+        let sign = self.record.sign_at_us;
+        let after_sign = sign > 0 && read_wall_us() > sign + cold.settings.sign_grace_ms * 1_000;
+        cold.done = 0;
+        self.record.cold_exceeded += 1;
+        self.record.cold_exceeded_after_sign += u64::from(after_sign);
+        self.record.collapses += 1;
+        self.record.collapses_after_sign += u64::from(after_sign);
+        true
+    }
+
+    fn warm_up(&mut self) {
+        let Some(cold) = &mut self.cold else { return };
+        cold.done += 1;
+        if cold.done >= cold.settings.warm_after {
+            self.cold = None;
+            self.faults.cold = None;
+            self.record.warm_at_us = read_wall_us();
+            if self.state == ServerState::Cold {
+                self.state = ServerState::Ready;
+            }
+        }
+    }
+
+    fn note_arrival(&mut self, task: &SubTask) {
+        let at_us = read_wall_us();
+        self.record.received += 1;
+        if self.record.mark_us > 0 {
+            self.record.after_mark += 1;
+            self.record.last_after_mark_us = at_us.saturating_sub(self.record.mark_us);
+        }
+        if self.record.log.len() < self.settings.log_max {
+            self.record.log.push(SubRecord {
+                at_us,
+                request: task.request.clone(),
+                attempt: task.attempt.clone(),
+                snapshot: task.snapshot,
+                shard: task.shard,
+            });
+        }
+    }
+}
+
+/// The wall clock, in microseconds since 1970.
+pub(crate) fn read_wall_us() -> u64 {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since.as_micros()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/daisyhinge-fakes/src/server/settings.rs
@@ -0,0 +1,142 @@
+//! Settings of a fake backend server.
+
+use std::net::SocketAddr;
+
+use daisyhinge::prelude::*;
+use daisyhinge::vocabulary::announcement::{HeldSnapshot, ServerState};
+use serde::{Deserialize, Serialize};
+
+use crate::server::fault::FaultSettings;
+
+/// Settings of a fake backend server that holds one replica.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct FakeSettings {
+    /// Name of the replica.
+    pub replica: ReplicaName,
+    /// Service that it belongs to.
+    pub service: ServiceName,
+    /// Data centre that it runs in.
+    pub data_centre: CentreName,
+    /// Where it listens; port 0 takes a free one.
+    #[serde(default = "default_address")]
+    pub address: SocketAddr,
+    /// Entries to announce to at first; none: it announces nothing.
+    #[serde(default)]
+    pub entries: Vec<SocketAddr>,
+    /// Sub-requests that it works on at a time.
+    #[serde(default = "default_slots")]
+    pub slots: u32,
+    /// Connections that it accepts at a time; further ones are reset.
+    #[serde(default = "default_connections")]
+    pub connections: u32,
+    /// Sub-requests that wait beyond the slots before it sheds.
+    #[serde(default = "default_queue_max")]
+    pub queue_max: u32,
+    /// Time that a new connection costs, in microseconds.
+    #[serde(default)]
+    pub connect_us: u64,
+    /// One-way latency of the link, added before and after the work, in microseconds.
+    #[serde(default)]
+    pub link_us: u64,
+    /// Mean service time, in microseconds; single ones are drawn between half and one and a half.
+    #[serde(default = "default_service_us")]
+    pub service_us: u64,
+    /// State that it announces at the start.
+    #[serde(default = "default_state")]
+    pub state: ServerState,
+    /// Incarnation at the start; each restart adds one.
+    #[serde(default = "default_incarnation")]
+    pub incarnation: IncarnationNumber,
+    /// Cold allowance that it announces.
+    #[serde(default = "default_cold_allowance")]
+    pub cold_allowance: u32,
+    /// Snapshots that it holds, newest first.
+    pub snapshots: Vec<HeldSnapshot>,
+    /// Faults at the start.
+    #[serde(default)]
+    pub faults: FaultSettings,
+    /// Seed of service times and faults.
+    #[serde(default)]
+    pub seed: u64,
+    /// Sub-requests of which the arrival is kept in the record.
+    #[serde(default = "default_log_max")]
+    pub log_max: usize,
+}
+
+impl FakeSettings {
+    /// A ready server of one shard of one, on a free loopback port, that announces to `entries`.
+    pub fn new(service: &str, replica: &str, data_centre: &str, entries: &[SocketAddr]) -> Self {
+        Self {
+            replica: ReplicaName::from(replica),
+            service: ServiceName::from(service),
+            data_centre: CentreName::from(data_centre),
+            address: default_address(),
+            entries: entries.to_vec(),
+            slots: default_slots(),
+            connections: default_connections(),
+            queue_max: default_queue_max(),
+            connect_us: 0,
+            link_us: 0,
+            service_us: default_service_us(),
+            state: default_state(),
+            incarnation: default_incarnation(),
+            cold_allowance: default_cold_allowance(),
+            snapshots: vec![hold_snapshot(1, 0, 1)],
+            faults: FaultSettings::default(),
+            seed: 0,
+            log_max: default_log_max(),
+        }
+    }
+}
+
+/// Snapshot `snapshot` with `shard` of `shards` in it, 100 of weight each, generation 1.
+pub fn hold_snapshot(snapshot: u64, shard: u32, shards: u32) -> HeldSnapshot {
+    HeldSnapshot {
+        snapshot: SnapshotNumber(snapshot),
+        generation: 1,
+        shard: ShardNumber(shard),
+        shards,
+        weight: SHARD_WEIGHT,
+        whole_weight: SHARD_WEIGHT * u64::from(shards),
+    }
+}
+
+/// Weight of each shard in [`hold_snapshot`].
+pub const SHARD_WEIGHT: u64 = 100;
+
+fn default_address() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn default_slots() -> u32 {
+    2
+}
+
+fn default_connections() -> u32 {
+    25
+}
+
+fn default_queue_max() -> u32 {
+    64
+}
+
+fn default_service_us() -> u64 {
+    4_000
+}
+
+fn default_state() -> ServerState {
+    ServerState::Ready
+}
+
+fn default_incarnation() -> IncarnationNumber {
+    IncarnationNumber(1)
+}
+
+fn default_cold_allowance() -> u32 {
+    1
+}
+
+fn default_log_max() -> usize {
+    65_536
+}
