--- a/daisyhinge/src/shell.rs
+++ b/daisyhinge/src/shell.rs
@@ -10,3 +10,8 @@
 pub mod link;
 pub mod pool;
 pub mod transport;
+pub mod http_port;
+pub mod link;
+pub mod log;
+pub mod metric;
+pub mod timeline;
