--- a/daisyhinge/src/lib.rs
+++ b/daisyhinge/src/lib.rs
@@ -7,6 +7,11 @@
 
 pub mod check;
 pub mod environment;
+pub mod keeper;
+pub mod lease;
+pub mod prelude;
+pub mod rendezvous;
+pub mod search;
 pub mod metric;
 pub mod prelude;
 pub mod setting;
