Add the operators' port and its client

Cause: operators need changes, the view, history and status over HTTP, authenticated, on an address that callers and backend servers never reach; a lost reply must not make a change happen twice or be reported as failed when it may have been accepted. Ruled out: a plain comparison of tokens (its time tells how much of a guess is right); reading the body before the token (a stranger could make the process hold a megabyte each time); giving up on a lost reply (the change carries an identifier, so the client sends the same one again). The round trip also found that a power cap written as null was refused; it counts as unset now. Conclusion: the port takes closures, so that it is tested against a fake group; control joins it by four calls.

--- a/daisyhinge/src/check/reader.rs
+++ b/daisyhinge/src/check/reader.rs
@@ -143,6 +143,19 @@
         }
     }
 
+    /// As [`Self::read_number`], but `null` counts as absent.
+    pub fn read_optional_number(
+        &self,
+        name: &str,
+        range: RangeInclusive<u64>,
+        faults: &mut FaultList,
+    ) -> Option<u64> {
+        if self.find(name) == Some(&JsonTree::Null) {
+            return None;
+        }
+        self.read_number(name, range, faults)
+    }
+
     /// Checks that the field `name`, if it is there, is one of `words`.
     pub fn check_word(&self, name: &str, words: &[&str], faults: &mut FaultList) {
         let path = self.path(name);
--- a/daisyhinge/src/environment/check.rs
+++ b/daisyhinge/src/environment/check.rs
@@ -4,7 +4,7 @@
 use std::ops::RangeInclusive;
 
 use crate::check::reader::ArrayItem;
-use crate::check::{FaultList, ObjectReader, parse_tree};
+use crate::check::{FaultList, JsonTree, ObjectReader, parse_tree};
 use crate::prelude::*;
 use crate::vocabulary::environment::{EnvironmentDocument, WHOLE_PPM};
 use crate::vocabulary::fault::FieldFault;
@@ -30,18 +30,23 @@
 pub fn check_document(text: &[u8]) -> Result<EnvironmentDocument, Vec<FieldFault>> {
     let tree = parse_tree(text, DOCUMENT_MAX_BYTES).map_err(|fault| vec![fault])?;
     let mut faults = FaultList::default();
-    let known = ["regions", "services", "addresses"];
-    if let Some(reader) = ObjectReader::open("$", &tree, &known, &mut faults) {
-        check_regions(&reader, &mut faults);
-        check_services(&reader, &mut faults);
-        check_addresses(&reader, &mut faults);
-    }
+    check_document_at("$", &tree, &mut faults);
     faults.finish(|| {
         serde_json::from_slice(text)
             .map_err(|error| FieldFault::new("$", ResultCode::WrongType, error.to_string()))
     })
 }
 
+/// Lists the faults of the document that stands at `path` of a larger text.
+pub fn check_document_at(path: &str, tree: &JsonTree, faults: &mut FaultList) {
+    let known = ["regions", "services", "addresses"];
+    if let Some(reader) = ObjectReader::open(path, tree, &known, faults) {
+        check_regions(&reader, faults);
+        check_services(&reader, faults);
+        check_addresses(&reader, faults);
+    }
+}
+
 fn check_regions(document: &ObjectReader<'_>, faults: &mut FaultList) {
     let mut regions = BTreeSet::new();
     let mut centres = BTreeSet::new();
@@ -64,7 +69,7 @@
     };
     check_unique_name(&centre, centres, faults);
     centre.check_word("state", &["in", "out"], faults);
-    centre.read_number("power_cap", POWER_CAP, faults);
+    centre.read_optional_number("power_cap", POWER_CAP, faults);
 }
 
 fn check_services(document: &ObjectReader<'_>, faults: &mut FaultList) {
@@ -97,7 +102,8 @@
         return;
     };
     let known = ["keep_ms", "count"];
-    if let Some(addresses) = ObjectReader::open("$.addresses", value, &known, faults) {
+    let path = document.path("addresses");
+    if let Some(addresses) = ObjectReader::open(&path, value, &known, faults) {
         addresses.read_number("keep_ms", KEEP_MS, faults);
         addresses.read_number("count", ADDRESSES, faults);
     }
--- a/daisyhinge/src/shell.rs
+++ b/daisyhinge/src/shell.rs
@@ -11,6 +11,7 @@
 pub mod link;
 pub mod log;
 pub mod metric;
+pub mod operator;
 pub mod pool;
 pub mod setting;
 pub mod timeline;
--- a/daisyhinge/src/shell/http_port.rs
+++ b/daisyhinge/src/shell/http_port.rs
@@ -3,6 +3,7 @@
 //! Connections and the time to read a request are bounded, so that a slow or silent peer holds
 //! neither memory nor the port.
 
+pub mod fetch;
 pub mod reply;
 pub mod request;
 
--- /dev/null
+++ b/daisyhinge/src/shell/operator.rs
@@ -0,0 +1,145 @@
+//! The operators' port of a control VM, and the client that speaks to it.
+//!
+//! Every request must carry the operators' token; without it nothing is read but the head. The
+//! port has an address of its own, so that callers and backend servers never reach it.
+
+pub mod calls;
+pub mod client;
+pub mod refusal;
+pub mod token;
+
+use std::net::SocketAddr;
+
+use hyper::body::Incoming;
+use hyper::header::AUTHORIZATION;
+use hyper::{Method, Request, Response};
+use serde::Serialize;
+
+use crate::environment::{CHANGE_MAX_BYTES, check_change};
+use crate::prelude::*;
+use crate::shell::http_port::HttpPort;
+use crate::shell::http_port::reply::{ReplyBody, reply_json};
+use crate::shell::http_port::request::read_body;
+use crate::vocabulary::change::ChangeRefusal;
+use crate::vocabulary::fault::FieldFault;
+use crate::vocabulary::name::check_name;
+pub use calls::OperatorCalls;
+pub use client::OperatorClient;
+pub use refusal::OperatorRefusal;
+pub use token::OperatorToken;
+
+/// A running operators' port.
+#[derive(Debug)]
+pub struct OperatorPort {
+    port: HttpPort,
+}
+
+impl OperatorPort {
+    /// Listens on `address` and answers by `calls` whoever shows `token`.
+    ///
+    /// # Errors
+    ///
+    /// [`ResultCode::BindFailed`] if the address cannot be had.
+    pub async fn bind(
+        address: SocketAddr,
+        token: OperatorToken,
+        calls: OperatorCalls,
+    ) -> Result<Self, ResultCode> {
+        let port = HttpPort::bind(address, move |request| {
+            let allowed = is_allowed(&request, &token);
+            let calls = calls.clone();
+            async move {
+                if allowed {
+                    answer_request(request, calls).await
+                } else {
+                    refuse(OperatorRefusal::new(ResultCode::BadToken))
+                }
+            }
+        })
+        .await?;
+        Ok(Self { port })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.port.address()
+    }
+
+    /// Stops listening and waits a few seconds for requests that run.
+    pub async fn close(self) {
+        self.port.close().await;
+    }
+}
+
+fn is_allowed(request: &Request<Incoming>, token: &OperatorToken) -> bool {
+    request
+        .headers()
+        .get(AUTHORIZATION)
+        .and_then(|value| value.as_bytes().strip_prefix(b"Bearer "))
+        .is_some_and(|shown| token.matches(shown))
+}
+
+async fn answer_request(request: Request<Incoming>, calls: OperatorCalls) -> Response<ReplyBody> {
+    let method = match request.uri().path() {
+        "/v1/change" => Method::POST,
+        "/v1/history" | "/v1/status" | "/v1/view" => Method::GET,
+        _ => return refuse(OperatorRefusal::new(ResultCode::UnknownPath)),
+    };
+    if request.method() != method {
+        return refuse(OperatorRefusal::new(ResultCode::BadMethod));
+    }
+    match request.uri().path() {
+        "/v1/change" => answer_change(request, &calls).await,
+        "/v1/history" => answer_history(&request, &calls).await,
+        "/v1/status" => reply_result((calls.status)(()).await),
+        _ => reply_result((calls.view)(()).await),
+    }
+}
+
+async fn answer_change(request: Request<Incoming>, calls: &OperatorCalls) -> Response<ReplyBody> {
+    let body = match read_body(request.into_body(), CHANGE_MAX_BYTES).await {
+        Ok(body) => body,
+        Err(code) => return refuse(OperatorRefusal::new(code)),
+    };
+    match check_change(&body) {
+        Ok(ask) => reply_result((calls.change)(ask).await),
+        Err(faults) => refuse_faults(faults),
+    }
+}
+
+async fn answer_history(request: &Request<Incoming>, calls: &OperatorCalls) -> Response<ReplyBody> {
+    let query = request.uri().query().unwrap_or("");
+    match query.strip_prefix("environment=") {
+        Some(name) if check_name(name) => {
+            reply_result((calls.history)(EnvironmentName::from(name)).await)
+        }
+        _ => {
+            let detail = "the query must be environment=NAME";
+            let fault = FieldFault::new("environment", ResultCode::BadName, detail);
+            refuse_faults(vec![fault])
+        }
+    }
+}
+
+fn reply_result<T: Serialize>(result: Result<T, ChangeRefusal>) -> Response<ReplyBody> {
+    match result {
+        Ok(value) => reply_json(200, &value),
+        Err(refusal) => refuse(OperatorRefusal::from(refusal)),
+    }
+}
+
+fn refuse_faults(faults: Vec<FieldFault>) -> Response<ReplyBody> {
+    let code = match faults.as_slice() {
+        [fault] => fault.code,
+        _ => ResultCode::MalformedRequest,
+    };
+    refuse(OperatorRefusal {
+        faults,
+        ..OperatorRefusal::new(code)
+    })
+}
+
+#[expect(clippy::needless_pass_by_value, reason = "the refusal ends here")]
+fn refuse(refusal: OperatorRefusal) -> Response<ReplyBody> {
+    reply_json(refusal.code.http_status(), &refusal)
+}
