--- a/daisyhinge-entry/src/main.rs
+++ b/daisyhinge-entry/src/main.rs
@@ -5,20 +5,31 @@
 use std::sync::Arc;
 
 use clap::Parser;
+use daisyhinge::metric::EntryMetrics;
+use daisyhinge::prelude::*;
 use daisyhinge::shell::entry::EntryShell;
+use daisyhinge::shell::entry::progress::read_progress;
+use daisyhinge::shell::log::open_log;
+use daisyhinge::shell::metric::MetricPort;
+use daisyhinge::shell::timeline::EventLog;
 use daisyhinge::vocabulary::setting::EntrySettings;
+use prometheus_client::registry::Registry;
 use tokio::signal::unix::{SignalKind, signal};
 
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
 
 /// Answers callers' queries and keeps the replicas that fall to this VM.
+///
+/// SIGTERM makes it leave: it is named to no caller any more, hands its replicas over, finishes
+/// what runs and exits with 0.
 #[derive(Debug, Parser)]
+#[command(version)]
 struct EntryArguments {
     /// Settings file (JSON).
     #[arg(long, value_name = "FILE")]
     settings: PathBuf,
-    /// Check the settings, print every fault and exit.
+    /// Check the settings, print every fault and exit with 0 or 2.
     #[arg(long)]
     check: bool,
 }
@@ -33,7 +44,13 @@
         .and_then(|text| serde_json::from_str(&text).map_err(|fault| fault.to_string()));
     match settings {
         Ok(_) if arguments.check => ExitCode::SUCCESS,
-        Ok(settings) => run_entry(settings),
+        Ok(settings) => match run_entry(settings) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(code) => {
+                eprintln!("event=failed code={} message={code:?}", code.number());
+                ExitCode::FAILURE
+            }
+        },
         Err(fault) => {
             eprintln!("{}: {fault}", arguments.settings.display());
             ExitCode::from(EXIT_FAULTY)
@@ -42,13 +59,32 @@
 }
 
 #[tokio::main]
-async fn run_entry(settings: EntrySettings) -> ExitCode {
-    let shell = EntryShell::spawn(settings, Arc::new(|_| {})).await;
-    let (Ok(shell), Ok(mut terminate)) = (shell, signal(SignalKind::terminate())) else {
-        eprintln!("an address could not be bound");
-        return ExitCode::FAILURE;
-    };
+async fn run_entry(settings: EntrySettings) -> Result<(), ResultCode> {
+    open_log()?;
+    let mut terminate =
+        signal(SignalKind::terminate()).map_err(|_fault| ResultCode::StorageFailed)?;
+    let events = EventLog::open(settings.vm.clone(), settings.limits.events_max);
+    let sink = events.clone();
+    let metrics_address = settings.metrics_address;
+    let note = Arc::new(move |draft| {
+        sink.record(draft);
+    });
+    let mut registry = Registry::default();
+    let metrics = EntryMetrics::register(&mut registry);
+    let shell = EntryShell::spawn(settings, metrics, note).await?;
+    let state = Arc::clone(shell.state());
+    let port = MetricPort::bind(metrics_address, events, registry, move || {
+        read_progress(&state)
+    });
+    let port = port.await?;
+    println!(
+        "event=listening caller_address={} peer_address={} metrics_address={}",
+        shell.caller_address(),
+        shell.peer_address(),
+        port.address(),
+    );
     terminate.recv().await;
     shell.shutdown().await;
-    ExitCode::SUCCESS
+    port.close().await;
+    Ok(())
 }
--- a/daisyhinge/src/lib.rs
+++ b/daisyhinge/src/lib.rs
@@ -7,12 +7,10 @@
 
 pub mod keeper;
 pub mod lease;
+pub mod metric;
 pub mod prelude;
 pub mod rendezvous;
 pub mod search;
-pub mod metric;
-pub mod prelude;
+pub mod shell;
 pub mod timeline;
 pub mod vocabulary;
-
-pub mod shell;
--- a/daisyhinge/src/shell/entry.rs
+++ b/daisyhinge/src/shell/entry.rs
@@ -5,6 +5,7 @@
 pub mod following;
 pub mod keeping;
 pub mod peering;
+pub mod progress;
 pub mod querying;
 pub mod serving;
 pub mod state;
@@ -18,6 +19,7 @@
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
+use crate::metric::EntryMetrics;
 use crate::prelude::*;
 use crate::vocabulary::event::{EventDraft, EventKind};
 use crate::vocabulary::setting::EntrySettings;
@@ -39,10 +41,14 @@
     /// # Errors
     ///
     /// [`ResultCode::BindFailed`] if an address cannot be bound.
-    pub async fn spawn(mut settings: EntrySettings, note: NoteSink) -> Result<Self, ResultCode> {
+    pub async fn spawn(
+        mut settings: EntrySettings,
+        metrics: EntryMetrics,
+        note: NoteSink,
+    ) -> Result<Self, ResultCode> {
         let callers = bind_listener(&mut settings.caller_address).await?;
         let peers = bind_listener(&mut settings.peer_address).await?;
-        let state = Arc::new(EntryState::new(settings, note));
+        let state = Arc::new(EntryState::new(settings, metrics, note));
         let tasks = vec![
             tokio::spawn(serving::serve_callers(Arc::clone(&state), callers)),
             tokio::spawn(peering::serve_peers(Arc::clone(&state), peers)),
--- a/daisyhinge/src/shell/entry/driving.rs
+++ b/daisyhinge/src/shell/entry/driving.rs
@@ -161,7 +161,7 @@
             let mut actions = Vec::new();
             {
                 let mut routes = self.state.routes.lock();
-                search.step(self.state.now(), event, &mut routes, &mut actions)
+                search.step(self.state.now(), event, &mut routes, &mut actions);
             };
             if let Some(result) = self.perform(actions).await {
                 return result;
--- a/daisyhinge/src/shell/entry/following.rs
+++ b/daisyhinge/src/shell/entry/following.rs
@@ -115,10 +115,11 @@
 fn take_proof(state: &Arc<EntryState>, proof: FreshProof, asked: MonotonicTime) {
     let version = proof.version;
     if let Some(view) = proof.view
-        && view.version > state.view().version {
-            state.note(EventDraft::new(EventKind::ViewAdopted).with_version(view.version));
-            state.adopt_view(view);
-        }
+        && view.version > state.view().version
+    {
+        state.note(EventDraft::new(EventKind::ViewAdopted).with_version(view.version));
+        state.adopt_view(view);
+    }
     // A proof is only of use for the view that is held.
     if state.view().version == version {
         state.renew_lease(version, asked, Duration::from_micros(proof.age_us));
@@ -151,9 +152,9 @@
                 .end_claim(control_context(), end.clone())
                 .await
                 .unwrap_or(false)
-            {
-                return true;
-            }
+        {
+            return true;
+        }
         state.control.advance();
     }
     false
--- a/daisyhinge/src/shell/entry/peering.rs
+++ b/daisyhinge/src/shell/entry/peering.rs
@@ -149,7 +149,9 @@
         address: SocketAddr,
         reply: Result<T, tarpc::client::RpcError>,
     ) -> Option<T> {
-        if let Ok(reply) = reply { Some(reply) } else {
+        if let Ok(reply) = reply {
+            Some(reply)
+        } else {
             self.forget(address);
             None
         }
--- a/daisyhinge/src/shell/entry/state.rs
+++ b/daisyhinge/src/shell/entry/state.rs
@@ -15,6 +15,7 @@
 
 use crate::keeper::gate::KeeperGate;
 use crate::lease::FreshnessLease;
+use crate::metric::EntryMetrics;
 use crate::prelude::*;
 use crate::search::plan::SEQUENCE_STRIDE;
 use crate::search::route::RouteTable;
@@ -52,6 +53,8 @@
     pub origin: u64,
     /// Connections from callers and backend servers that may still be accepted.
     pub connections: Arc<Semaphore>,
+    /// Its metrics.
+    pub metrics: EntryMetrics,
     /// Set when the process stops.
     pub stopped: AtomicBool,
     pub(super) routes: Mutex<RouteTable>,
@@ -78,7 +81,7 @@
 }
 
 impl EntryState {
-    pub(super) fn new(settings: EntrySettings, note: NoteSink) -> Self {
+    pub(super) fn new(settings: EntrySettings, metrics: EntryMetrics, note: NoteSink) -> Self {
         let origin = rand::random();
         Self {
             connections: Arc::new(Semaphore::new(settings.limits.connections_max as usize)),
@@ -96,6 +99,7 @@
             phase: AtomicU8::new(EntryPhase::Serving as u8),
             released: AtomicBool::new(false),
             running: Mutex::default(),
+            metrics,
             sequence: AtomicU64::new(0),
             note,
             settings,
