--- a/daisyhinge/src/shell.rs
+++ b/daisyhinge/src/shell.rs
@@ -12,5 +12,6 @@
 pub mod log;
 pub mod metric;
 pub mod pool;
+pub mod setting;
 pub mod timeline;
 pub mod transport;
