Keep replicas exactly: slots, queue, cold ramp, handover, crashes, power

Cause: the thin keeper freed slots at its own timeouts, had no queue, no cold ramp, no crash records, no handover and no power cap.

Conclusion: KeeperRoster owns all ReplicaKeepers of an entry and is what the shell drives. The shell must: feed View before Lease; answer Asked later too (one Send or Refuse each); report one Ended for each Send, after a drop too, and CancelEnded after closing that connection; look at roster.gate() right before the write and send the time left worked out there; report Written; keep at most connections_max() connections and reuse one only if RunEnd::keeps_connection(); serve delta(now, ask) and feed others' crashes in as Crashes; tick at next_wake. KeeperTable::delta takes the crash records.

--- a/daisyhinge/src/keeper.rs
+++ b/daisyhinge/src/keeper.rs
@@ -1,19 +1,42 @@
 //! One replica as its only keeper sees it: slots, connections, cold state, crashes.
+//!
+//! [`ReplicaKeeper`] decides for one replica; [`roster::KeeperRoster`] owns all that one entry
+//! keeps and is what the shell drives.
 
+mod admission;
+pub mod check;
+pub mod crash;
+pub mod event;
 pub mod gate;
+pub mod history;
+pub mod partition;
+pub mod power;
+mod publish;
+pub mod queue;
+pub mod ramp;
+pub mod roster;
+pub mod slots;
 pub mod table;
 pub mod ticket;
+pub mod watch;
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use crate::prelude::*;
 use crate::vocabulary::announcement::{ReplicaAnnouncement, ServerState};
-use crate::vocabulary::event::EventDraft;
+use crate::vocabulary::clock::{span_to_micros, span_to_millis};
+use crate::vocabulary::event::{EventDraft, EventKind};
 use crate::vocabulary::replica::{KeeperLoad, ReplicaRecord, UseState};
 use crate::vocabulary::subrequest::SubRefusal;
+pub use event::{KeeperAction, KeeperEvent};
 use gate::KeeperGate;
-use ticket::{RunEnd, SubTicket};
+use publish::PublishedState;
+use queue::{QueueRow, TicketQueue};
+use ramp::ColdRamp;
+use slots::{EndedSlot, SlotTable};
+use ticket::RunEnd;
+use watch::{CrashNote, CrashWatch};
 
 /// How often a backend server is asked to repeat its announcement.
 pub const ANNOUNCE_PERIOD: Duration = Duration::from_millis(500);
@@ -21,54 +44,11 @@
 /// Announcements lapse after this long.
 pub const ANNOUNCE_LAPSE: Duration = Duration::from_secs(3);
 
-/// What happens to a keeper.
-#[derive(Clone, Debug)]
-pub enum KeeperEvent {
-    /// The replica announced itself.
-    Announced(ReplicaAnnouncement),
-    /// The replica said that it leaves.
-    Left(IncarnationNumber),
-    /// A root entry asks for a dispatch.
-    Asked(SubTicket),
-    /// A dispatch that [`KeeperAction::Send`] began has ended.
-    Ended {
-        /// The dispatch.
-        attempt: AttemptId,
-        /// How it ended.
-        end: RunEnd,
-    },
-    /// The root entry no longer wants the answer.
-    Dropped(AttemptId),
-    /// The backend server replied to a cancel.
-    CancelEnded {
-        /// The dispatch.
-        attempt: AttemptId,
-        /// Whether the work has certainly stopped.
-        stopped: bool,
-    },
-    /// Time passed.
-    Tick,
-}
+/// A replica that left is remembered this long, so that a late announcement does not bring it back.
+pub const LEFT_KEEP: Duration = Duration::from_mins(1);
 
-/// What a keeper wants done.
-#[derive(Clone, Debug)]
-pub enum KeeperAction {
-    /// Send the sub-request to the backend server, once, after a last look at the lease.
-    Send(AttemptId),
-    /// Tell the root entry that there will be no answer.
-    Refuse {
-        /// The dispatch.
-        attempt: AttemptId,
-        /// Why.
-        refusal: SubRefusal,
-    },
-    /// Ask the backend server to stop the work.
-    SendCancel(AttemptId),
-    /// The record that other entries hold is out of date.
-    Publish,
-    /// An event for the time line.
-    Note(EventDraft),
-}
+/// Service time taken where none was measured yet.
+const SERVICE_GUESS: Duration = Duration::from_millis(5);
 
 /// Keeper of one replica.
 #[derive(Clone, Debug)]
@@ -76,17 +56,31 @@
     announcement: ReplicaAnnouncement,
     heard: MonotonicTime,
     left: bool,
-    running: Vec<SubTicket>,
+    slots: SlotTable,
+    queue: TicketQueue,
+    ramp: ColdRamp,
+    watch: Option<CrashWatch>,
+    power_room: u32,
+    published: PublishedState,
 }
 
 impl ReplicaKeeper {
     /// A keeper for a replica that announced itself at `now`.
     pub fn new(announcement: ReplicaAnnouncement, now: MonotonicTime) -> Self {
+        let ramp = ColdRamp::new(now, &announcement);
         Self {
             announcement,
             heard: now,
             left: false,
-            running: Vec::new(),
+            slots: SlotTable::default(),
+            queue: TicketQueue::default(),
+            ramp,
+            watch: None,
+            power_room: u32::MAX,
+            published: PublishedState {
+                state: UseState::Closed,
+                limit: 0,
+            },
         }
     }
 
@@ -98,27 +92,36 @@
         gate: &KeeperGate,
         actions: &mut Vec<KeeperAction>,
     ) {
+        self.slots.free_expired(now);
+        self.ramp.tick(now);
         match event {
             KeeperEvent::Announced(announcement) => {
-                self.announcement = announcement;
-                self.heard = now;
-                self.left = false;
-                actions.push(KeeperAction::Publish);
+                self.take_announcement(now, announcement, actions);
+            }
+            KeeperEvent::Left(incarnation) => self.take_leave(incarnation, actions),
+            KeeperEvent::Asked(ticket) => {
+                let row = QueueRow {
+                    ticket,
+                    alone: false,
+                };
+                self.admit(now, row, gate, actions);
             }
-            KeeperEvent::Left(incarnation) => {
-                self.left |= incarnation >= self.announcement.incarnation;
-                actions.push(KeeperAction::Publish);
+            KeeperEvent::AskedAlone(ticket) => {
+                let row = QueueRow {
+                    ticket,
+                    alone: true,
+                };
+                self.admit(now, row, gate, actions);
             }
-            KeeperEvent::Asked(ticket) => self.admit_ticket(now, ticket, gate, actions),
-            KeeperEvent::Ended { attempt, .. } => self.free_slot(attempt),
-            KeeperEvent::Dropped(attempt) => actions.push(KeeperAction::SendCancel(attempt)),
+            KeeperEvent::Written(attempt) => self.slots.mark_written(now, attempt),
+            KeeperEvent::Ended { attempt, end } => self.take_end(now, attempt, end, actions),
+            KeeperEvent::Dropped(attempt) => self.drop_attempt(attempt, actions),
             KeeperEvent::CancelEnded { attempt, stopped } => {
-                if stopped {
-                    self.free_slot(attempt);
-                }
+                self.slots.end_cancel(attempt, stopped);
             }
-            KeeperEvent::Tick => self.running.retain(|ticket| now < ticket.expires),
+            KeeperEvent::Tick => {}
         }
+        self.settle(now, gate, actions);
     }
 
     /// The replica as other entries should see it.
@@ -128,11 +131,7 @@
             service: self.announcement.service.clone(),
             data_centre: self.announcement.data_centre.clone(),
             incarnation: self.announcement.incarnation,
-            state: if self.refuse_reason(now, gate).is_some() {
-                UseState::Closed
-            } else {
-                UseState::Warm
-            },
+            state: self.use_state(now, gate),
             slots: self.announcement.slots,
             snapshots: Arc::clone(&self.announcement.snapshots),
             load: self.load(),
@@ -147,66 +146,235 @@
     /// Load as of now.
     pub fn load(&self) -> KeeperLoad {
         KeeperLoad {
-            running: u32::try_from(self.running.len()).unwrap_or(u32::MAX),
-            queued: 0,
-            limit: self.announcement.slots,
-            service_us: 0,
+            running: self.slots.occupied(),
+            queued: self.queue.len(),
+            limit: self.ramp.limit(),
+            service_us: u32::try_from(span_to_micros(self.ramp.service())).unwrap_or(u32::MAX),
         }
     }
 
-    /// Whether announcements lapsed and nothing runs.
+    /// Connections that the shell may hold open to the backend server now, idle ones included: no
+    /// more than announced, and no more than may be used at a time with one left for a cancel.
+    pub fn connections_max(&self) -> u32 {
+        let needed = self.slots.connections().max(self.ramp.limit() + 1);
+        needed.min(self.announcement.connections)
+    }
+
+    /// Sets how many sub-requests the power cap leaves room for; counts down with each dispatch.
+    pub fn set_power_room(&mut self, room: u32) {
+        self.power_room = room;
+    }
+
+    /// Whether announcements lapsed, nothing runs, and the replica need not be remembered.
     pub fn is_idle(&self, now: MonotonicTime) -> bool {
-        self.running.is_empty() && now.since(self.heard) > ANNOUNCE_LAPSE
+        let remembered = self.left && now.since(self.heard) <= LEFT_KEEP;
+        self.slots.occupied() == 0 && self.is_lapsed(now) && !remembered
     }
 
     /// When to step with [`KeeperEvent::Tick`] next.
     pub fn next_wake(&self) -> Option<MonotonicTime> {
-        self.running.iter().map(|ticket| ticket.expires).min()
+        let times = [
+            self.slots.next_free(),
+            self.queue.next_expiry(),
+            self.ramp.next_raise(),
+            self.watch.map(|watch| watch.ends()),
+            Some(self.heard + ANNOUNCE_LAPSE + Duration::from_micros(1)),
+        ];
+        times.into_iter().flatten().min()
     }
 
-    fn admit_ticket(
+    fn take_announcement(
         &mut self,
         now: MonotonicTime,
-        ticket: SubTicket,
-        gate: &KeeperGate,
+        next: ReplicaAnnouncement,
         actions: &mut Vec<KeeperAction>,
     ) {
-        let full = self.running.len() >= self.announcement.slots as usize;
-        let reason = self
-            .refuse_reason(now, gate)
-            .or_else(|| full.then_some(ResultCode::SlotsBusy));
-        if let Some(code) = reason {
-            let refusal = SubRefusal {
-                code,
-                run: RunState::NotRun,
-                retry_ms: 0,
-                load: self.load(),
-            };
-            actions.push(KeeperAction::Refuse {
-                attempt: ticket.attempt,
-                refusal,
-            });
+        let former = &self.announcement;
+        if (next.incarnation, next.sequence) <= (former.incarnation, former.sequence) {
             return;
         }
-        self.running.push(ticket);
-        assert!(
-            self.running.len() <= self.announcement.slots as usize,
-            "a replica got more than its slots"
-        );
-        actions.push(KeeperAction::Send(ticket.attempt));
+        let restarted = next.incarnation > former.incarnation;
+        let changed = ReplicaAnnouncement {
+            sequence: next.sequence,
+            ..former.clone()
+        } != next;
+        if self.is_lapsed(now) {
+            self.ramp.take_bad_sign(now);
+        }
+        self.heard = now;
+        self.announcement = next;
+        self.ramp.announce(now, &self.announcement);
+        if restarted {
+            self.left = false;
+            self.take_restart(now, actions);
+        } else if self
+            .watch
+            .is_some_and(|watch| watch.refuted_by_announcement(now))
+        {
+            self.watch = None;
+            actions.push(KeeperAction::Crash(CrashNote::Withdrawn));
+        }
+        if changed {
+            self.note(EventKind::ReplicaAnnounced, 0, actions);
+            actions.push(KeeperAction::Publish);
+        }
+    }
+
+    /// A new incarnation: whatever was under way on a connection was cut by a crash. Its slots
+    /// stay occupied, for a sub-request may have reached the new process; cancels clear that up.
+    fn take_restart(&mut self, now: MonotonicTime, actions: &mut Vec<KeeperAction>) {
+        let suspects = self.slots.blame_all(None);
+        self.suspect(now, suspects, actions);
+        self.confirm_crash(actions);
+        self.ramp.take_bad_sign(now);
+        self.slots.renew_cancels();
+    }
+
+    fn take_leave(&mut self, incarnation: IncarnationNumber, actions: &mut Vec<KeeperAction>) {
+        if incarnation >= self.announcement.incarnation && !self.left {
+            self.left = true;
+            self.note(EventKind::ReplicaLeft, 0, actions);
+        }
+    }
+
+    fn take_end(
+        &mut self,
+        now: MonotonicTime,
+        attempt: AttemptId,
+        end: RunEnd,
+        actions: &mut Vec<KeeperAction>,
+    ) {
+        let Some(slot) = self.slots.end(attempt, end) else {
+            return;
+        };
+        match end {
+            RunEnd::Answered { took } => self.take_answer(now, slot, took, actions),
+            RunEnd::Shed { .. } => self.ramp.take_bad_sign(now),
+            RunEnd::Failed => self.ramp.take_error(now),
+            RunEnd::ConnectFailed => {
+                self.ramp.take_bad_sign(now);
+                self.confirm_crash(actions);
+            }
+            RunEnd::Reset => {
+                let suspects = self.slots.blame_all(Some(slot));
+                self.suspect(now, suspects, actions);
+                self.ramp.take_bad_sign(now);
+            }
+            RunEnd::NotSent | RunEnd::NotHeld | RunEnd::BadAnswer(_) | RunEnd::Expired => {}
+        }
+    }
+
+    fn take_answer(
+        &mut self,
+        now: MonotonicTime,
+        slot: EndedSlot,
+        took: Duration,
+        actions: &mut Vec<KeeperAction>,
+    ) {
+        self.ramp.take_answer(now, took);
+        if self
+            .watch
+            .is_some_and(|watch| watch.refuted_by_run(slot.sent))
+        {
+            self.watch = None;
+            actions.push(KeeperAction::Crash(CrashNote::Withdrawn));
+        }
+        if slot.alone || slot.blamed {
+            let note = CrashNote::Answered(slot.ticket.digest);
+            actions.push(KeeperAction::Crash(note));
+        }
+    }
+
+    fn suspect(
+        &mut self,
+        now: MonotonicTime,
+        suspects: Vec<RequestDigest>,
+        actions: &mut Vec<KeeperAction>,
+    ) {
+        if !suspects.is_empty() {
+            self.watch = Some(CrashWatch::new(now));
+            actions.push(KeeperAction::Crash(CrashNote::Suspected(suspects)));
+        }
+    }
+
+    fn confirm_crash(&mut self, actions: &mut Vec<KeeperAction>) {
+        if self.watch.take().is_some() {
+            self.note(EventKind::CrashRecorded, 0, actions);
+            actions.push(KeeperAction::Crash(CrashNote::Confirmed));
+        }
+    }
+
+    fn drop_attempt(&mut self, attempt: AttemptId, actions: &mut Vec<KeeperAction>) {
+        if self.queue.remove(attempt).is_some() {
+            self.refuse(attempt, ResultCode::Cancelled, actions);
+        } else {
+            self.slots.want_cancel(attempt);
+        }
     }
 
     fn refuse_reason(&self, now: MonotonicTime, gate: &KeeperGate) -> Option<ResultCode> {
         if let Some(code) = gate.refuse_reason(now) {
             return Some(code);
         }
-        let closed = self.left
-            || self.announcement.state == ServerState::Draining
-            || now.since(self.heard) > ANNOUNCE_LAPSE;
+        let closed =
+            self.left || self.announcement.state == ServerState::Draining || self.is_lapsed(now);
         closed.then_some(ResultCode::ReplicaDraining)
     }
 
-    fn free_slot(&mut self, attempt: AttemptId) {
-        self.running.retain(|ticket| ticket.attempt != attempt);
+    fn is_lapsed(&self, now: MonotonicTime) -> bool {
+        now.since(self.heard) > ANNOUNCE_LAPSE
+    }
+
+    /// Does what the event made possible: answers what is of no use, starts what can start.
+    fn settle(&mut self, now: MonotonicTime, gate: &KeeperGate, actions: &mut Vec<KeeperAction>) {
+        if self.watch.is_some_and(|watch| now >= watch.ends()) {
+            self.confirm_crash(actions);
+        }
+        while let Some(row) = self.queue.pop_expired(now) {
+            self.refuse(row.ticket.attempt, ResultCode::SubRequestExpired, actions);
+        }
+        if let Some(code) = self.refuse_reason(now, gate) {
+            while let Some(row) = self.queue.pop() {
+                self.refuse(row.ticket.attempt, code, actions);
+            }
+        }
+        self.start_waiting(now, gate, actions);
+        while let Some(attempt) = self.slots.start_cancel(self.announcement.connections) {
+            actions.push(KeeperAction::SendCancel(attempt));
+        }
+        self.publish_changes(now, gate, actions);
+    }
+
+    fn service(&self) -> Duration {
+        match self.ramp.service() {
+            Duration::ZERO => SERVICE_GUESS,
+            service => service,
+        }
+    }
+
+    fn refuse(&self, attempt: AttemptId, code: ResultCode, actions: &mut Vec<KeeperAction>) {
+        let waits = matches!(
+            code,
+            ResultCode::SlotsBusy | ResultCode::ServerCold | ResultCode::PowerCapReached
+        );
+        let wait = self.queue.wait_span(self.ramp.limit(), self.service());
+        let refusal = SubRefusal {
+            code,
+            run: RunState::NotRun,
+            retry_ms: if waits {
+                span_to_millis(wait).max(1)
+            } else {
+                0
+            },
+            load: self.load(),
+        };
+        actions.push(KeeperAction::Refuse { attempt, refusal });
+    }
+
+    fn note(&self, kind: EventKind, value: u64, actions: &mut Vec<KeeperAction>) {
+        let draft = EventDraft::new(kind)
+            .with_replica(&self.announcement.replica)
+            .with_value(value);
+        actions.push(KeeperAction::Note(draft));
     }
 }
--- /dev/null
+++ b/daisyhinge/src/keeper/check.rs
@@ -0,0 +1,66 @@
+//! Checks an announcement by itself.
+
+use crate::prelude::*;
+use crate::vocabulary::announcement::{HeldSnapshot, ReplicaAnnouncement};
+use crate::vocabulary::name::check_name;
+
+/// Slots and connections that one replica may announce at most.
+pub const SLOTS_MAX: u32 = 65_536;
+
+/// Snapshots that one replica may announce at most.
+pub const SNAPSHOTS_MAX: usize = 64;
+
+/// Shards that a partition may have at most.
+pub const SHARDS_MAX: u32 = 1 << 20;
+
+/// Returns [`ResultCode::Ok`], or what is wrong with the announcement.
+pub fn check_announcement(announcement: &ReplicaAnnouncement) -> ResultCode {
+    let names = [
+        announcement.replica.as_str(),
+        announcement.service.as_str(),
+        announcement.data_centre.as_str(),
+    ];
+    if !names.into_iter().all(check_name) {
+        return ResultCode::BadName;
+    }
+    let snapshots = &announcement.snapshots;
+    let counts = [announcement.slots, announcement.connections];
+    let in_range = counts.iter().all(|count| (1..=SLOTS_MAX).contains(count))
+        && snapshots.len() <= SNAPSHOTS_MAX
+        && announcement.address.port() != 0
+        && !announcement.address.ip().is_unspecified();
+    if !in_range {
+        return ResultCode::AnnouncementRange;
+    }
+    if !snapshots.iter().all(is_possible) {
+        return ResultCode::BadPartition;
+    }
+    if announcement.cold_allowance > announcement.slots || !agree(snapshots) {
+        return ResultCode::AnnouncementContradicts;
+    }
+    ResultCode::Ok
+}
+
+fn is_possible(held: &HeldSnapshot) -> bool {
+    let lone = held.shards == 1;
+    (1..=SHARDS_MAX).contains(&held.shards)
+        && held.shard.0 < held.shards
+        && held.whole_weight > 0
+        && held.weight <= held.whole_weight
+        && (!lone || held.weight == held.whole_weight)
+}
+
+/// Newest first, none twice, and one number of shards for each generation.
+fn agree(snapshots: &[HeldSnapshot]) -> bool {
+    let ordered = snapshots
+        .windows(2)
+        .all(|pair| pair[0].snapshot > pair[1].snapshot);
+    let same = |first: &HeldSnapshot, second: &HeldSnapshot| {
+        first.generation != second.generation || first.shards == second.shards
+    };
+    let uniform = snapshots
+        .iter()
+        .enumerate()
+        .all(|(index, held)| snapshots[index..].iter().all(|other| same(held, other)));
+    ordered && uniform
+}
--- /dev/null
+++ b/daisyhinge/src/keeper/crash.rs
@@ -0,0 +1,245 @@
+//! Requests that crashed backend servers, as keepers count them and roots look them up.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::prelude::*;
+use crate::vocabulary::clock::span_to_millis;
+use crate::vocabulary::replica::CrashRecord;
+
+/// Crashes after which a request is not run any more.
+pub const POISON_CRASHES: u32 = 2;
+
+/// How long crashes count, from the last one on.
+pub const CRASH_KEEP_SPAN: Duration = Duration::from_mins(10);
+
+/// Requests remembered at most.
+pub const CRASH_ROWS_MAX: usize = 1_024;
+
+/// Other keepers remembered for one request at most; two are enough to refuse it.
+const SOURCES_MAX: usize = 8;
+
+/// What may be done with a request.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum CrashVerdict {
+    /// Nothing is known against it.
+    Clear,
+    /// A crash followed it or another that ran beside it: runs alone, and is not hedged.
+    Suspect,
+    /// It crashed backend servers: refused as [`ResultCode::RequestPoisoned`].
+    Poisoned,
+}
+
+/// Crashes that one keeper counted for one request.
+#[derive(Clone, Debug)]
+struct SourceRow {
+    /// The keeper; unset for this one.
+    keeper: Option<VmName>,
+    crashes: u32,
+    last: MonotonicTime,
+}
+
+#[derive(Clone, Debug, Default)]
+struct DigestRow {
+    sources: Vec<SourceRow>,
+    /// Crashes up to this moment are refuted by an answer.
+    cleared: Option<MonotonicTime>,
+}
+
+impl DigestRow {
+    fn counted(&self, now: MonotonicTime) -> u32 {
+        let counts = self.sources.iter().filter(|row| {
+            now.since(row.last) < CRASH_KEEP_SPAN && self.cleared.is_none_or(|at| row.last > at)
+        });
+        counts.map(|row| row.crashes).fold(0, u32::saturating_add)
+    }
+
+    fn last(&self) -> MonotonicTime {
+        self.sources
+            .iter()
+            .map(|row| row.last)
+            .max()
+            .unwrap_or_default()
+    }
+}
+
+/// Crash records of this keeper and of all others, merged by digest.
+///
+/// Memory is bounded by [`CRASH_ROWS_MAX`]; the request whose last crash is oldest goes first,
+/// and one that is refused goes last.
+#[derive(Clone, Debug, Default)]
+pub struct CrashBook {
+    rows: HashMap<RequestDigest, DigestRow>,
+}
+
+impl CrashBook {
+    /// A book without records.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// What may be done with `digest`.
+    pub fn verdict(&self, now: MonotonicTime, digest: RequestDigest) -> CrashVerdict {
+        match self.rows.get(&digest).map_or(0, |row| row.counted(now)) {
+            0 => CrashVerdict::Clear,
+            count if count < POISON_CRASHES => CrashVerdict::Suspect,
+            _ => CrashVerdict::Poisoned,
+        }
+    }
+
+    /// Counts one crash of a backend server that ran `suspects`, and returns those it is laid to:
+    /// the ones that were suspect before, or all where none was.
+    pub fn note_crash(
+        &mut self,
+        now: MonotonicTime,
+        suspects: &[RequestDigest],
+    ) -> Vec<RequestDigest> {
+        let known = |digest: &RequestDigest| self.verdict(now, *digest) != CrashVerdict::Clear;
+        let mut blamed: Vec<_> = suspects.iter().copied().filter(known).collect();
+        if blamed.is_empty() {
+            blamed = suspects.to_vec();
+        }
+        for digest in &blamed {
+            self.add_own(now, *digest);
+        }
+        blamed
+    }
+
+    /// Takes one crash back, since the backend server turned out to be alive.
+    pub fn withdraw(&mut self, digests: &[RequestDigest]) {
+        for digest in digests {
+            let Some(row) = self.rows.get_mut(digest) else {
+                continue;
+            };
+            for source in row.sources.iter_mut().filter(|row| row.keeper.is_none()) {
+                source.crashes = source.crashes.saturating_sub(1);
+            }
+            row.sources.retain(|source| source.crashes > 0);
+            self.drop_if_empty(*digest);
+        }
+    }
+
+    /// Takes in that `digest` was answered: it crashes every backend server that runs it or none,
+    /// so the crashes up to now were not its doing. One that is refused already stays refused.
+    pub fn note_answered(&mut self, now: MonotonicTime, digest: RequestDigest) {
+        if self.verdict(now, digest) != CrashVerdict::Suspect {
+            return;
+        }
+        if let Some(row) = self.rows.get_mut(&digest) {
+            row.cleared = Some(now);
+            row.sources.retain(|source| source.keeper.is_some());
+            self.drop_if_empty(digest);
+        }
+    }
+
+    /// Takes in all records that `keeper` has now, in place of those it had.
+    pub fn merge(&mut self, now: MonotonicTime, keeper: &VmName, records: &[CrashRecord]) {
+        for row in self.rows.values_mut() {
+            row.sources
+                .retain(|source| source.keeper.as_ref() != Some(keeper));
+        }
+        for record in records.iter().take(CRASH_ROWS_MAX) {
+            let age = Duration::from_millis(record.age_ms);
+            if record.crashes == 0 || age >= CRASH_KEEP_SPAN {
+                continue;
+            }
+            let source = SourceRow {
+                keeper: Some(keeper.clone()),
+                crashes: record.crashes,
+                last: now.before(age),
+            };
+            self.add_source(now, record.digest, source);
+        }
+        self.prune(now);
+    }
+
+    /// This keeper's own records, for [`crate::vocabulary::replica::TableDelta`].
+    pub fn own_records(&self, now: MonotonicTime) -> Vec<CrashRecord> {
+        let own = self.rows.iter().filter_map(|(digest, row)| {
+            let source = row.sources.iter().find(|source| source.keeper.is_none())?;
+            let age = now.since(source.last);
+            (age < CRASH_KEEP_SPAN).then(|| CrashRecord {
+                digest: *digest,
+                crashes: source.crashes,
+                age_ms: span_to_millis(age),
+            })
+        });
+        own.collect()
+    }
+
+    /// Forgets what is too old to count.
+    pub fn prune(&mut self, now: MonotonicTime) {
+        for row in self.rows.values_mut() {
+            row.sources
+                .retain(|source| now.since(source.last) < CRASH_KEEP_SPAN);
+        }
+        self.rows.retain(|_, row| !row.sources.is_empty());
+    }
+
+    /// Requests remembered.
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// Whether nothing is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
+    fn add_own(&mut self, now: MonotonicTime, digest: RequestDigest) {
+        let own = self
+            .rows
+            .get_mut(&digest)
+            .and_then(|row| row.sources.iter_mut().find(|row| row.keeper.is_none()));
+        if let Some(source) = own {
+            source.crashes = source.crashes.saturating_add(1);
+            source.last = now;
+            return;
+        }
+        let source = SourceRow {
+            keeper: None,
+            crashes: 1,
+            last: now,
+        };
+        self.add_source(now, digest, source);
+    }
+
+    fn add_source(&mut self, now: MonotonicTime, digest: RequestDigest, source: SourceRow) {
+        if !self.rows.contains_key(&digest) && self.rows.len() >= CRASH_ROWS_MAX {
+            self.evict(now);
+        }
+        let row = self.rows.entry(digest).or_default();
+        if row.sources.len() < SOURCES_MAX || source.keeper.is_none() {
+            row.sources.push(source);
+        }
+        assert!(
+            self.rows.len() <= CRASH_ROWS_MAX,
+            "crash records grow without bound"
+        );
+    }
+
+    fn evict(&mut self, now: MonotonicTime) {
+        let rank = |digest: RequestDigest, row: &DigestRow| {
+            let poisoned = row.counted(now) >= POISON_CRASHES;
+            (poisoned, row.last(), digest)
+        };
+        let oldest = self
+            .rows
+            .iter()
+            .map(|(digest, row)| rank(*digest, row))
+            .min();
+        if let Some((_, _, digest)) = oldest {
+            self.rows.remove(&digest);
+        }
+    }
+
+    fn drop_if_empty(&mut self, digest: RequestDigest) {
+        if self
+            .rows
+            .get(&digest)
+            .is_some_and(|row| row.sources.is_empty())
+        {
+            self.rows.remove(&digest);
+        }
+    }
+}
--- /dev/null
+++ b/daisyhinge/src/keeper/publish.rs
@@ -0,0 +1,62 @@
+//! What other entries and the time line are told of a replica.
+
+use crate::keeper::ReplicaKeeper;
+use crate::keeper::event::KeeperAction;
+use crate::keeper::gate::KeeperGate;
+use crate::prelude::*;
+use crate::vocabulary::event::EventKind;
+use crate::vocabulary::replica::UseState;
+
+/// What other entries were told last.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) struct PublishedState {
+    pub(super) state: UseState,
+    pub(super) limit: u32,
+}
+
+impl ReplicaKeeper {
+    pub(super) fn publish_changes(
+        &mut self,
+        now: MonotonicTime,
+        gate: &KeeperGate,
+        actions: &mut Vec<KeeperAction>,
+    ) {
+        let former = self.published;
+        let next = PublishedState {
+            state: self.use_state(now, gate),
+            limit: self.ramp.limit(),
+        };
+        if former == next {
+            return;
+        }
+        self.published = next;
+        let limit = u64::from(next.limit);
+        let was_cold = former.state == UseState::Cold;
+        if next.state == UseState::Cold && !was_cold {
+            self.note(EventKind::ColdStarted, limit, actions);
+        } else if next.state == UseState::Warm && was_cold {
+            self.note(EventKind::ColdEnded, limit, actions);
+        } else if former.limit != next.limit && former.limit > 0 {
+            let kind = if next.limit > former.limit {
+                EventKind::ColdRaised
+            } else {
+                EventKind::ColdCut
+            };
+            self.note(kind, limit, actions);
+        }
+        if next.state == UseState::Closed && self.is_lapsed(now) {
+            self.note(EventKind::ReplicaLapsed, 0, actions);
+        }
+        actions.push(KeeperAction::Publish);
+    }
+
+    pub(super) fn use_state(&self, now: MonotonicTime, gate: &KeeperGate) -> UseState {
+        if self.refuse_reason(now, gate).is_some() {
+            UseState::Closed
+        } else if self.ramp.is_cold() {
+            UseState::Cold
+        } else {
+            UseState::Warm
+        }
+    }
+}
--- /dev/null
+++ b/daisyhinge/src/keeper/roster/announce.rs
@@ -0,0 +1,123 @@
+//! Announcements and leaves of the replicas that this entry keeps.
+
+use crate::keeper::check::check_announcement;
+use crate::keeper::event::KeeperEvent;
+use crate::keeper::roster::KeeperRoster;
+use crate::keeper::roster::event::RosterAction;
+use crate::keeper::roster::row::RosterRow;
+use crate::prelude::*;
+use crate::rendezvous::find_keeper;
+use crate::vocabulary::announcement::{ReplicaAnnouncement, ReplicaLeave};
+
+impl KeeperRoster {
+    pub(super) fn take_announcement(
+        &mut self,
+        now: MonotonicTime,
+        next: ReplicaAnnouncement,
+        actions: &mut Vec<RosterAction>,
+    ) {
+        let replica = next.replica.clone();
+        let keeper = self.find_vm(&next.data_centre, &replica);
+        let code = self.store_announcement(now, next, actions);
+        actions.push(RosterAction::Announced {
+            replica,
+            code,
+            keeper,
+        });
+    }
+
+    fn store_announcement(
+        &mut self,
+        now: MonotonicTime,
+        next: ReplicaAnnouncement,
+        actions: &mut Vec<RosterAction>,
+    ) -> ResultCode {
+        let code = self.check_next(&next);
+        if code != ResultCode::Ok {
+            return code;
+        }
+        let replica = next.replica.clone();
+        if let Some(row) = self.rows.get(&replica) {
+            self.partitions.remove(row.keeper.announcement());
+            self.partitions.add(&next);
+            self.step_replica(now, &replica, KeeperEvent::Announced(next), actions);
+        } else {
+            self.partitions.add(&next);
+            self.rows.insert(replica.clone(), RosterRow::new(next, now));
+            self.refresh_row(now, &replica, actions);
+            self.step_replica(now, &replica, KeeperEvent::Tick, actions);
+        }
+        self.note_start(now, &replica, actions);
+        ResultCode::Ok
+    }
+
+    fn check_next(&self, next: &ReplicaAnnouncement) -> ResultCode {
+        let code = check_announcement(next);
+        if code != ResultCode::Ok {
+            return code;
+        }
+        let identity = self.history.identity();
+        let known = self.history.view().is_some_and(|view| {
+            let document = view.environments.get(&identity.environment);
+            document.is_some_and(|document| document.find_centre(&next.data_centre).is_some())
+        });
+        if !known {
+            return ResultCode::UnknownCentre;
+        }
+        if !self.history.keeps(&next.data_centre, &next.replica) {
+            return ResultCode::NotKeeper;
+        }
+        let former = self
+            .rows
+            .get(&next.replica)
+            .map(|row| row.keeper.announcement());
+        if let Some(former) = former {
+            if (next.incarnation, next.sequence) <= (former.incarnation, former.sequence) {
+                return ResultCode::AnnouncementStale;
+            }
+            if next.data_centre != former.data_centre || next.service != former.service {
+                return ResultCode::AnnouncementContradicts;
+            }
+        } else if self.rows.len() >= self.replicas_max as usize {
+            return ResultCode::TooManyReplicas;
+        }
+        if self.partitions.agrees(former, next) {
+            ResultCode::Ok
+        } else {
+            ResultCode::AnnouncementContradicts
+        }
+    }
+
+    pub(super) fn take_leave(
+        &mut self,
+        now: MonotonicTime,
+        leave: ReplicaLeave,
+        actions: &mut Vec<RosterAction>,
+    ) {
+        let row = self.rows.get(&leave.replica);
+        let known = row.map(|row| row.keeper.announcement());
+        let incarnation = known.map(|known| known.incarnation);
+        let keeper = known.and_then(|known| self.find_vm(&known.data_centre, &leave.replica));
+        let code = match incarnation {
+            None => ResultCode::NotKeeper,
+            Some(incarnation) if leave.incarnation < incarnation => ResultCode::AnnouncementStale,
+            Some(_) => {
+                let event = KeeperEvent::Left(leave.incarnation);
+                self.step_replica(now, &leave.replica, event, actions);
+                ResultCode::Ok
+            }
+        };
+        actions.push(RosterAction::Announced {
+            replica: leave.replica,
+            code,
+            keeper,
+        });
+    }
+
+    fn find_vm(&self, centre: &CentreName, replica: &ReplicaName) -> Option<VmName> {
+        let identity = self.history.identity();
+        let view = self.history.view()?;
+        let keeper = find_keeper(view, &identity.environment, centre, replica)?;
+        Some(keeper.vm.clone())
+    }
+}
--- a/daisyhinge/src/keeper/table.rs
+++ b/daisyhinge/src/keeper/table.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 
 use crate::prelude::*;
-use crate::vocabulary::replica::{ReplicaRecord, TableAsk, TableDelta};
+use crate::vocabulary::replica::{CrashRecord, ReplicaRecord, TableAsk, TableDelta};
 
 /// The published records of the replicas kept here, with a cursor for those who follow.
 #[derive(Clone, Debug)]
@@ -40,14 +40,16 @@
         }
     }
 
-    /// Publishes a record if it differs in more than its load.
+    /// Publishes a record if it differs in more than its load; of the load, only the limit counts.
     pub fn publish(&mut self, record: ReplicaRecord) {
         let same = self.records.get(&record.replica).is_some_and(|row| {
             let load = row.record.load;
-            ReplicaRecord {
-                load,
-                ..record.clone()
-            } == row.record
+            let same_limit = load.limit == record.load.limit;
+            same_limit
+                && ReplicaRecord {
+                    load,
+                    ..record.clone()
+                } == row.record
         });
         if same {
             return;
@@ -74,8 +76,8 @@
         }
     }
 
-    /// What changed since the asker's cursor.
-    pub fn delta(&self, ask: TableAsk) -> TableDelta {
+    /// What changed since the asker's cursor, with `crashes` as this keeper's own records.
+    pub fn delta(&self, ask: TableAsk, crashes: Vec<CrashRecord>) -> TableDelta {
         let oldest_gone = self.gone.first().map_or(0, |row| row.changed);
         let whole = ask.table != self.table || (oldest_gone > 1 && ask.cursor + 1 < oldest_gone);
         let since = if whole { 0 } else { ask.cursor };
@@ -96,7 +98,7 @@
                 .filter(|row| !self.records.contains_key(&row.replica))
                 .map(|row| row.replica.clone())
                 .collect(),
-            crashes: Vec::new(),
+            crashes,
         }
     }
 }
--- a/daisyhinge/src/keeper/ticket.rs
+++ b/daisyhinge/src/keeper/ticket.rs
@@ -48,6 +48,37 @@
     Failed,
     /// The answer was damaged or belonged to something else; the connection was closed.
     BadAnswer(ResultCode),
-    /// No answer by its expiry; the backend server has stopped by then.
+    /// No answer by its expiry; the connection was closed.
     Expired,
 }
+
+impl RunEnd {
+    /// Whether the connection may carry another sub-request.
+    ///
+    /// After every other end it must be closed: an answer that is still under way on it would be
+    /// taken for the answer to the next sub-request. The same holds for a dispatch that was
+    /// dropped or cancelled before its answer came.
+    pub fn keeps_connection(self) -> bool {
+        match self {
+            Self::Answered { .. } | Self::Shed { .. } | Self::NotHeld | Self::Failed => true,
+            Self::NotSent
+            | Self::ConnectFailed
+            | Self::Reset
+            | Self::BadAnswer(_)
+            | Self::Expired => false,
+        }
+    }
+
+    /// Whether the backend server certainly does not work on the sub-request any more.
+    pub fn frees_slot(self) -> bool {
+        match self {
+            Self::Answered { .. }
+            | Self::NotSent
+            | Self::ConnectFailed
+            | Self::Shed { .. }
+            | Self::NotHeld
+            | Self::Failed => true,
+            Self::Reset | Self::BadAnswer(_) | Self::Expired => false,
+        }
+    }
+}
--- a/daisyhinge/src/lease.rs
+++ b/daisyhinge/src/lease.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::prelude::*;
-use crate::vocabulary::freshness::LEASE_SPAN;
+use crate::vocabulary::freshness::{DRIFT_PPM, LEASE_SPAN};
 
 /// The lease of one entry.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -19,6 +19,8 @@
     /// from some moment after `asked`, so the lease can only come out too short. A proof of an
     /// older version is ignored. Returns whether the lease was extended.
     pub fn renew(&mut self, version: VersionNumber, asked: MonotonicTime, age: Duration) -> bool {
+        // The age was counted on other VMs' clocks, which may run slower than this one.
+        let age = age.saturating_add(age.saturating_mul(DRIFT_PPM * 2) / 1_000_000);
         let ends = asked.before(age) + LEASE_SPAN;
         if version < self.version || (version == self.version && ends <= self.ends) {
             return false;
--- a/daisyhinge/src/rendezvous.rs
+++ b/daisyhinge/src/rendezvous.rs
@@ -20,17 +20,53 @@
     replica: &ReplicaName,
 ) -> Option<&'view EntryRecord> {
     let document = view.environments.get(environment);
-    let members = || {
-        view.entries
-            .iter()
-            .filter(|entry| entry.state == EntryState::Live && entry.environment == *environment)
-    };
-    let choose = |distance: u8| {
-        members()
-            .filter(|entry| centre_distance(document, &entry.data_centre, centre) <= distance)
-            .max_by_key(|entry| hash_pair(&entry.vm, replica))
-    };
-    choose(0).or_else(|| choose(1)).or_else(|| choose(2))
+    let mut best: Option<KeeperRank<'view>> = None;
+    for entry in live_entries(view, environment) {
+        let rank = KeeperRank {
+            nearness: 2 - centre_distance(document, &entry.data_centre, centre),
+            hash: hash_pair(&entry.vm, replica),
+            entry,
+        };
+        let better = |best: &KeeperRank<'_>| {
+            (rank.nearness, rank.hash, &rank.entry.vm) > (best.nearness, best.hash, &best.entry.vm)
+        };
+        if best.as_ref().is_none_or(better) {
+            best = Some(rank);
+        }
+    }
+    best.map(|rank| rank.entry)
+}
+
+/// Lists the entries that share the replicas of `centre` among them, in order of name: the live
+/// ones of the data centre, or of the same region, or all, if none is nearer.
+pub fn list_keepers<'view>(
+    view: &'view ControlView,
+    environment: &EnvironmentName,
+    centre: &CentreName,
+) -> Vec<&'view EntryRecord> {
+    let document = view.environments.get(environment);
+    let distance = |entry: &EntryRecord| centre_distance(document, &entry.data_centre, centre);
+    let nearest = live_entries(view, environment).map(distance).min();
+    let mut keepers: Vec<_> = live_entries(view, environment)
+        .filter(|entry| Some(distance(entry)) == nearest)
+        .collect();
+    keepers.sort_by(|first, second| first.vm.cmp(&second.vm));
+    keepers
+}
+
+struct KeeperRank<'view> {
+    nearness: u8,
+    hash: u64,
+    entry: &'view EntryRecord,
+}
+
+fn live_entries<'view>(
+    view: &'view ControlView,
+    environment: &EnvironmentName,
+) -> impl Iterator<Item = &'view EntryRecord> {
+    view.entries
+        .iter()
+        .filter(move |entry| entry.state == EntryState::Live && entry.environment == *environment)
 }
 
 /// 0 within a data centre, 1 within a region, 2 beyond.
