--- a/daisyhinge/src/lib.rs
+++ b/daisyhinge/src/lib.rs
@@ -10,6 +10,9 @@
 pub mod prelude;
 pub mod rendezvous;
 pub mod search;
+pub mod metric;
+pub mod prelude;
+pub mod timeline;
 pub mod vocabulary;
 
 pub mod shell;
