Drive the keeper roster from the entry shell

Cause: the thin shell freed slots itself, opened every keeper at its own guess and never closed the connection of a dropped dispatch. Ruled out: a lock per replica, since crash records and the power cap span replicas; to be looked at again with figures. Before: path test passes with the thin keeper. After: it passes with the roster; the last look at the gate now comes after the connection is had, so a slow connect no longer stretches a request's time at the backend server. Conclusion: one waiter per dispatch, and whoever removes it reports its end.

--- a/daisyhinge/src/lib.rs
+++ b/daisyhinge/src/lib.rs
@@ -13,7 +13,7 @@
 pub mod prelude;
 pub mod rendezvous;
 pub mod search;
-pub mod shell;
 pub mod setting;
+pub mod shell;
 pub mod timeline;
 pub mod vocabulary;
--- a/daisyhinge/src/shell/backend.rs
+++ b/daisyhinge/src/shell/backend.rs
@@ -33,15 +33,17 @@
     }
 }
 
-/// Sends a sub-request and reads the answer. `left` is the time until it expires.
+/// Sends a sub-request and reads the answer, for `left` at most. `look` is asked immediately
+/// before the request is written: it gives the time left then, or `None` to send nothing.
 pub async fn send_subrequest(
     pool: &ServerPool,
     ask: &SubAsk,
     left: Duration,
     body_max_bytes: usize,
+    look: impl Fn() -> Option<Duration>,
 ) -> BackendReply {
     let started = tokio::time::Instant::now();
-    let exchange = exchange_subrequest(pool, ask, left, body_max_bytes);
+    let exchange = exchange_subrequest(pool, ask, body_max_bytes, look);
     let mut reply = match tokio::time::timeout(left, exchange).await {
         Ok(reply) => reply,
         Err(_elapsed) => RunEnd::Expired.into(),
@@ -55,14 +57,11 @@
 async fn exchange_subrequest(
     pool: &ServerPool,
     ask: &SubAsk,
-    left: Duration,
     body_max_bytes: usize,
+    look: impl Fn() -> Option<Duration>,
 ) -> BackendReply {
-    let Some(mut request) = build_subrequest(pool, ask, left) else {
-        return RunEnd::NotSent.into();
-    };
-    // An idle connection may have been closed by the other side; hyper then hands the request
-    // back unsent and a fresh connection is safe even for a request that may not be repeated.
+    // An idle connection may have been closed by the other side; the request then comes back
+    // unsent and a fresh connection is safe even for a request that may not be repeated.
     for _ in 0..2 {
         let idle = pool.take_idle();
         let fresh = idle.is_none();
@@ -75,13 +74,16 @@
             Err(PoolFault::Full) => return RunEnd::NotSent.into(),
             Err(PoolFault::ConnectFailed) => return RunEnd::ConnectFailed.into(),
         };
+        let request = look().and_then(|left| build_subrequest(pool, ask, left));
+        let Some(request) = request else {
+            connection.give_back();
+            return RunEnd::NotSent.into();
+        };
         match connection.sender.try_send_request(request).await {
             Ok(response) => return read_answer(connection, ask, response, body_max_bytes).await,
-            Err(mut fault) => match fault.take_message() {
-                Some(unsent) if !fresh => request = unsent,
-                Some(_) => return RunEnd::ConnectFailed.into(),
-                None => return RunEnd::Reset.into(),
-            },
+            Err(fault) if fault.message().is_none() => return RunEnd::Reset.into(),
+            Err(_) if fresh => return RunEnd::ConnectFailed.into(),
+            Err(_) => {}
         }
     }
     RunEnd::ConnectFailed.into()
--- a/daisyhinge/src/shell/entry/driving.rs
+++ b/daisyhinge/src/shell/entry/driving.rs
@@ -14,7 +14,7 @@
 use crate::search::plan::SearchPlan;
 use crate::search::{RequestSearch, SearchAction, SearchEvent, SubPlan};
 use crate::shell::entry::following::{claim_request, end_claim};
-use crate::shell::entry::keeping::run_sub;
+use crate::shell::entry::keeping::running::run_sub;
 use crate::shell::entry::state::{EntryPhase, EntryState};
 use crate::vocabulary::answer::{QueryAnswer, QueryRefusal};
 use crate::vocabulary::claim::{ClaimAsk, ClaimEnd, ClaimEnding};
--- a/daisyhinge/src/shell/entry/following.rs
+++ b/daisyhinge/src/shell/entry/following.rs
@@ -8,15 +8,16 @@
 use parking_lot::Mutex;
 use tarpc::client::Config;
 
+use crate::keeper::roster::RosterEvent;
 use crate::prelude::*;
-use crate::shell::entry::keeping::review_keeping;
-use crate::shell::entry::state::{EntryPhase, EntryState};
+use crate::shell::entry::keeping::{step_roster, table_delta};
+use crate::shell::entry::state::EntryState;
 use crate::shell::link::ControlLinkClient;
 use crate::shell::transport::connect_link;
 use crate::vocabulary::claim::{ClaimAsk, ClaimEnd, ClaimReply};
 use crate::vocabulary::event::{EventDraft, EventKind};
 use crate::vocabulary::freshness::{FreshAsk, FreshProof};
-use crate::vocabulary::view::EntryRecord;
+use crate::vocabulary::view::{EntryRecord, EntryState as MemberState};
 
 /// How often a proof of freshness is asked for.
 const FRESH_PERIOD: Duration = Duration::from_millis(500);
@@ -114,22 +115,29 @@
 
 fn take_proof(state: &Arc<EntryState>, proof: FreshProof, asked: MonotonicTime) {
     let version = proof.version;
-    if let Some(view) = proof.view
-        && view.version > state.view().version
+    if let Some(view) = proof
+        .view
+        .filter(|view| view.version > state.view().version)
     {
-        state.note(EventDraft::new(EventKind::ViewAdopted).with_version(view.version));
-        state.adopt_view(view);
+        state.adopt_view(Arc::clone(&view));
+        step_roster(state, RosterEvent::View(view));
     }
     // A proof is only of use for the view that is held.
     if state.view().version == version {
         state.renew_lease(version, asked, Duration::from_micros(proof.age_us));
+        step_roster(state, RosterEvent::Lease(state.lease()));
     }
-    review_keeping(state);
-    if state.phase() != EntryPhase::Serving && state.keeping.lock().is_empty() {
+    if is_listed_leaving(state) && state.keeping.lock().roster().is_released() {
         state.set_released();
     }
 }
 
+/// Whether the view in force says that this entry leaves: only then can it get no replica more.
+fn is_listed_leaving(state: &EntryState) -> bool {
+    let own = state.record();
+    own.state == MemberState::Leaving && state.view().entries.contains(&own)
+}
+
 /// Claims a request that may not be repeated.
 pub async fn claim_request(state: &EntryState, ask: ClaimAsk) -> ClaimReply {
     for _ in 0..state.settings.control.len() * CLAIM_ROUNDS {
@@ -179,13 +187,16 @@
 async fn follow_table(state: &Arc<EntryState>, entry: &EntryRecord) {
     let ask = state.routes.lock().table_ask(&entry.vm);
     let delta = if entry.vm == state.settings.vm {
-        Some(crate::shell::entry::keeping::table_delta(state, ask))
+        Some(table_delta(state, ask))
     } else {
         state.peers.table(entry.peer_address, ask).await
     };
-    if let Some(delta) = delta {
-        state.routes.lock().apply_delta(&entry.vm, delta);
+    let Some(delta) = delta else { return };
+    if entry.vm != state.settings.vm && !delta.crashes.is_empty() {
+        let (keeper, records) = (entry.vm.clone(), delta.crashes.clone());
+        step_roster(state, RosterEvent::Crashes { keeper, records });
     }
+    state.routes.lock().apply_delta(&entry.vm, delta);
 }
 
 fn forget_departed(state: &EntryState, entries: &[EntryRecord]) {
--- /dev/null
+++ b/daisyhinge/src/shell/entry/keeping/sending.rs
@@ -0,0 +1,157 @@
+//! Sends sub-requests and cancels to backend servers.
+
+use std::sync::Arc;
+
+use crate::keeper::event::KeeperEvent;
+use crate::keeper::ticket::RunEnd;
+use crate::prelude::*;
+use crate::shell::backend::{BackendReply, send_cancel, send_subrequest};
+use crate::shell::entry::keeping::{SendTarget, step_replica};
+use crate::shell::entry::state::EntryState;
+use crate::shell::pool::ServerPool;
+use crate::vocabulary::clock::span_to_millis;
+use crate::vocabulary::subrequest::{SubAnswer, SubAsk, SubRefusal, SubReply};
+
+pub(super) fn spawn_send(state: &Arc<EntryState>, target: SendTarget) {
+    let SendTarget { replica, attempt } = target;
+    if !start_send(state, attempt) {
+        // The root dropped it between the decision and now.
+        let event = KeeperEvent::Ended {
+            attempt,
+            end: RunEnd::NotSent,
+        };
+        step_replica(state, &replica, event);
+    }
+}
+
+fn start_send(state: &Arc<EntryState>, attempt: AttemptId) -> bool {
+    let mut keeping = state.keeping.lock();
+    let Some(waiter) = keeping.waiters.get(&attempt) else {
+        return false;
+    };
+    let (ask, expires) = (waiter.ask.clone(), waiter.expires);
+    let pool = keeping.pools.get(&ask.replica).cloned();
+    let owner = Arc::clone(state);
+    // Spawned under the lock, so that the task cannot end before its handle is kept.
+    let task = tokio::spawn(async move {
+        let reply = match pool {
+            Some(pool) => run_send(&owner, &pool, &ask, expires).await,
+            None => RunEnd::NotSent.into(),
+        };
+        end_send(&owner, &ask, reply);
+    });
+    if let Some(waiter) = keeping.waiters.get_mut(&attempt) {
+        waiter.sending = Some(task.abort_handle());
+    }
+    true
+}
+
+async fn run_send(
+    state: &Arc<EntryState>,
+    pool: &ServerPool,
+    ask: &SubAsk,
+    expires: MonotonicTime,
+) -> BackendReply {
+    let body_max = usize::try_from(state.settings.limits.body_max_bytes).unwrap_or(usize::MAX);
+    // The last look, once there is a connection: a process that was frozen since the decision,
+    // or that waited long for the connection, must not send old work.
+    let look = || {
+        let now = state.now();
+        let gate = state.keeping.lock().roster().gate(&ask.replica)?;
+        let left = expires.since(now);
+        let open = state.may_dispatch() && gate.refuse_reason(now).is_none();
+        (open && !left.is_zero()).then_some(left)
+    };
+    send_subrequest(pool, ask, expires.since(state.now()), body_max, look).await
+}
+
+fn end_send(state: &Arc<EntryState>, ask: &SubAsk, reply: BackendReply) {
+    // Whoever takes the waiter out reports the end: this or a cancel, never both.
+    let Some(waiter) = state.keeping.lock().waiters.remove(&ask.attempt) else {
+        return;
+    };
+    let event = KeeperEvent::Ended {
+        attempt: ask.attempt,
+        end: reply.end,
+    };
+    step_replica(state, &ask.replica, event);
+    let load = state.keeping.lock().roster().load(&ask.replica);
+    let result = match (reply.end, reply.body) {
+        (RunEnd::Answered { .. }, Some(body)) => Ok(SubAnswer {
+            shard: ask.shard,
+            snapshot: ask.snapshot,
+            body,
+            load,
+        }),
+        (end, _) => Err(SubRefusal {
+            load,
+            ..refuse_end(end)
+        }),
+    };
+    answer_root(waiter.reply, result);
+}
+
+fn answer_root(sender: Option<tokio::sync::oneshot::Sender<SubReply>>, result: SubReply) {
+    if let Some(sender) = sender {
+        let _root_may_be_gone = sender.send(result);
+    }
+}
+
+/// What a root is told of a dispatch that brought no answer.
+fn refuse_end(end: RunEnd) -> SubRefusal {
+    let refusal = SubRefusal::with_run;
+    match end {
+        RunEnd::NotSent => refusal(ResultCode::SlotsBusy, RunState::NotRun),
+        RunEnd::ConnectFailed => refusal(ResultCode::ConnectFailed, RunState::NotRun),
+        RunEnd::Reset => refusal(ResultCode::ConnectionReset, RunState::Unknown),
+        RunEnd::Shed { retry } => SubRefusal {
+            retry_ms: span_to_millis(retry),
+            ..refusal(ResultCode::ServerShed, RunState::NotRun)
+        },
+        RunEnd::NotHeld => refusal(ResultCode::SnapshotNotHeld, RunState::NotRun),
+        RunEnd::Failed => refusal(ResultCode::ServerFailed, RunState::Unknown),
+        RunEnd::BadAnswer(code) => refusal(code, RunState::Ran),
+        RunEnd::Expired => refusal(ResultCode::SubRequestExpired, RunState::Unknown),
+        RunEnd::Answered { .. } => refusal(ResultCode::AnswerDamaged, RunState::Ran),
+    }
+}
+
+/// Closes the connection of a dispatch and asks the backend server to stop the work.
+pub(super) fn spawn_cancel(state: &Arc<EntryState>, target: SendTarget) {
+    let owner = Arc::clone(state);
+    tokio::spawn(async move {
+        let SendTarget { replica, attempt } = target;
+        close_send(&owner, attempt);
+        let pool = owner.keeping.lock().pools.get(&replica).cloned();
+        let stopped = match pool {
+            Some(pool) => send_cancel(&pool, attempt).await,
+            None => false,
+        };
+        step_replica(
+            &owner,
+            &replica,
+            KeeperEvent::CancelEnded { attempt, stopped },
+        );
+    });
+}
+
+fn close_send(state: &Arc<EntryState>, attempt: AttemptId) {
+    let waiter = state.keeping.lock().waiters.remove(&attempt);
+    // Without a waiter the dispatch has ended by itself.
+    let Some(waiter) = waiter else { return };
+    if let Some(sending) = &waiter.sending {
+        sending.abort();
+    }
+    let event = KeeperEvent::Ended {
+        attempt,
+        end: RunEnd::Expired,
+    };
+    step_replica(state, &waiter.ask.replica, event);
+    answer_root(
+        waiter.reply,
+        Err(SubRefusal::with_run(
+            ResultCode::Cancelled,
+            RunState::Unknown,
+        )),
+    );
+}
--- a/daisyhinge/src/shell/entry/peering.rs
+++ b/daisyhinge/src/shell/entry/peering.rs
@@ -13,7 +13,9 @@
 use tokio::net::TcpListener;
 
 use crate::prelude::*;
-use crate::shell::entry::keeping;
+use crate::shell::entry::keeping::announcing::{take_announcement, take_leave};
+use crate::shell::entry::keeping::running::run_sub;
+use crate::shell::entry::keeping::table_delta;
 use crate::shell::entry::state::EntryState;
 use crate::shell::link::{PeerLink, PeerLinkClient};
 use crate::shell::transport::{connect_link, wrap_stream};
@@ -56,19 +58,19 @@
 
 impl PeerLink for PeerServer {
     async fn run(self, _: Context, ask: SubAsk) -> SubReply {
-        keeping::run_sub(&self.state, ask).await
+        run_sub(&self.state, ask).await
     }
 
     async fn announce(self, _: Context, announcement: ReplicaAnnouncement) -> AnnounceReply {
-        keeping::take_announcement(&self.state, announcement, false).await
+        take_announcement(&self.state, announcement, false).await
     }
 
     async fn leave(self, _: Context, leave: ReplicaLeave) -> AnnounceReply {
-        keeping::take_leave(&self.state, leave, false).await
+        take_leave(&self.state, leave, false).await
     }
 
     async fn table(self, _: Context, ask: TableAsk) -> TableDelta {
-        keeping::table_delta(&self.state, ask)
+        table_delta(&self.state, ask)
     }
 }
 
--- a/daisyhinge/src/shell/entry/progress.rs
+++ b/daisyhinge/src/shell/entry/progress.rs
@@ -27,7 +27,7 @@
 
 /// Reads the state of an entry.
 pub fn read_progress(state: &EntryState) -> EntryProgress {
-    let kept = state.keeping.lock().len();
+    let kept = state.keeping.lock().roster().len();
     let known = state.routes.lock().replica_count();
     EntryProgress {
         vm: state.settings.vm.clone(),
--- a/daisyhinge/src/shell/entry/serving.rs
+++ b/daisyhinge/src/shell/entry/serving.rs
@@ -19,7 +19,7 @@
 use crate::prelude::*;
 use crate::shell::entry::answering::{write_answer, write_refusal};
 use crate::shell::entry::driving::{QueryResult, refuse_query, run_query};
-use crate::shell::entry::keeping::{take_announcement, take_leave};
+use crate::shell::entry::keeping::announcing::{take_announcement, take_leave};
 use crate::shell::entry::querying::read_query;
 use crate::shell::entry::state::{EntryPhase, EntryState};
 use crate::vocabulary::announcement::AnnounceReply;
--- a/daisyhinge/src/shell/entry/state.rs
+++ b/daisyhinge/src/shell/entry/state.rs
@@ -13,7 +13,6 @@
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::Semaphore;
 
-use crate::keeper::gate::KeeperGate;
 use crate::lease::FreshnessLease;
 use crate::metric::EntryMetrics;
 use crate::prelude::*;
@@ -23,7 +22,7 @@
 use crate::shell::entry::following::ControlPool;
 use crate::shell::entry::keeping::KeepingTable;
 use crate::shell::entry::peering::PeerPool;
-use crate::vocabulary::environment::{CentreState, EnvironmentDocument};
+use crate::vocabulary::environment::EnvironmentDocument;
 use crate::vocabulary::event::EventDraft;
 use crate::vocabulary::setting::EntrySettings;
 use crate::vocabulary::view::{ControlView, EntryRecord, EntryState as MemberState};
@@ -64,7 +63,6 @@
     incarnation: IncarnationNumber,
     view: RwLock<Arc<ControlView>>,
     lease: Mutex<FreshnessLease>,
-    members_changed: Mutex<MonotonicTime>,
     phase: AtomicU8,
     released: AtomicBool,
     running: Mutex<HashMap<ServiceName, u32>>,
@@ -83,17 +81,17 @@
 impl EntryState {
     pub(super) fn new(settings: EntrySettings, metrics: EntryMetrics, note: NoteSink) -> Self {
         let origin = rand::random();
+        let incarnation = IncarnationNumber(wall_micros());
         Self {
             connections: Arc::new(Semaphore::new(settings.limits.connections_max as usize)),
             clock: ProcessClock::open(),
             origin,
             stopped: AtomicBool::new(false),
             routes: Mutex::default(),
-            keeping: Mutex::new(KeepingTable::new(origin)),
+            keeping: Mutex::new(KeepingTable::new(&settings, incarnation, origin)),
             peers: PeerPool::default(),
             control: ControlPool::default(),
-            members_changed: Mutex::default(),
-            incarnation: IncarnationNumber(wall_micros()),
+            incarnation,
             view: RwLock::default(),
             lease: Mutex::default(),
             phase: AtomicU8::new(EntryPhase::Serving as u8),
@@ -150,17 +148,9 @@
             view.version >= current.version,
             "an accepted configuration never reverts"
         );
-        if view.entries != current.entries {
-            *self.members_changed.lock() = self.now();
-        }
         *current = view;
     }
 
-    /// When the list of entries last changed in the view in force here.
-    pub(super) fn members_changed(&self) -> MonotonicTime {
-        *self.members_changed.lock()
-    }
-
     /// How far this entry is in its life.
     pub fn phase(&self) -> EntryPhase {
         match self.phase.load(Ordering::Acquire) {
@@ -222,21 +212,6 @@
         others.iter().map(|entry| entry.caller_address).collect()
     }
 
-    /// What must hold before a replica of `centre` gets anything.
-    pub(super) fn gate(&self, centre: &CentreName, opens: MonotonicTime) -> KeeperGate {
-        let centre_in = self.document().is_some_and(|document| {
-            document
-                .find_centre(centre)
-                .is_some_and(|entry| entry.state == CentreState::In)
-        });
-        KeeperGate {
-            lease_ends: self.lease().ends(),
-            opens,
-            centre_in,
-            is_keeper: true,
-        }
-    }
-
     /// Numbers for the attempts of one request.
     pub(super) fn next_sequence_base(&self) -> u64 {
         self.sequence.fetch_add(SEQUENCE_STRIDE, Ordering::Relaxed)
--- a/daisyhinge/src/shell/pool.rs
+++ b/daisyhinge/src/shell/pool.rs
@@ -11,6 +11,8 @@
 use parking_lot::Mutex;
 use tokio::net::TcpStream;
 
+use crate::prelude::*;
+
 /// Why no connection could be had. Nothing was sent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum PoolFault {
@@ -29,6 +31,7 @@
 #[derive(Debug)]
 struct PoolInner {
     address: SocketAddr,
+    incarnation: IncarnationNumber,
     connections_max: u32,
     open: AtomicU32,
     idle: Mutex<Vec<SendRequest<Full<Bytes>>>>,
@@ -45,12 +48,13 @@
 
 impl ServerPool {
     /// A pool without connections.
-    pub fn new(address: SocketAddr, connections_max: u32) -> Self {
-        let idle = Mutex::new(Vec::new());
+    pub fn new(address: SocketAddr, incarnation: IncarnationNumber, connections_max: u32) -> Self {
+        let (open, idle) = (AtomicU32::new(0), Mutex::new(Vec::new()));
         let inner = PoolInner {
             address,
+            incarnation,
             connections_max,
-            open: AtomicU32::new(0),
+            open,
             idle,
         };
         Self {
@@ -58,6 +62,19 @@
         }
     }
 
+    /// Whether it is for that backend server as it is now.
+    pub fn serves(
+        &self,
+        address: SocketAddr,
+        incarnation: IncarnationNumber,
+        connections_max: u32,
+    ) -> bool {
+        let inner = &self.inner;
+        inner.address == address
+            && inner.incarnation == incarnation
+            && inner.connections_max == connections_max
+    }
+
     /// Where it connects to.
     pub fn address(&self) -> SocketAddr {
         self.inner.address
@@ -105,11 +122,6 @@
             pool: self.clone(),
         })
     }
-
-    /// Closes all idle connections.
-    pub fn close_idle(&self) {
-        self.inner.idle.lock().clear();
-    }
 }
 
 impl ServerConnection {
