Hand crash notes out beside the actions, so that the shell still compiles

Cause: a new KeeperAction variant and a second argument of KeeperTable::delta broke the shell that drives ReplicaKeeper directly. Conclusion: ReplicaKeeper::take_crash_notes() hands out what the last step learned; KeeperRoster uses it. KeeperAction and KeeperTable::delta are as before.

--- a/daisyhinge/src/keeper.rs
+++ b/daisyhinge/src/keeper.rs
@@ -60,6 +60,7 @@
     queue: TicketQueue,
     ramp: ColdRamp,
     watch: Option<CrashWatch>,
+    crash_notes: Vec<CrashNote>,
     power_room: u32,
     published: PublishedState,
 }
@@ -76,6 +77,7 @@
             queue: TicketQueue::default(),
             ramp,
             watch: None,
+            crash_notes: Vec::new(),
             power_room: u32::MAX,
             published: PublishedState {
                 state: UseState::Closed,
@@ -92,6 +94,7 @@
         gate: &KeeperGate,
         actions: &mut Vec<KeeperAction>,
     ) {
+        self.crash_notes.clear();
         self.slots.free_expired(now);
         self.ramp.tick(now);
         match event {
@@ -160,6 +163,11 @@
         needed.min(self.announcement.connections)
     }
 
+    /// Takes what the last step learned about crashes, for [`crash::CrashBook`].
+    pub fn take_crash_notes(&mut self) -> Vec<CrashNote> {
+        std::mem::take(&mut self.crash_notes)
+    }
+
     /// Sets how many sub-requests the power cap leaves room for; counts down with each dispatch.
     pub fn set_power_room(&mut self, room: u32) {
         self.power_room = room;
@@ -212,7 +220,7 @@
             .is_some_and(|watch| watch.refuted_by_announcement(now))
         {
             self.watch = None;
-            actions.push(KeeperAction::Crash(CrashNote::Withdrawn));
+            self.crash_notes.push(CrashNote::Withdrawn);
         }
         if changed {
             self.note(EventKind::ReplicaAnnounced, 0, actions);
@@ -224,7 +232,7 @@
     /// stay occupied, for a sub-request may have reached the new process; cancels clear that up.
     fn take_restart(&mut self, now: MonotonicTime, actions: &mut Vec<KeeperAction>) {
         let suspects = self.slots.blame_all(None);
-        self.suspect(now, suspects, actions);
+        self.suspect(now, suspects);
         self.confirm_crash(actions);
         self.ramp.take_bad_sign(now);
         self.slots.renew_cancels();
@@ -248,7 +256,7 @@
             return;
         };
         match end {
-            RunEnd::Answered { took } => self.take_answer(now, slot, took, actions),
+            RunEnd::Answered { took } => self.take_answer(now, slot, took),
             RunEnd::Shed { .. } => self.ramp.take_bad_sign(now),
             RunEnd::Failed => self.ramp.take_error(now),
             RunEnd::ConnectFailed => {
@@ -257,50 +265,39 @@
             }
             RunEnd::Reset => {
                 let suspects = self.slots.blame_all(Some(slot));
-                self.suspect(now, suspects, actions);
+                self.suspect(now, suspects);
                 self.ramp.take_bad_sign(now);
             }
             RunEnd::NotSent | RunEnd::NotHeld | RunEnd::BadAnswer(_) | RunEnd::Expired => {}
         }
     }
 
-    fn take_answer(
-        &mut self,
-        now: MonotonicTime,
-        slot: EndedSlot,
-        took: Duration,
-        actions: &mut Vec<KeeperAction>,
-    ) {
+    fn take_answer(&mut self, now: MonotonicTime, slot: EndedSlot, took: Duration) {
         self.ramp.take_answer(now, took);
         if self
             .watch
             .is_some_and(|watch| watch.refuted_by_run(slot.sent))
         {
             self.watch = None;
-            actions.push(KeeperAction::Crash(CrashNote::Withdrawn));
+            self.crash_notes.push(CrashNote::Withdrawn);
         }
         if slot.alone || slot.blamed {
             let note = CrashNote::Answered(slot.ticket.digest);
-            actions.push(KeeperAction::Crash(note));
+            self.crash_notes.push(note);
         }
     }
 
-    fn suspect(
-        &mut self,
-        now: MonotonicTime,
-        suspects: Vec<RequestDigest>,
-        actions: &mut Vec<KeeperAction>,
-    ) {
+    fn suspect(&mut self, now: MonotonicTime, suspects: Vec<RequestDigest>) {
         if !suspects.is_empty() {
             self.watch = Some(CrashWatch::new(now));
-            actions.push(KeeperAction::Crash(CrashNote::Suspected(suspects)));
+            self.crash_notes.push(CrashNote::Suspected(suspects));
         }
     }
 
     fn confirm_crash(&mut self, actions: &mut Vec<KeeperAction>) {
         if self.watch.take().is_some() {
             self.note(EventKind::CrashRecorded, 0, actions);
-            actions.push(KeeperAction::Crash(CrashNote::Confirmed));
+            self.crash_notes.push(CrashNote::Confirmed);
         }
     }
 
--- a/daisyhinge/src/keeper/event.rs
+++ b/daisyhinge/src/keeper/event.rs
@@ -1,7 +1,6 @@
 //! What happens to a keeper of one replica, and what it wants done.
 
 use crate::keeper::ticket::{RunEnd, SubTicket};
-use crate::keeper::watch::CrashNote;
 use crate::prelude::*;
 use crate::vocabulary::announcement::ReplicaAnnouncement;
 use crate::vocabulary::event::EventDraft;
@@ -61,6 +60,4 @@
     Publish,
     /// An event for the time line.
     Note(EventDraft),
-    /// Something was learned about a crash; [`crate::keeper::crash::CrashBook`] counts it.
-    Crash(CrashNote),
 }
--- a/daisyhinge/src/keeper/roster.rs
+++ b/daisyhinge/src/keeper/roster.rs
@@ -108,7 +108,10 @@
 
     /// What changed in the table of kept replicas since the asker's cursor.
     pub fn delta(&self, now: MonotonicTime, ask: TableAsk) -> TableDelta {
-        self.table.delta(ask, self.crashes.own_records(now))
+        TableDelta {
+            crashes: self.crashes.own_records(now),
+            ..self.table.delta(ask)
+        }
     }
 
     /// Crash records, for a root entry's own look before it dispatches.
--- a/daisyhinge/src/keeper/roster/dispatch.rs
+++ b/daisyhinge/src/keeper/roster/dispatch.rs
@@ -66,7 +66,11 @@
         let mut wanted = Vec::new();
         row.keeper.step(now, event, &gate, &mut wanted);
         let after = row.keeper.load().running;
+        let notes = row.keeper.take_crash_notes();
         self.power.record(&centre, before, after, share);
+        for note in notes {
+            self.take_crash(now, replica, note, actions);
+        }
         for action in wanted {
             self.take_action(now, replica, action, actions);
         }
@@ -81,7 +85,6 @@
     ) {
         match action {
             KeeperAction::Publish => self.publish(now, replica),
-            KeeperAction::Crash(note) => self.take_crash(now, replica, note, actions),
             KeeperAction::Note(draft) => actions.push(RosterAction::Note(draft)),
             action => {
                 if let KeeperAction::Send(_) = action {
--- a/daisyhinge/src/keeper/roster/event.rs
+++ b/daisyhinge/src/keeper/roster/event.rs
@@ -50,7 +50,7 @@
 /// What an entry has to do for the replicas that it keeps.
 #[derive(Clone, Debug)]
 pub enum RosterAction {
-    /// Something for one replica; never [`KeeperAction::Publish`] or [`KeeperAction::Crash`].
+    /// Something for one replica; never [`KeeperAction::Publish`].
     Replica {
         /// The replica.
         replica: ReplicaName,
--- a/daisyhinge/src/keeper/table.rs
+++ b/daisyhinge/src/keeper/table.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 
 use crate::prelude::*;
-use crate::vocabulary::replica::{CrashRecord, ReplicaRecord, TableAsk, TableDelta};
+use crate::vocabulary::replica::{ReplicaRecord, TableAsk, TableDelta};
 
 /// The published records of the replicas kept here, with a cursor for those who follow.
 #[derive(Clone, Debug)]
@@ -76,8 +76,8 @@
         }
     }
 
-    /// What changed since the asker's cursor, with `crashes` as this keeper's own records.
-    pub fn delta(&self, ask: TableAsk, crashes: Vec<CrashRecord>) -> TableDelta {
+    /// What changed since the asker's cursor, without crash records.
+    pub fn delta(&self, ask: TableAsk) -> TableDelta {
         let oldest_gone = self.gone.first().map_or(0, |row| row.changed);
         let whole = ask.table != self.table || (oldest_gone > 1 && ask.cursor + 1 < oldest_gone);
         let since = if whole { 0 } else { ask.cursor };
@@ -98,7 +98,7 @@
                 .filter(|row| !self.records.contains_key(&row.replica))
                 .map(|row| row.replica.clone())
                 .collect(),
-            crashes,
+            crashes: Vec::new(),
         }
     }
 }
