--- a/daisyhinge/src/lib.rs
+++ b/daisyhinge/src/lib.rs
@@ -5,14 +5,15 @@
 //! actions into bytes. Imports run one way: shells import decisions, decisions import
 //! [`vocabulary`], never back.
 
+pub mod check;
+pub mod environment;
 pub mod keeper;
 pub mod lease;
+pub mod metric;
 pub mod prelude;
 pub mod rendezvous;
 pub mod search;
-pub mod metric;
-pub mod prelude;
+pub mod shell;
+pub mod setting;
 pub mod timeline;
 pub mod vocabulary;
-
-pub mod shell;
