--- a/daisyhinge/src/lib.rs
+++ b/daisyhinge/src/lib.rs
@@ -14,7 +14,6 @@
 pub mod rendezvous;
 pub mod search;
 pub mod setting;
+pub mod shell;
 pub mod timeline;
 pub mod vocabulary;
-
-pub mod shell;
