Follow the roster's narrower actions

Cause: crash notes no longer come out as actions. Ruled out: keeping the empty arm, which would not compile. Before: does not build after the merge. After: lint clean. Conclusion: nothing else in the shell depended on it.

--- a/daisyhinge/src/shell/entry/keeping.rs
+++ b/daisyhinge/src/shell/entry/keeping.rs
@@ -118,8 +118,8 @@
             }
             KeeperAction::Refuse { attempt, refusal } => self.refuse(attempt, refusal),
             KeeperAction::Note(draft) => state.note(draft),
-            // The roster keeps these to itself.
-            KeeperAction::Publish | KeeperAction::Crash(_) => {}
+            // The roster keeps this to itself.
+            KeeperAction::Publish => {}
         }
     }
 
