Add the command line

Cause: operators check, apply, show, compare and promote documents, take data centres out and return them, look after control VMs and read the merged time line. Conclusion: `demo` is a hook, `demo::run() -> ExitCode`, to be filled.

--- /dev/null
+++ b/daisyhinge-cli/src/control.rs
@@ -0,0 +1,125 @@
+//! `daisyhinge control`.
+
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+
+use daisyhinge::prelude::*;
+use daisyhinge::shell::operator::client::ClientFault;
+use daisyhinge::vocabulary::change::ChangeKind;
+use daisyhinge::vocabulary::status::{ControlStatus, VoterRole, VoterStatus};
+use serde::Serialize;
+
+use crate::arguments::{ChangeArguments, ControlCommand, GroupArguments};
+use crate::connection::{open_client, read_name, read_operators, send_change};
+use crate::exit::CommandFault;
+use crate::output::Output;
+use crate::wait::finish_change;
+
+/// What one of the control VMs answered.
+#[derive(Debug, Serialize)]
+struct StatusReport {
+    operator_address: SocketAddr,
+    status: Option<ControlStatus>,
+}
+
+/// Runs one command.
+pub async fn run(
+    command: &ControlCommand,
+    group: &GroupArguments,
+    output: Output,
+) -> Result<ExitCode, CommandFault> {
+    match command {
+        ControlCommand::Status => show_status(group, output).await,
+        ControlCommand::Add {
+            vm,
+            address,
+            change,
+        } => {
+            let kind = ChangeKind::AddVoter {
+                vm: read_name("VM", vm)?,
+                address: *address,
+            };
+            alter(change, kind, group, output).await
+        }
+        ControlCommand::Remove { vm, change } => {
+            let kind = ChangeKind::RemoveVoter {
+                vm: read_name("VM", vm)?,
+            };
+            alter(change, kind, group, output).await
+        }
+    }
+}
+
+async fn alter(
+    change: &ChangeArguments,
+    kind: ChangeKind,
+    group: &GroupArguments,
+    output: Output,
+) -> Result<ExitCode, CommandFault> {
+    let client = open_client(group)?;
+    let done = send_change(&client, change, None, kind, output).await?;
+    finish_change(&client, change, None, done, output).await
+}
+
+async fn show_status(group: &GroupArguments, output: Output) -> Result<ExitCode, CommandFault> {
+    let client = open_client(group)?;
+    let mut reports = Vec::new();
+    for operator_address in read_operators(group)? {
+        let status = match client.status(operator_address).await {
+            Ok(status) => Some(status),
+            Err(ClientFault::Refused(refusal)) => return Err(CommandFault::Refused(refusal)),
+            Err(_) => None,
+        };
+        reports.push(StatusReport {
+            operator_address,
+            status,
+        });
+    }
+    output.show(&reports, |text| {
+        for report in &reports {
+            write_report(report, text);
+        }
+    });
+    if reports.iter().any(|report| report.status.is_some()) {
+        Ok(ExitCode::SUCCESS)
+    } else {
+        Err(CommandFault::Unreachable)
+    }
+}
+
+fn write_report(report: &StatusReport, text: &mut String) {
+    let address = report.operator_address;
+    let Some(status) = &report.status else {
+        let _ = writeln!(text, "operator_address={address} reached=no");
+        return;
+    };
+    let leader = status.leader.as_ref().map_or("-", VmName::as_str);
+    let _ = writeln!(
+        text,
+        "operator_address={address} vm={} leading={} leader={leader} term={} version={} \
+         committed={}",
+        status.vm, status.leading, status.term, status.version, status.committed
+    );
+    if status.leading {
+        status
+            .voters
+            .iter()
+            .for_each(|voter| write_voter(voter, text));
+    }
+}
+
+fn write_voter(voter: &VoterStatus, text: &mut String) {
+    let role = match voter.role {
+        VoterRole::Learner => "learner",
+        VoterRole::Voter => "voter",
+    };
+    let heard = voter
+        .heard_ms
+        .map_or("-".to_owned(), |heard| heard.to_string());
+    let _ = writeln!(
+        text,
+        "  vm={} address={} role={role} matched={} heard_ms={heard}",
+        voter.vm, voter.address, voter.matched
+    );
+}
--- a/daisyhinge-cli/src/main.rs
+++ b/daisyhinge-cli/src/main.rs
@@ -1,3 +1,52 @@
-//! Placeholder of the cli program.
+//! The command line for operators.
 
-fn main() {}
+mod arguments;
+mod centre;
+mod connection;
+mod control;
+mod demo;
+mod entries;
+mod env;
+mod exit;
+mod output;
+mod timeline;
+mod wait;
+
+use std::process::ExitCode;
+
+use clap::Parser;
+
+use arguments::{Arguments, Command};
+use exit::CommandFault;
+use output::Output;
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    if let Command::Demo = arguments.command {
+        return demo::run();
+    }
+    let output = Output::new(arguments.json);
+    match run_command(&arguments, output) {
+        Ok(code) => code,
+        Err(fault) => {
+            output.show_fault(&fault);
+            fault.exit_code()
+        }
+    }
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn run_command(arguments: &Arguments, output: Output) -> Result<ExitCode, CommandFault> {
+    let group = &arguments.group;
+    match &arguments.command {
+        Command::Env(command) => env::run(command, group, output).await,
+        Command::DataCentre(command) => centre::run(command, group, output).await,
+        Command::Control(command) => control::run(command, group, output).await,
+        Command::Entries(filter) => entries::run(filter, group, output).await,
+        Command::Timeline(query) => timeline::run(query, output).await,
+        Command::Demo => Ok(ExitCode::SUCCESS),
+    }
+}
--- a/daisyhinge/src/shell/operator/client.rs
+++ b/daisyhinge/src/shell/operator/client.rs
@@ -219,3 +219,8 @@
         Err(_error) => Err(ClientFault::Unknown),
     }
 }
+
+/// A fresh change identifier, random enough never to be drawn twice.
+pub fn draw_change_id() -> ChangeId {
+    ChangeId::from(format!("change-{:032x}", rand::random::<u128>()))
+}
