--- /dev/null
+++ b/daisyhinge-cli/tests/support/fake_group.rs
@@ -0,0 +1,257 @@
+//! A control group in memory behind real operators' ports, and the program run against it.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Command, Output};
+use std::sync::{Arc, Mutex};
+
+use daisyhinge::prelude::*;
+use daisyhinge::shell::operator::{OperatorCalls, OperatorPort, OperatorToken};
+use daisyhinge::vocabulary::change::{
+    ChangeAsk, ChangeDone, ChangeKind, ChangeRecord, ChangeRefusal,
+};
+use daisyhinge::vocabulary::environment::EnvironmentDocument;
+use daisyhinge::vocabulary::status::{ControlStatus, EntryStatus};
+use daisyhinge::vocabulary::view::{ControlView, EntryState};
+use tempfile::TempDir;
+
+pub const TOKEN: &str = "0123456789abcdef-test";
+
+/// What the group holds.
+#[derive(Debug, Default)]
+pub struct GroupState {
+    pub view: ControlView,
+    pub histories: BTreeMap<EnvironmentName, Vec<ChangeRecord>>,
+    pub replies: BTreeMap<ChangeId, Result<ChangeDone, ChangeRefusal>>,
+    pub entries: Vec<EntryStatus>,
+    /// Replies to changes that are lost from now on, after the change was carried out.
+    pub lose_replies: u32,
+}
+
+impl GroupState {
+    fn change(&mut self, ask: &ChangeAsk) -> Result<ChangeDone, ChangeRefusal> {
+        let reply = match self.replies.get(&ask.change) {
+            Some(reply) => reply.clone(),
+            None => self.apply(ask),
+        };
+        self.replies.insert(ask.change.clone(), reply.clone());
+        if self.lose_replies > 0 {
+            self.lose_replies -= 1;
+            return Err(refuse(
+                ResultCode::ChangeOutcomeUnknown,
+                VersionNumber(0),
+                None,
+            ));
+        }
+        reply
+    }
+
+    fn apply(&mut self, ask: &ChangeAsk) -> Result<ChangeDone, ChangeRefusal> {
+        let (environment, document) = match &ask.kind {
+            ChangeKind::Apply {
+                environment,
+                document,
+            } => (environment, Arc::clone(document)),
+            ChangeKind::Promote { from, trusted, to } => {
+                if self.version_of(from) != *trusted {
+                    let current = self.version_of(from);
+                    return Err(refuse(ResultCode::PromoteMismatch, current, None));
+                }
+                (to, Arc::clone(&self.view.environments[from]))
+            }
+            ChangeKind::SetCentre {
+                environment,
+                data_centre,
+                state,
+            } => {
+                let found = self.view.environments.get(environment);
+                let mut document = EnvironmentDocument::clone(found.unwrap());
+                for region in &mut document.regions {
+                    for centre in &mut region.data_centres {
+                        if centre.name == *data_centre {
+                            centre.state = *state;
+                        }
+                    }
+                }
+                (environment, Arc::new(document))
+            }
+            _ => return Err(refuse(ResultCode::UnknownVoter, VersionNumber(0), None)),
+        };
+        let current = self.version_of(environment);
+        if ask.base.is_some_and(|base| base != current) {
+            let last = self
+                .histories
+                .get(environment)
+                .and_then(|records| records.last());
+            let winner = last.map(|record| record.change.clone());
+            return Err(refuse(ResultCode::VersionConflict, current, winner));
+        }
+        self.view.version.0 += 1;
+        let version = self.view.version;
+        let record = ChangeRecord {
+            version,
+            change: ask.change.clone(),
+            operator: Arc::clone(&ask.operator),
+            made_ms: ask.made_ms,
+            summary: Arc::from("changed"),
+        };
+        self.histories
+            .entry(environment.clone())
+            .or_default()
+            .push(record);
+        self.view.environments.insert(environment.clone(), document);
+        Ok(ChangeDone { version })
+    }
+
+    fn version_of(&self, environment: &EnvironmentName) -> VersionNumber {
+        let last = self
+            .histories
+            .get(environment)
+            .and_then(|records| records.last());
+        last.map_or(VersionNumber(0), |record| record.version)
+    }
+
+    fn status(&self, leading: bool) -> ControlStatus {
+        ControlStatus {
+            vm: VmName::from("control-1"),
+            leading,
+            leader: None,
+            term: 1,
+            version: self.view.version,
+            committed: 0,
+            voters: Vec::new(),
+            entries: self.entries.clone(),
+        }
+    }
+}
+
+/// A running group: one control VM that follows and one that leads.
+pub struct FakeGroup {
+    pub state: Arc<Mutex<GroupState>>,
+    pub folder: TempDir,
+    following: OperatorPort,
+    leading: OperatorPort,
+    runtime: tokio::runtime::Runtime,
+}
+
+impl FakeGroup {
+    pub fn open() -> Self {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(1)
+            .enable_all()
+            .build()
+            .unwrap();
+        let state = Arc::new(Mutex::new(GroupState::default()));
+        let leading = runtime.block_on(bind_port(lead(&state)));
+        let following = runtime.block_on(bind_port(follow(leading.address())));
+        let folder = tempfile::tempdir().unwrap();
+        fs::write(folder.path().join("token"), TOKEN).unwrap();
+        Self {
+            state,
+            folder,
+            following,
+            leading,
+            runtime,
+        }
+    }
+
+    pub fn runtime(&self) -> &tokio::runtime::Runtime {
+        &self.runtime
+    }
+
+    /// Writes a file into the test's folder.
+    pub fn write(&self, name: &str, text: &str) -> PathBuf {
+        let path = self.folder.path().join(name);
+        fs::write(&path, text).unwrap();
+        path
+    }
+
+    /// Runs the program in the test's folder with the follower's address before the leader's.
+    pub fn run(&self, arguments: &str) -> Output {
+        let operators = format!("{},{}", self.following.address(), self.leading.address());
+        run_program(&self.folder, arguments, &operators)
+    }
+
+    pub fn add_entry(&self, vm: &str, holds: u64, heard_ms: u64) {
+        let entry = EntryStatus {
+            vm: VmName::from(vm),
+            environment: EnvironmentName::from("production"),
+            data_centre: CentreName::from("lagos-1"),
+            caller_address: "127.0.0.1:7000".parse().unwrap(),
+            state: EntryState::Live,
+            holds: VersionNumber(holds),
+            heard_ms,
+        };
+        self.state.lock().unwrap().entries.push(entry);
+    }
+}
+
+/// Runs the program with arguments that have no spaces in them.
+pub fn run_program(folder: &TempDir, arguments: &str, operators: &str) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_daisyhinge"))
+        .args(arguments.split_whitespace())
+        .current_dir(folder.path())
+        .env("DAISYHINGE_OPERATORS", operators)
+        .env("DAISYHINGE_TOKEN_FILE", "token")
+        .env("USER", "ada")
+        .output()
+        .unwrap()
+}
+
+fn refuse(code: ResultCode, current: VersionNumber, winner: Option<ChangeId>) -> ChangeRefusal {
+    ChangeRefusal {
+        code,
+        current,
+        winner,
+        leader: None,
+    }
+}
+
+async fn bind_port(calls: OperatorCalls) -> OperatorPort {
+    let token = OperatorToken::parse(TOKEN).unwrap();
+    OperatorPort::bind("127.0.0.1:0".parse().unwrap(), token, calls)
+        .await
+        .unwrap()
+}
+
+fn lead(state: &Arc<Mutex<GroupState>>) -> OperatorCalls {
+    let [change, view, history, status] = [0; 4].map(|_| Arc::clone(state));
+    OperatorCalls {
+        change: Arc::new(move |ask| {
+            let reply = change.lock().unwrap().change(&ask);
+            Box::pin(std::future::ready(reply))
+        }),
+        view: Arc::new(move |()| {
+            let view = view.lock().unwrap().view.clone();
+            Box::pin(std::future::ready(Ok(Arc::new(view))))
+        }),
+        history: Arc::new(move |environment| {
+            let found = history.lock().unwrap().histories.get(&environment).cloned();
+            let unknown = refuse(ResultCode::UnknownEnvironment, VersionNumber(0), None);
+            Box::pin(std::future::ready(found.ok_or(unknown)))
+        }),
+        status: Arc::new(move |()| {
+            let status = status.lock().unwrap().status(true);
+            Box::pin(std::future::ready(Ok(status)))
+        }),
+    }
+}
+
+fn follow(leader: SocketAddr) -> OperatorCalls {
+    let refusal = ChangeRefusal {
+        leader: Some(leader),
+        ..refuse(ResultCode::NotLeader, VersionNumber(0), None)
+    };
+    let [change, view, history] = [0; 3].map(|_| refusal.clone());
+    OperatorCalls {
+        change: Arc::new(move |_| Box::pin(std::future::ready(Err(change.clone())))),
+        view: Arc::new(move |()| Box::pin(std::future::ready(Err(view.clone())))),
+        history: Arc::new(move |_| Box::pin(std::future::ready(Err(history.clone())))),
+        status: Arc::new(|()| {
+            let status = GroupState::default().status(false);
+            Box::pin(std::future::ready(Ok(status)))
+        }),
+    }
+}
--- a/daisyhinge/src/metric.rs
+++ b/daisyhinge/src/metric.rs
@@ -14,3 +14,6 @@
 pub use entry::EntryMetrics;
 pub use replica::ReplicaMetrics;
 pub use service::ServiceMetrics;
+
+/// The registry that families are registered with.
+pub use prometheus_client::registry::Registry as MetricRegistry;
