Make the search of a request real: pin, choose, hedge, retry, claim, conclude

Cause: the thin machine took the first replica found, never tried another, counted coverage over what had announced, and held refusals back until nothing was waited for.

Only partitions that nobody holds are bounded now, and a shard of one that was forgotten counts as without a replica, not as absent.

--- a/daisyhinge/src/search.rs
+++ b/daisyhinge/src/search.rs
@@ -1,16 +1,31 @@
 //! One caller's request as its root entry runs it: pin a snapshot, ask every shard, merge.
 
+pub mod admission;
+pub mod budget;
+pub mod choice;
+pub mod claiming;
+mod conclude;
+pub mod estimate;
+pub mod outcome;
+pub mod partition;
 pub mod plan;
+pub mod poison;
+mod reply;
 pub mod route;
+mod scatter;
+mod shard;
+mod suspect;
 
 use crate::prelude::*;
-use crate::vocabulary::answer::{AnswerPart, MissingShard, QueryAnswer, QueryRefusal};
-use crate::vocabulary::claim::{ClaimEnding, ClaimOutcome, ClaimReply};
+use crate::vocabulary::answer::{QueryAnswer, QueryRefusal};
+use crate::vocabulary::claim::{ClaimEnding, ClaimReply};
 use crate::vocabulary::environment::WHOLE_PPM;
 use crate::vocabulary::event::EventDraft;
-use crate::vocabulary::subrequest::{SubAnswer, SubReply};
-use plan::SearchPlan;
-use route::{PinnedShard, PinnedSnapshot, RouteTable};
+use crate::vocabulary::subrequest::SubReply;
+use plan::{PinnedSnapshot, SearchPlan};
+use route::RouteTable;
+use shard::ShardRow;
+use suspect::Suspicion;
 
 /// What happens to a request.
 #[derive(Clone, Debug)]
@@ -19,6 +34,8 @@
     Start,
     /// Control replied to a claim.
     Claimed(ClaimReply),
+    /// Control committed a [`SearchAction::EndClaim`] that gave the claim back.
+    ClaimReturned,
     /// A dispatch ended.
     SubEnded {
         /// The dispatch.
@@ -73,44 +90,95 @@
     Note(EventDraft),
 }
 
-/// State of one shard of a request.
-#[derive(Clone, Debug)]
-enum ShardState {
-    Waiting(AttemptId),
-    Answered(SubAnswer),
-    Missing(ResultCode),
+/// Dispatches of one request so far.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct SearchTally {
+    /// First attempts.
+    pub primaries: u32,
+    /// Attempts in place of one that certainly did not run.
+    pub replaced: u32,
+    /// Second attempts sent since the first was slow.
+    pub hedges: u32,
+    /// Attempts after one that may have run.
+    pub retries: u32,
+    /// Hedges and retries not sent since the budget was spent.
+    pub denied: u32,
 }
 
-#[derive(Clone, Debug)]
-struct ShardRow {
-    pinned: PinnedShard,
-    state: ShardState,
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum SearchPhase {
+    New,
+    /// The reply to a claim is awaited.
+    Claiming(AttemptId),
+    /// A claim was given back and is asked for anew once that is committed.
+    Returning,
+    Running,
+    /// The caller is answered; the outcome of a claimed dispatch is still awaited.
+    Lingering,
+    Done,
 }
 
 /// One caller's request.
 #[derive(Clone, Debug)]
 pub struct RequestSearch {
     plan: SearchPlan,
+    answer_by: MonotonicTime,
+    phase: SearchPhase,
+    service: u32,
     pinned: Option<PinnedSnapshot>,
     rows: Vec<ShardRow>,
-    attempts: u64,
+    /// Row of each attempt, by the attempt's number.
+    owners: Vec<u32>,
+    answered_weight: u64,
+    open_weight: u64,
+    open_count: usize,
+    answered_count: usize,
     run: RunState,
-    finished: bool,
+    suspicion: Suspicion,
+    restarted: bool,
+    claims: u8,
+    claim_returns: bool,
+    dispatched_claim: bool,
+    /// Shortest time after which a refusing keeper wants to be asked again.
+    retry_ms: Option<u64>,
+    wake: MonotonicTime,
+    tally: SearchTally,
 }
 
 impl RequestSearch {
     /// A request that has not begun.
     pub fn new(plan: SearchPlan) -> Self {
         Self {
+            answer_by: plan.answer_by(),
             plan,
+            phase: SearchPhase::New,
+            service: 0,
             pinned: None,
             rows: Vec::new(),
-            attempts: 0,
+            owners: Vec::new(),
+            answered_weight: 0,
+            open_weight: 0,
+            open_count: 0,
+            answered_count: 0,
             run: RunState::NotRun,
-            finished: false,
+            suspicion: Suspicion::Clear,
+            restarted: false,
+            claims: 0,
+            claim_returns: false,
+            dispatched_claim: false,
+            retry_ms: None,
+            wake: MonotonicTime::default(),
+            tally: SearchTally::default(),
         }
     }
 
+    /// Promises that [`SearchEvent::ClaimReturned`] will follow each claim given back, so that a
+    /// request which a replica turned away may claim again and try another.
+    pub fn with_claim_returns(mut self) -> Self {
+        self.claim_returns = true;
+        self
+    }
+
     /// Takes in one event and says what is to be done.
     pub fn step(
         &mut self,
@@ -119,272 +187,90 @@
         routes: &mut RouteTable,
         actions: &mut Vec<SearchAction>,
     ) {
-        if self.finished {
-            return;
-        }
-        match event {
-            SearchEvent::Start => self.begin(routes, actions),
-            SearchEvent::Claimed(reply) => self.take_claim(reply, routes, actions),
-            SearchEvent::SubEnded { attempt, reply } => self.take_reply(attempt, reply, actions),
-            SearchEvent::Tick => {}
-            SearchEvent::CallerGone => {
-                self.cancel_waiting(actions);
+        routes.advance(now);
+        match (self.phase, event) {
+            (SearchPhase::New, SearchEvent::Start) => self.begin(now, routes, actions),
+            (SearchPhase::New, SearchEvent::CallerGone) => {
                 self.refuse(ResultCode::CallerGone, actions);
-                return;
             }
+            (SearchPhase::New, _) | (_, SearchEvent::Start) => {}
+            (_, SearchEvent::Claimed(reply)) => self.take_claim(reply, routes, actions),
+            (SearchPhase::Done, _) => {}
+            (_, SearchEvent::ClaimReturned) => self.take_returned(actions),
+            (_, SearchEvent::SubEnded { attempt, reply }) => {
+                self.take_reply(now, attempt, reply, routes, actions);
+            }
+            (_, SearchEvent::Tick) => self.send_hedges(now, routes, actions),
+            (_, SearchEvent::CallerGone) => self.lose_caller(now, routes, actions),
         }
-        self.conclude(now, actions);
+        self.conclude(now, routes, actions);
+        self.plan_wake(now);
     }
 
     /// When to step with [`SearchEvent::Tick`] next.
     pub fn next_wake(&self) -> Option<MonotonicTime> {
-        (!self.finished).then_some(self.plan.deadline)
+        (!matches!(self.phase, SearchPhase::Done)).then_some(self.wake)
     }
 
     /// Whether the caller was answered.
     pub fn is_finished(&self) -> bool {
-        self.finished
+        matches!(self.phase, SearchPhase::Lingering | SearchPhase::Done)
     }
 
-    fn begin(&mut self, routes: &RouteTable, actions: &mut Vec<SearchAction>) {
-        let pinned = routes.pin_snapshot(&self.plan.service, self.plan.minimum_ppm);
-        let Some(pinned) = pinned else {
-            self.refuse(ResultCode::NoSnapshot, actions);
-            return;
-        };
-        let wanted = |row: &&PinnedShard| self.plan.shard.is_none_or(|shard| shard == row.shard);
-        let rows = pinned.shards.iter().filter(wanted).map(|row| ShardRow {
-            pinned: *row,
-            state: ShardState::Missing(ResultCode::ShardAbsent),
-        });
-        self.rows = rows.collect();
-        self.pinned = Some(pinned);
-        if self.rows.is_empty() {
-            self.refuse(ResultCode::UnknownShard, actions);
-        } else if self.plan.repeatable {
-            self.dispatch_all(routes, actions);
-        } else if self.rows.len() > 1 {
-            self.refuse(ResultCode::AmbiguousShard, actions);
-        } else {
-            let attempt = self.next_attempt();
-            self.rows[0].state = ShardState::Waiting(attempt);
-            actions.push(SearchAction::Claim(attempt));
-        }
+    /// Whether nothing more will come of it. A request that may not be repeated is kept and
+    /// stepped on after its caller was answered until this is true, so that its outcome can be
+    /// recorded for a resend.
+    pub fn is_done(&self) -> bool {
+        self.phase == SearchPhase::Done
     }
 
-    fn dispatch_all(&mut self, routes: &RouteTable, actions: &mut Vec<SearchAction>) {
-        for index in 0..self.rows.len() {
-            let attempt = self.next_attempt();
-            self.dispatch(index, attempt, routes, actions);
-        }
+    /// Dispatches so far.
+    pub fn tally(&self) -> SearchTally {
+        self.tally
     }
 
-    fn dispatch(
+    fn begin(
         &mut self,
-        index: usize,
-        attempt: AttemptId,
-        routes: &RouteTable,
-        actions: &mut Vec<SearchAction>,
-    ) {
-        let Some(pinned) = &self.pinned else { return };
-        let shard = self.rows[index].pinned.shard;
-        let route = routes.find_route(&self.plan.service, pinned.snapshot, shard);
-        let Some(route) = route else {
-            self.rows[index].state = ShardState::Missing(ResultCode::NoReplica);
-            return;
-        };
-        self.rows[index].state = ShardState::Waiting(attempt);
-        actions.push(SearchAction::Dispatch(SubPlan {
-            attempt,
-            replica: route.record.replica.clone(),
-            keeper: route.keeper.clone(),
-            shard,
-            snapshot: pinned.snapshot,
-            expires: self.plan.deadline,
-            hedge: false,
-        }));
-    }
-
-    fn take_claim(
-        &mut self,
-        reply: ClaimReply,
-        routes: &RouteTable,
+        now: MonotonicTime,
+        routes: &mut RouteTable,
         actions: &mut Vec<SearchAction>,
     ) {
-        let Some(ShardState::Waiting(attempt)) = self.rows.first().map(|row| row.state.clone())
-        else {
+        self.phase = SearchPhase::Running;
+        if now >= self.answer_by {
+            self.refuse(ResultCode::DeadlinePassed, actions);
             return;
-        };
-        match reply {
-            ClaimReply::Won => self.dispatch(0, attempt, routes, actions),
-            ClaimReply::Lost(Some(outcome)) => self.answer_resent(outcome, actions),
-            ClaimReply::Lost(None) => {
-                self.run = RunState::Unknown;
-                self.refuse(ResultCode::OutcomeUnknown, actions);
-            }
-            ClaimReply::Refused(code) => self.refuse(code, actions),
         }
-    }
-
-    fn answer_resent(&mut self, outcome: ClaimOutcome, actions: &mut Vec<SearchAction>) {
-        self.finished = true;
-        actions.push(SearchAction::Finish(Ok(QueryAnswer {
-            request: self.plan.request.clone(),
-            snapshot: outcome.snapshot,
-            answered_weight: outcome.weight,
-            whole_weight: outcome.whole_weight,
-            missing: Vec::new(),
-            parts: vec![AnswerPart {
-                shard: outcome.shard,
-                body: outcome.body,
-            }],
-            resent: true,
-        })));
-    }
-
-    fn take_reply(&mut self, attempt: AttemptId, reply: SubReply, actions: &mut Vec<SearchAction>) {
-        let waiting =
-            |row: &&mut ShardRow| matches!(row.state, ShardState::Waiting(id) if id == attempt);
-        let Some(row) = self.rows.iter_mut().find(waiting) else {
+        if self.refuse_poisoned(routes, actions) {
             return;
-        };
-        let end = match reply {
-            Ok(answer) => {
-                self.run = RunState::Ran;
-                let outcome = self.pinned.as_ref().map(|pinned| ClaimOutcome {
-                    snapshot: pinned.snapshot,
-                    shard: row.pinned.shard,
-                    weight: row.pinned.weight,
-                    whole_weight: pinned.whole_weight,
-                    body: answer.body.clone(),
-                });
-                row.state = ShardState::Answered(answer);
-                outcome.map(ClaimEnding::Answered)
-            }
-            Err(refusal) => {
-                self.run = self.run.join(refusal.run);
-                row.state = ShardState::Missing(refusal.code);
-                (refusal.run == RunState::NotRun).then_some(ClaimEnding::NotRun)
-            }
-        };
-        if let (false, Some(end)) = (self.plan.repeatable, end) {
-            actions.push(SearchAction::EndClaim { attempt, end });
-        }
-    }
-
-    /// Answers as soon as nothing is waited for, or at the deadline with what is here.
-    fn conclude(&mut self, now: MonotonicTime, actions: &mut Vec<SearchAction>) {
-        let late = now >= self.plan.deadline;
-        let waits = self
-            .rows
-            .iter()
-            .any(|row| matches!(row.state, ShardState::Waiting(_)));
-        if self.finished || (waits && !late) {
-            return;
-        }
-        self.cancel_waiting(actions);
-        let answered = |row: &&ShardRow| matches!(row.state, ShardState::Answered(_));
-        let answered_weight: u64 = self
-            .rows
-            .iter()
-            .filter(answered)
-            .map(|row| row.pinned.weight)
-            .sum();
-        let whole_weight = self.wanted_weight();
-        if !is_covered(answered_weight, whole_weight, self.plan.minimum_ppm) {
-            let code = if late {
-                ResultCode::DeadlinePassed
-            } else {
-                self.first_missing_code()
-            };
-            self.refuse(code, actions);
-            return;
-        }
-        self.finished = true;
-        actions.push(SearchAction::Finish(Ok(
-            self.merge_answer(answered_weight, whole_weight)
-        )));
-    }
-
-    fn wanted_weight(&self) -> u64 {
-        match (&self.pinned, self.plan.shard) {
-            (Some(pinned), None) => pinned.whole_weight,
-            _ => self.rows.iter().map(|row| row.pinned.weight).sum(),
-        }
-    }
-
-    fn merge_answer(&self, answered_weight: u64, whole_weight: u64) -> QueryAnswer {
-        let mut parts = Vec::new();
-        let mut missing = Vec::new();
-        for row in &self.rows {
-            let shard = row.pinned.shard;
-            match &row.state {
-                ShardState::Answered(answer) => {
-                    parts.push(AnswerPart {
-                        shard,
-                        body: answer.body.clone(),
-                    });
-                }
-                ShardState::Missing(code) => missing.push(MissingShard { shard, code: *code }),
-                ShardState::Waiting(_) => {
-                    missing.push(MissingShard {
-                        shard,
-                        code: ResultCode::ShardLate,
-                    });
-                }
-            }
         }
-        QueryAnswer {
-            request: self.plan.request.clone(),
-            snapshot: self
-                .pinned
-                .as_ref()
-                .map(|pinned| pinned.snapshot)
-                .unwrap_or_default(),
-            answered_weight,
-            whole_weight,
-            missing,
-            parts,
-            resent: false,
-        }
-    }
-
-    fn first_missing_code(&self) -> ResultCode {
-        let code = self.rows.iter().find_map(|row| match row.state {
-            ShardState::Missing(code) => Some(code),
-            _ => None,
-        });
-        code.unwrap_or(ResultCode::CoverageTooLow)
-    }
-
-    fn cancel_waiting(&mut self, actions: &mut Vec<SearchAction>) {
-        for row in &self.rows {
-            if let ShardState::Waiting(attempt) = row.state {
-                self.run = self.run.join(RunState::Unknown);
-                actions.push(SearchAction::Cancel(attempt));
-            }
+        if !self.plan.repeatable {
+            self.begin_claim(routes, actions);
+        } else if self.pin(routes) {
+            self.scatter(now, routes, actions);
+        } else {
+            self.refuse(ResultCode::NoSnapshot, actions);
         }
     }
 
-    fn refuse(&mut self, code: ResultCode, actions: &mut Vec<SearchAction>) {
-        self.finished = true;
-        actions.push(SearchAction::Finish(Err(QueryRefusal {
-            request: self.plan.request.clone(),
-            code,
-            run: self.run,
-            retry_ms: None,
-            addresses: Vec::new(),
-        })));
+    fn next_attempt(&mut self, row: usize) -> AttemptId {
+        self.owners.push(u32::try_from(row).unwrap_or(u32::MAX));
+        self.last_attempt()
     }
 
-    fn next_attempt(&mut self) -> AttemptId {
-        self.attempts += 1;
-        let sequence = self.plan.sequence_base + self.attempts;
+    fn last_attempt(&self) -> AttemptId {
         AttemptId {
             origin: self.plan.origin,
-            sequence,
+            sequence: self.plan.sequence_base + self.owners.len() as u64,
         }
     }
+
+    /// The row that an attempt of this request belongs to.
+    fn owner_of(&self, attempt: AttemptId) -> Option<usize> {
+        let number = attempt.sequence.checked_sub(self.plan.sequence_base + 1)?;
+        let owner = self.owners.get(usize::try_from(number).ok()?)?;
+        let row = *owner as usize;
+        (attempt.origin == self.plan.origin && row < self.rows.len()).then_some(row)
+    }
 }
 
 /// Whether `answered` of `whole` is at least `minimum_ppm`. Nothing at all never is.
--- a/daisyhinge/src/search/plan.rs
+++ b/daisyhinge/src/search/plan.rs
@@ -1,6 +1,10 @@
-//! A caller's request with every default filled in.
+//! A caller's request with every default filled in, and the snapshot that it is pinned to.
+
+use std::sync::Arc;
+use std::time::Duration;
 
 use crate::prelude::*;
+use crate::search::partition::PartitionKey;
 use crate::vocabulary::query::AnswerPreference;
 
 /// Attempts that one request may number; requests of one entry are this far apart.
@@ -34,3 +38,41 @@
     /// Attempts are numbered upwards from here.
     pub sequence_base: u64,
 }
+
+/// Longest time before the deadline at which an answer is finished, so that it arrives in time.
+pub const ANSWER_MARGIN_MAX: Duration = Duration::from_millis(10);
+
+/// The margin is this part of the time allowed, at most [`ANSWER_MARGIN_MAX`].
+const ANSWER_MARGIN_DIVISOR: u32 = 20;
+
+impl SearchPlan {
+    /// When the answer is finished at the latest.
+    pub fn answer_by(&self) -> MonotonicTime {
+        let margin = self.deadline.since(self.arrived) / ANSWER_MARGIN_DIVISOR;
+        self.deadline.before(margin.min(ANSWER_MARGIN_MAX))
+    }
+}
+
+/// One shard of a pinned snapshot.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct PinnedShard {
+    /// The shard.
+    pub shard: ShardNumber,
+    /// Its weight; 0 if it never announced.
+    pub weight: u64,
+    /// Whether a replica of it ever announced itself.
+    pub known: bool,
+}
+
+/// The snapshot that a request is pinned to, with every shard of its partition.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PinnedSnapshot {
+    /// The snapshot.
+    pub snapshot: SnapshotNumber,
+    /// Weight of all shards, those that never announced included.
+    pub whole_weight: u64,
+    /// The partition that its shards belong to.
+    pub key: PartitionKey,
+    /// All shards, by number.
+    pub shards: Arc<[PinnedShard]>,
+}
--- /dev/null
+++ b/daisyhinge/tests/search/fleet.rs
@@ -0,0 +1,320 @@
+//! A small model of keepers, replicas and claims, with its own record of what ran where.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use daisyhinge::prelude::*;
+use daisyhinge::search::SubPlan;
+use daisyhinge::search::plan::SearchPlan;
+use daisyhinge::search::route::RouteTable;
+use daisyhinge::vocabulary::announcement::HeldSnapshot;
+use daisyhinge::vocabulary::claim::{ClaimEnding, ClaimOutcome, ClaimReply};
+use daisyhinge::vocabulary::query::AnswerPreference;
+use daisyhinge::vocabulary::replica::{KeeperLoad, ReplicaRecord, TableDelta, UseState};
+use daisyhinge::vocabulary::subrequest::{SubAnswer, SubRefusal, SubReply};
+use rand::seq::IndexedRandom;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+pub const SERVICE: &str = "label-desk";
+pub const CENTRES: [&str; 3] = ["lagos-1", "abuja-1", "kano-1"];
+
+/// A snapshot as the model cut it.
+#[derive(Clone, Debug)]
+pub struct ModelSnapshot {
+    pub generation: u64,
+    pub weights: Vec<u64>,
+}
+
+impl ModelSnapshot {
+    pub fn shards(&self) -> u32 {
+        u32::try_from(self.weights.len()).expect("few shards")
+    }
+
+    pub fn whole(&self) -> u64 {
+        self.weights.iter().sum()
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct ModelReplica {
+    pub name: ReplicaName,
+    pub keeper: usize,
+    pub alive: bool,
+    pub held: Vec<HeldSnapshot>,
+    pub running: u32,
+}
+
+/// Chances of faults, per thousand.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct FaultRates {
+    pub straggler: u32,
+    pub refused: u32,
+    pub reset: u32,
+    pub mismatch: u32,
+    pub failed: u32,
+}
+
+pub struct Fleet {
+    pub rng: ChaCha8Rng,
+    pub snapshots: BTreeMap<u64, ModelSnapshot>,
+    pub replicas: Vec<ModelReplica>,
+    /// When each shard of each snapshot first announced itself.
+    pub announced: HashMap<(u64, u32), MonotonicTime>,
+    pub rates: FaultRates,
+    pub service_us: u64,
+    /// Dispatches that a backend server began to work on.
+    pub ran: HashSet<AttemptId>,
+    claims: HashMap<RequestId, (AttemptId, Option<ClaimOutcome>)>,
+    cursor: u64,
+}
+
+impl Fleet {
+    pub fn new(seed: u64, shards: u32, copies: usize) -> Self {
+        let mut fleet = Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            snapshots: BTreeMap::new(),
+            replicas: Vec::new(),
+            announced: HashMap::new(),
+            rates: FaultRates::default(),
+            service_us: 6_000,
+            ran: HashSet::new(),
+            claims: HashMap::new(),
+            cursor: 0,
+        };
+        fleet.cut_snapshot(1, 1, shards);
+        for shard in 0..shards {
+            for copy in 0..copies {
+                let name = format!("r{shard}-{copy}");
+                fleet.replicas.push(ModelReplica {
+                    name: name.as_str().into(),
+                    keeper: copy % CENTRES.len(),
+                    alive: true,
+                    held: vec![fleet.held(1, shard)],
+                    running: 0,
+                });
+            }
+        }
+        fleet
+    }
+
+    pub fn cut_snapshot(&mut self, number: u64, generation: u64, shards: u32) {
+        let weights = (0..shards).map(|_| self.rng.random_range(1..100)).collect();
+        let snapshot = ModelSnapshot {
+            generation,
+            weights,
+        };
+        self.snapshots.insert(number, snapshot);
+    }
+
+    pub fn held(&self, number: u64, shard: u32) -> HeldSnapshot {
+        let cut = &self.snapshots[&number];
+        let shards = cut.shards();
+        HeldSnapshot {
+            snapshot: SnapshotNumber(number),
+            generation: cut.generation,
+            shard: ShardNumber(shard % shards),
+            shards,
+            weight: cut.weights[(shard % shards) as usize],
+            whole_weight: cut.whole(),
+        }
+    }
+
+    /// Publishes every keeper's whole table.
+    pub fn publish(&mut self, now: MonotonicTime, routes: &mut RouteTable) {
+        self.cursor += 1;
+        for (keeper, centre) in CENTRES.iter().enumerate() {
+            let kept = self
+                .replicas
+                .iter()
+                .filter(|replica| replica.keeper == keeper);
+            let records: Vec<_> = kept
+                .filter(|replica| replica.alive)
+                .map(|replica| self.record(replica, centre))
+                .collect();
+            let delta = TableDelta {
+                table: 1,
+                cursor: self.cursor,
+                whole: true,
+                records,
+                gone: Vec::new(),
+                crashes: Vec::new(),
+            };
+            routes.apply_delta(&keeper_name(keeper), delta);
+        }
+        for replica in self.replicas.iter().filter(|replica| replica.alive) {
+            for held in &replica.held {
+                let first = self.announced.entry((held.snapshot.0, held.shard.0));
+                first.or_insert(now);
+            }
+        }
+    }
+
+    fn record(&self, replica: &ModelReplica, centre: &str) -> ReplicaRecord {
+        ReplicaRecord {
+            replica: replica.name.clone(),
+            service: SERVICE.into(),
+            data_centre: centre.into(),
+            incarnation: IncarnationNumber(1),
+            state: UseState::Warm,
+            slots: 2,
+            snapshots: Arc::from(replica.held.clone()),
+            load: self.load(replica),
+        }
+    }
+
+    fn load(&self, replica: &ModelReplica) -> KeeperLoad {
+        KeeperLoad {
+            running: replica.running,
+            queued: 0,
+            limit: 2,
+            service_us: u32::try_from(self.service_us).expect("a short service time"),
+        }
+    }
+
+    /// Decides what becomes of a dispatch: the reply and how long it takes.
+    pub fn run(&mut self, now: MonotonicTime, sub: &SubPlan) -> (Duration, SubReply) {
+        let place = self
+            .replicas
+            .iter()
+            .position(|replica| replica.name == sub.replica);
+        let replica = self.replicas[place.expect("dispatches go to known replicas")].clone();
+        let load = self.load(&replica);
+        let refuse = |code, run, retry_ms| {
+            Err(SubRefusal {
+                code,
+                run,
+                retry_ms,
+                load,
+            })
+        };
+        let short = Duration::from_micros(300);
+        if !replica.alive {
+            return (
+                short,
+                refuse(ResultCode::ConnectFailed, RunState::NotRun, 0),
+            );
+        }
+        let holds = |held: &&HeldSnapshot| held.snapshot == sub.snapshot && held.shard == sub.shard;
+        let Some(held) = replica.held.iter().find(holds) else {
+            return (
+                short,
+                refuse(ResultCode::SnapshotNotHeld, RunState::NotRun, 0),
+            );
+        };
+        if self.chance(self.rates.refused) {
+            const CODES: [ResultCode; 5] = [
+                ResultCode::SlotsBusy,
+                ResultCode::ReplicaDraining,
+                ResultCode::NoLease,
+                ResultCode::KeeperWaiting,
+                ResultCode::ServerShed,
+            ];
+            let code = *CODES.choose(&mut self.rng).expect("there are codes");
+            return (short, refuse(code, RunState::NotRun, 3));
+        }
+        self.ran.insert(sub.attempt);
+        let span = self.draw_span();
+        let left = sub.expires.since(now);
+        if span > left {
+            return (
+                left,
+                refuse(ResultCode::SubRequestExpired, RunState::Unknown, 0),
+            );
+        }
+        if self.chance(self.rates.reset) {
+            return (
+                short,
+                refuse(ResultCode::ConnectionReset, RunState::Unknown, 0),
+            );
+        }
+        if self.chance(self.rates.failed) {
+            return (span, refuse(ResultCode::ServerFailed, RunState::Ran, 0));
+        }
+        let wrong = u64::from(self.chance(self.rates.mismatch));
+        let answer = SubAnswer {
+            shard: held.shard,
+            snapshot: SnapshotNumber(held.snapshot.0 + wrong),
+            body: part_body(held.snapshot, held.shard).into(),
+            load,
+        };
+        (span, Ok(answer))
+    }
+
+    fn draw_span(&mut self) -> Duration {
+        let even = self
+            .rng
+            .random_range(self.service_us..self.service_us * 3 / 2);
+        let factor = if self.chance(self.rates.straggler) {
+            20
+        } else {
+            1
+        };
+        Duration::from_micros(even * factor)
+    }
+
+    pub fn chance(&mut self, per_thousand: u32) -> bool {
+        self.rng.random_range(0..1_000) < per_thousand
+    }
+
+    pub fn claim(&mut self, request: &RequestId, attempt: AttemptId) -> ClaimReply {
+        match self.claims.get(request) {
+            Some((holder, None)) if *holder == attempt => ClaimReply::Won,
+            Some((_, outcome)) => ClaimReply::Lost(outcome.clone()),
+            None => {
+                self.claims.insert(request.clone(), (attempt, None));
+                ClaimReply::Won
+            }
+        }
+    }
+
+    pub fn end_claim(&mut self, request: &RequestId, attempt: AttemptId, end: ClaimEnding) {
+        let is_holder = self
+            .claims
+            .get(request)
+            .is_some_and(|held| held.0 == attempt);
+        match end {
+            ClaimEnding::NotRun => {
+                assert!(
+                    !self.ran.contains(&attempt),
+                    "a claim that ran was given back"
+                );
+                if is_holder {
+                    self.claims.remove(request);
+                }
+            }
+            ClaimEnding::Answered(outcome) => {
+                assert!(self.ran.contains(&attempt), "an outcome of nothing");
+                assert!(is_holder, "an outcome without the claim");
+                self.claims
+                    .insert(request.clone(), (attempt, Some(outcome)));
+            }
+        }
+    }
+}
+
+pub fn part_body(snapshot: SnapshotNumber, shard: ShardNumber) -> String {
+    format!("{snapshot}/{shard}")
+}
+
+pub fn keeper_name(index: usize) -> VmName {
+    format!("entry-{index}").into()
+}
+
+pub fn plan(number: u64, now: MonotonicTime, allowed: Duration) -> SearchPlan {
+    SearchPlan {
+        request: format!("q{number}").into(),
+        digest: RequestDigest(number),
+        service: SERVICE.into(),
+        shard: None,
+        arrived: now,
+        deadline: now + allowed,
+        minimum_ppm: 1_000_000,
+        preference: AnswerPreference::Coverage,
+        repeatable: true,
+        extra_work_ppm: 50_000,
+        origin: 7,
+        sequence_base: number << 20,
+    }
+}
--- /dev/null
+++ b/daisyhinge/tests/search_random.rs
@@ -0,0 +1,153 @@
+//! Long random runs of requests over a model of keepers and replicas. `DAISYHINGE_STEPS` sets the
+//! number of requests of each run, `DAISYHINGE_SEED` the first seed.
+
+use std::time::Duration;
+
+use daisyhinge::prelude::*;
+use daisyhinge::search::SearchEvent;
+use daisyhinge::vocabulary::query::AnswerPreference;
+use rand::RngExt;
+
+#[path = "search/fleet.rs"]
+mod fleet;
+#[path = "search/runner.rs"]
+mod runner;
+
+use fleet::{FaultRates, Fleet, plan};
+use runner::{Happening, Runner};
+
+const SHARDS: u32 = 6;
+const REQUESTS: u64 = 600;
+const SEEDS: u64 = 6;
+
+fn number_from(variable: &str, default: u64) -> u64 {
+    let text = std::env::var(variable).ok();
+    text.and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
+/// Something changes in the fleet: a replica dies or returns, rolls to a newer snapshot, drops
+/// an old one, or the service is cut anew.
+fn disturb(runner: &mut Runner, newest: &mut u64, generation: &mut u64) {
+    let fleet = &mut runner.fleet;
+    let index = fleet.rng.random_range(0..fleet.replicas.len());
+    match fleet.rng.random_range(0..10) {
+        0 | 1 => fleet.replicas[index].alive ^= true,
+        2..=5 => {
+            let shard = u32::try_from(index / 3).expect("few replicas");
+            let held = fleet.held(*newest, shard);
+            let replica = &mut fleet.replicas[index];
+            if replica.held.first() != Some(&held) {
+                replica.held.insert(0, held);
+            }
+        }
+        6 | 7 => fleet.replicas[index].held.truncate(1),
+        8 => {
+            *newest += 1;
+            let shards = fleet.snapshots[&(*newest - 1)].shards();
+            fleet.cut_snapshot(*newest, *generation, shards);
+        }
+        _ => {
+            *newest += 1;
+            *generation += 1;
+            let shards = fleet.rng.random_range(2..=SHARDS + 2);
+            fleet.cut_snapshot(*newest, *generation, shards);
+        }
+    }
+}
+
+fn run_seed(seed: u64, requests: u64) -> Runner {
+    let mut runner = Runner::new(Fleet::new(seed, SHARDS, 3), seed);
+    runner.fleet.rates = FaultRates {
+        straggler: 50,
+        refused: 60,
+        reset: 15,
+        mismatch: 10,
+        failed: 20,
+    };
+    (runner.twice, runner.claim_lost) = (30, 50);
+    let (mut newest, mut generation) = (1, 1);
+    let began = runner.now;
+    for number in 1..=requests {
+        let mut plan = plan(number, runner.now, Duration::from_millis(150));
+        let rng = &mut runner.fleet.rng;
+        plan.minimum_ppm = [0, 500_000, 900_000, 1_000_000][rng.random_range(0..4)];
+        if rng.random_bool(0.5) {
+            plan.preference = AnswerPreference::Latency;
+        }
+        if rng.random_bool(0.2) {
+            plan.shard = Some(ShardNumber(rng.random_range(0..3)));
+            if rng.random_bool(0.5) {
+                plan.repeatable = false;
+                // Half of them are resends of an earlier one.
+                let earlier = rng.random_range(number.saturating_sub(20).max(1)..=number);
+                plan.request = format!("print-{}", earlier / 2).into();
+                plan.shard = u32::try_from(earlier / 2 % 3).ok().map(ShardNumber);
+            }
+        }
+        runner.start(number, plan);
+        let pause = Duration::from_micros(runner.fleet.rng.random_range(0..4_000));
+        if runner.fleet.chance(20) {
+            let event = SearchEvent::CallerGone;
+            runner.later(pause * 2, Happening::Step(number, event));
+        }
+        if runner.fleet.chance(60) {
+            disturb(&mut runner, &mut newest, &mut generation);
+        }
+        if runner.fleet.chance(200) {
+            let now = runner.now;
+            let Runner { fleet, routes, .. } = &mut runner;
+            fleet.publish(now, routes);
+        }
+        let until = runner.now + pause;
+        runner.run_until(until);
+    }
+    let until = runner.now + Duration::from_secs(2);
+    runner.run_until(until);
+    runner.judge_end();
+    runner.judge_extra(50_000, began);
+    runner
+}
+
+#[test]
+fn random_runs_keep_what_must_hold() {
+    let requests = number_from("DAISYHINGE_STEPS", REQUESTS);
+    let first = number_from("DAISYHINGE_SEED", 1);
+    let (mut whole, mut partial, mut refused, mut resent) = (0, 0, 0, 0);
+    for seed in first..first + SEEDS {
+        let runner = run_seed(seed, requests);
+        for request in runner.requests.values() {
+            match request.result.as_ref().expect("judged") {
+                Ok(answer) if answer.resent => resent += 1,
+                Ok(answer) if answer.missing.is_empty() => whole += 1,
+                Ok(_) => partial += 1,
+                Err(_) => refused += 1,
+            }
+        }
+        // A request that may not be repeated ran once at most, all its sends together.
+        let mut runs: std::collections::HashMap<&RequestId, usize> =
+            std::collections::HashMap::new();
+        for request in runner
+            .requests
+            .values()
+            .filter(|request| !request.plan.repeatable)
+        {
+            let ran = request.attempts.iter();
+            let ran = ran
+                .filter(|attempt| runner.fleet.ran.contains(*attempt))
+                .count();
+            *runs.entry(&request.plan.request).or_default() += ran;
+        }
+        assert!(runs.values().all(|count| *count <= 1), "{runs:?}");
+    }
+    println!("whole {whole} partial {partial} refused {refused} resent {resent}");
+    assert!(whole > 0 && partial > 0 && refused > 0 && resent > 0);
+}
+
+#[test]
+fn a_seed_gives_the_same_run_again() {
+    let (first, second) = (run_seed(99, 200), run_seed(99, 200));
+    assert_eq!(first.tally, second.tally);
+    for (left, right) in first.requests.values().zip(second.requests.values()) {
+        assert_eq!(left.result, right.result);
+    }
+}
