Drive the real search from the entry shell

Cause: the search now claims anew after a claim was given back, lingers for the outcome of a claimed dispatch, and needs the view and an admission gate. Ruled out: waiting for the outcome to be committed before answering the caller: with control slow that makes a late answer out of one in time. Before: thin search. Conclusion: outcomes are recorded beside the answer, and shutdown waits for them.

--- a/daisyhinge/src/shell/entry/driving.rs
+++ b/daisyhinge/src/shell/entry/driving.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use foldhash::fast::FixedState;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use tokio::task::{AbortHandle, JoinSet};
 
 use crate::prelude::*;
@@ -55,26 +55,44 @@
     if !service.repeatable && !query.named_by_caller {
         return Err(refuse(ResultCode::MissingRequestId));
     }
-    if state.running_of(&service.name) >= service.running_max
-        || state.running_count() >= state.settings.limits.running_max
-    {
-        return Err(refuse(ResultCode::Overloaded));
-    }
-    let guard = state.begin_request(&service.name);
+    let guard = match state.admit_request(&service, query.deadline) {
+        Ok(guard) => guard,
+        Err(refusal) => {
+            let retry_ms = Some(refusal.retry_ms);
+            return Err(QueryRefusal {
+                retry_ms,
+                ..refuse(refusal.code)
+            });
+        }
+    };
     let driver = SearchDriver::new(state, &query, &service);
     if service.repeatable {
-        return driver.run().await;
+        let mut result = None;
+        driver.run(|finished| result = Some(finished)).await;
+        drop(guard);
+        return result.unwrap_or_else(|| Err(refuse_unknown(state, &query.request)));
     }
-    let running = tokio::spawn(async move {
-        let _counted = guard;
-        driver.run().await
+    let (sender, receiver) = oneshot::channel();
+    let mut sender = Some(sender);
+    tokio::spawn(async move {
+        let finish = |finished| {
+            if let Some(sender) = sender.take() {
+                let _caller_may_be_gone = sender.send(finished);
+            }
+        };
+        driver.run(finish).await;
+        drop(guard);
     });
-    match running.await {
-        Ok(result) => result,
-        Err(_) => Err(QueryRefusal {
-            run: RunState::Unknown,
-            ..refuse_query(state, &query.request, ResultCode::OutcomeUnknown)
-        }),
+    receiver
+        .await
+        .unwrap_or_else(|_lost| Err(refuse_unknown(state, &query.request)))
+}
+
+fn refuse_unknown(state: &EntryState, request: &RequestId) -> QueryRefusal {
+    let refusal = refuse_query(state, request, ResultCode::OutcomeUnknown);
+    QueryRefusal {
+        run: RunState::Unknown,
+        ..refusal
     }
 }
 
@@ -88,7 +106,6 @@
         retry_ms: match code {
             ResultCode::NoLease => Some(LEASE_RETRY_MS),
             ResultCode::ShuttingDown => Some(0),
-            ResultCode::Overloaded => Some(100),
             _ => None,
         },
         addresses: if elsewhere {
@@ -154,8 +171,9 @@
         }
     }
 
-    async fn run(mut self) -> QueryResult {
-        let mut search = RequestSearch::new(self.plan.clone());
+    /// Runs the request to its end and hands its result to `finish`, once.
+    async fn run(mut self, mut finish: impl FnMut(QueryResult)) {
+        let mut search = RequestSearch::new(self.plan.clone()).with_claim_returns();
         let mut event = SearchEvent::Start;
         loop {
             let mut actions = Vec::new();
@@ -163,8 +181,11 @@
                 let mut routes = self.state.routes.lock();
                 search.step(self.state.now(), event, &mut routes, &mut actions);
             };
-            if let Some(result) = self.perform(actions).await {
-                return result;
+            if let Some(result) = self.perform(actions) {
+                finish(result);
+            }
+            if search.is_done() {
+                return;
             }
             event = self.next_event(&search).await;
         }
@@ -179,12 +200,12 @@
         }
     }
 
-    async fn perform(&mut self, actions: Vec<SearchAction>) -> Option<QueryResult> {
+    fn perform(&mut self, actions: Vec<SearchAction>) -> Option<QueryResult> {
         let mut result = None;
         for action in actions {
             match action {
                 SearchAction::Claim(attempt) => self.spawn_claim(attempt),
-                SearchAction::EndClaim { attempt, end } => self.end_claim(attempt, end).await,
+                SearchAction::EndClaim { attempt, end } => self.spawn_end(attempt, end),
                 SearchAction::Dispatch(sub) => self.spawn_sub(sub),
                 SearchAction::Cancel(attempt) => {
                     if let Some(handle) = self.aborts.remove(&attempt) {
@@ -214,15 +235,24 @@
         });
     }
 
-    /// Waited for before the caller is answered, so that a resend finds the outcome.
-    async fn end_claim(&self, attempt: AttemptId, end: ClaimEnding) {
+    /// Not waited for by the caller. Goes on after the request has ended.
+    fn spawn_end(&self, attempt: AttemptId, end: ClaimEnding) {
+        let returned = end == ClaimEnding::NotRun;
         let end = ClaimEnd {
             service: self.plan.service.clone(),
             request: self.plan.request.clone(),
             attempt,
             end,
         };
-        let _kept_as_unknown_if_lost = end_claim(&self.state, end).await;
+        let state = Arc::clone(&self.state);
+        let sender = self.sender.clone();
+        let guard = state.begin_recording();
+        tokio::spawn(async move {
+            if end_claim(&state, end).await && returned {
+                let _search_may_be_over = sender.send(SearchEvent::ClaimReturned);
+            }
+            drop(guard);
+        });
     }
 
     fn spawn_sub(&mut self, sub: SubPlan) {
--- a/daisyhinge/src/shell/entry/following.rs
+++ b/daisyhinge/src/shell/entry/following.rs
@@ -120,6 +120,14 @@
         .filter(|view| view.version > state.view().version)
     {
         state.adopt_view(Arc::clone(&view));
+        {
+            let (environment, home) = (
+                state.settings.environment.clone(),
+                state.settings.data_centre.clone(),
+            );
+            let mut routes = state.routes.lock();
+            routes.adopt_view(Arc::clone(&view), environment, home);
+        };
         step_roster(state, RosterEvent::View(view));
     }
     // A proof is only of use for the view that is held.
@@ -196,7 +204,9 @@
         let (keeper, records) = (entry.vm.clone(), delta.crashes.clone());
         step_roster(state, RosterEvent::Crashes { keeper, records });
     }
-    state.routes.lock().apply_delta(&entry.vm, delta);
+    let mut routes = state.routes.lock();
+    routes.advance(state.now());
+    routes.apply_delta(&entry.vm, delta);
 }
 
 fn forget_departed(state: &EntryState, entries: &[EntryRecord]) {
--- a/daisyhinge/src/shell/entry/state.rs
+++ b/daisyhinge/src/shell/entry/state.rs
@@ -3,11 +3,10 @@
 //! Lock order: none of these locks is taken while another is held, but for `keeping`, under
 //! which `view` and `lease` may be read.
 
-use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
 use parking_lot::{Mutex, RwLock};
@@ -16,13 +15,14 @@
 use crate::lease::FreshnessLease;
 use crate::metric::EntryMetrics;
 use crate::prelude::*;
+use crate::search::admission::{AdmissionBounds, AdmissionGate, AdmissionRefusal};
 use crate::search::plan::SEQUENCE_STRIDE;
 use crate::search::route::RouteTable;
 use crate::shell::clock::{ProcessClock, wall_micros};
 use crate::shell::entry::following::ControlPool;
 use crate::shell::entry::keeping::KeepingTable;
 use crate::shell::entry::peering::PeerPool;
-use crate::vocabulary::environment::EnvironmentDocument;
+use crate::vocabulary::environment::{EnvironmentDocument, ServiceEntry};
 use crate::vocabulary::event::EventDraft;
 use crate::vocabulary::setting::EntrySettings;
 use crate::vocabulary::view::{ControlView, EntryRecord, EntryState as MemberState};
@@ -65,7 +65,8 @@
     lease: Mutex<FreshnessLease>,
     phase: AtomicU8,
     released: AtomicBool,
-    running: Mutex<HashMap<ServiceName, u32>>,
+    admission: Mutex<AdmissionGate>,
+    recording: AtomicU32,
     sequence: AtomicU64,
     note: NoteSink,
 }
@@ -87,7 +88,7 @@
             clock: ProcessClock::open(),
             origin,
             stopped: AtomicBool::new(false),
-            routes: Mutex::default(),
+            routes: Mutex::new(RouteTable::seeded(origin)),
             keeping: Mutex::new(KeepingTable::new(&settings, incarnation, origin)),
             peers: PeerPool::default(),
             control: ControlPool::default(),
@@ -96,7 +97,8 @@
             lease: Mutex::default(),
             phase: AtomicU8::new(EntryPhase::Serving as u8),
             released: AtomicBool::new(false),
-            running: Mutex::default(),
+            admission: Mutex::default(),
+            recording: AtomicU32::new(0),
             metrics,
             sequence: AtomicU64::new(0),
             note,
@@ -217,23 +219,44 @@
         self.sequence.fetch_add(SEQUENCE_STRIDE, Ordering::Relaxed)
     }
 
-    /// Counts a request in; the guard counts it out.
-    pub(super) fn begin_request(self: &Arc<Self>, service: &ServiceName) -> RunningGuard {
-        *self.running.lock().entry(service.clone()).or_default() += 1;
-        RunningGuard {
+    /// Admits a caller's request; the guard counts it out.
+    ///
+    /// # Errors
+    ///
+    /// [`AdmissionRefusal`] if too much runs.
+    pub(super) fn admit_request(
+        self: &Arc<Self>,
+        service: &ServiceEntry,
+        deadline: Option<Duration>,
+    ) -> Result<RunningGuard, AdmissionRefusal> {
+        let started = self.now();
+        let total_max = self.settings.limits.running_max;
+        let bounds = AdmissionBounds {
+            running_max: service.running_max,
+            total_max,
+        };
+        let allowed = deadline.unwrap_or(Duration::from_millis(service.deadline_ms));
+        self.admission
+            .lock()
+            .admit(started, &service.name, bounds, allowed)?;
+        Ok(RunningGuard {
             state: Arc::clone(self),
-            service: service.clone(),
-        }
+            service: service.name.clone(),
+            started,
+        })
     }
 
-    /// Requests of callers that run here.
-    pub fn running_count(&self) -> u32 {
-        self.running.lock().values().sum()
+    /// Counts a claim's outcome that is being recorded; the guard counts it out.
+    pub(super) fn begin_recording(self: &Arc<Self>) -> RecordingGuard {
+        self.recording.fetch_add(1, Ordering::AcqRel);
+        RecordingGuard {
+            state: Arc::clone(self),
+        }
     }
 
-    /// Requests of callers that run here, of one service.
-    pub fn running_of(&self, service: &ServiceName) -> u32 {
-        self.running.lock().get(service).copied().unwrap_or(0)
+    /// Requests of callers that run here and outcomes that are being recorded.
+    pub fn running_count(&self) -> u32 {
+        self.admission.lock().running() + self.recording.load(Ordering::Acquire)
     }
 
     /// Waits until all connections of callers ended, at most `longest`.
@@ -249,13 +272,27 @@
 pub struct RunningGuard {
     state: Arc<EntryState>,
     service: ServiceName,
+    started: MonotonicTime,
 }
 
 impl Drop for RunningGuard {
     fn drop(&mut self) {
-        let mut running = self.state.running.lock();
-        if let Some(count) = running.get_mut(&self.service) {
-            *count = count.saturating_sub(1);
-        }
+        let now = self.state.now();
+        self.state
+            .admission
+            .lock()
+            .leave(now, &self.service, now.since(self.started));
+    }
+}
+
+/// Counts a recording out when dropped.
+#[derive(Debug)]
+pub struct RecordingGuard {
+    state: Arc<EntryState>,
+}
+
+impl Drop for RecordingGuard {
+    fn drop(&mut self) {
+        self.state.recording.fetch_sub(1, Ordering::AcqRel);
     }
 }
