--- /dev/null
+++ b/daisyhinge/src/control/book/changes.rs
@@ -0,0 +1,268 @@
+//! Operators' changes: applied once, with the reply kept for resends.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::{BookState, ChangeReply};
+use crate::prelude::*;
+use crate::vocabulary::change::{ChangeAsk, ChangeDone, ChangeKind, ChangeRecord, ChangeRefusal};
+use crate::vocabulary::environment::{CentreEntry, CentreState, EnvironmentDocument};
+
+/// Changes whose replies are kept for resends: about a day's worth at 37,000 changes a day.
+pub const CHANGES_KEPT: usize = 40_000;
+/// Accepted changes in the history of an environment.
+pub const HISTORY_KEPT: usize = 512;
+/// Environments at most.
+pub const ENVIRONMENTS_MAX: usize = 64;
+
+/// One environment.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EnvironmentState {
+    /// Its document.
+    pub document: Arc<EnvironmentDocument>,
+    /// Version at which it last changed.
+    pub changed: VersionNumber,
+    /// Accepted changes, oldest first.
+    pub history: VecDeque<ChangeRecord>,
+}
+
+/// A change that was decided on.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+struct ChangeMemo {
+    /// Digest of what it asked for.
+    content: u64,
+    reply: ChangeReply,
+}
+
+/// Changes that were decided on, oldest first, up to [`CHANGES_KEPT`].
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ChangeTable {
+    memos: BTreeMap<ChangeId, ChangeMemo>,
+    order: VecDeque<ChangeId>,
+}
+
+impl ChangeTable {
+    /// The reply of an earlier change with the same identifier.
+    pub fn find_reply(&self, ask: &ChangeAsk) -> Option<ChangeReply> {
+        let memo = self.memos.get(&ask.change)?;
+        if memo.content == hash_content(ask) {
+            return Some(memo.reply.clone());
+        }
+        Some(Err(ChangeRefusal {
+            code: ResultCode::ChangeIdReused,
+            current: VersionNumber(0),
+            winner: None,
+            leader: None,
+        }))
+    }
+
+    /// Changes kept.
+    pub fn count(&self) -> usize {
+        self.order.len()
+    }
+
+    fn keep(&mut self, ask: &ChangeAsk, reply: &ChangeReply) {
+        let memo = ChangeMemo {
+            content: hash_content(ask),
+            reply: reply.clone(),
+        };
+        let former = self.memos.insert(ask.change.clone(), memo);
+        assert!(former.is_none(), "a change was applied twice");
+        self.order.push_back(ask.change.clone());
+        if self.order.len() > CHANGES_KEPT
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.memos.remove(&oldest);
+        }
+    }
+}
+
+/// Digest of what a change asks for, without the time that it was made at.
+fn hash_content(ask: &ChangeAsk) -> u64 {
+    let content = serde_json::to_vec(&(&ask.base, &ask.operator, &ask.kind));
+    // FNV-1a, which must not change: voters compare digests that others computed.
+    content
+        .expect("changes encode")
+        .iter()
+        .fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
+            (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3)
+        })
+}
+
+impl BookState {
+    pub(super) fn apply_change(&mut self, ask: &ChangeAsk) -> ChangeReply {
+        if let Some(reply) = self.changes.find_reply(ask) {
+            return reply;
+        }
+        let reply = match &ask.kind {
+            ChangeKind::Apply {
+                environment,
+                document,
+            } => self.apply_document(ask, environment, document),
+            ChangeKind::Promote { from, trusted, to } => self.promote(ask, from, *trusted, to),
+            ChangeKind::SetCentre {
+                environment,
+                data_centre,
+                state,
+            } => self.set_centre(ask, environment, data_centre, *state),
+            // Members changed with the log entry that carries this; it only keeps the reply.
+            ChangeKind::AddVoter { .. } | ChangeKind::RemoveVoter { .. } => Ok(ChangeDone {
+                version: self.version,
+            }),
+        };
+        self.changes.keep(ask, &reply);
+        reply
+    }
+
+    fn refuse(&self, code: ResultCode, environment: &EnvironmentName) -> ChangeRefusal {
+        let state = self.environments.get(environment);
+        let conflict = code == ResultCode::VersionConflict;
+        let newest = state
+            .filter(|_| conflict)
+            .and_then(|state| state.history.back());
+        ChangeRefusal {
+            code,
+            current: state.map_or(VersionNumber(0), |state| state.changed),
+            winner: newest.map(|record| record.change.clone()),
+            leader: None,
+        }
+    }
+
+    /// Checks that the change was made from the newest version of `environment`.
+    fn check_base(
+        &self,
+        ask: &ChangeAsk,
+        environment: &EnvironmentName,
+    ) -> Result<(), ChangeRefusal> {
+        let changed = self
+            .environments
+            .get(environment)
+            .map(|state| state.changed);
+        if ask.base == Some(changed.unwrap_or_default()) {
+            return Ok(());
+        }
+        Err(self.refuse(ResultCode::VersionConflict, environment))
+    }
+
+    fn apply_document(
+        &mut self,
+        ask: &ChangeAsk,
+        environment: &EnvironmentName,
+        document: &Arc<EnvironmentDocument>,
+    ) -> ChangeReply {
+        self.check_base(ask, environment)?;
+        let text = format!(
+            "apply: {} regions, {} services",
+            document.regions.len(),
+            document.services.len()
+        );
+        self.put_document(ask, environment, Arc::clone(document), &text)
+    }
+
+    fn promote(
+        &mut self,
+        ask: &ChangeAsk,
+        from: &EnvironmentName,
+        trusted: VersionNumber,
+        to: &EnvironmentName,
+    ) -> ChangeReply {
+        let Some(source) = self.environments.get(from) else {
+            return Err(self.refuse(ResultCode::UnknownEnvironment, from));
+        };
+        if source.changed != trusted {
+            return Err(self.refuse(ResultCode::PromoteMismatch, from));
+        }
+        let mut document = source.document.as_ref().clone();
+        self.check_base(ask, to)?;
+        if let Some(target) = self.environments.get(to) {
+            keep_centre_states(&mut document, &target.document);
+        }
+        let text = format!("promote: {from} at version {trusted}");
+        self.put_document(ask, to, Arc::new(document), &text)
+    }
+
+    fn set_centre(
+        &mut self,
+        ask: &ChangeAsk,
+        environment: &EnvironmentName,
+        data_centre: &CentreName,
+        state: CentreState,
+    ) -> ChangeReply {
+        let Some(target) = self.environments.get(environment) else {
+            return Err(self.refuse(ResultCode::UnknownEnvironment, environment));
+        };
+        if ask.base.is_some() {
+            self.check_base(ask, environment)?;
+        }
+        let mut document = target.document.as_ref().clone();
+        let Some(centre) = find_centre_mut(&mut document, data_centre) else {
+            return Err(self.refuse(ResultCode::UnknownCentre, environment));
+        };
+        centre.state = state;
+        let text = match state {
+            CentreState::In => format!("return: {data_centre}"),
+            CentreState::Out => format!("take out: {data_centre}"),
+        };
+        self.put_document(ask, environment, Arc::new(document), &text)
+    }
+
+    fn put_document(
+        &mut self,
+        ask: &ChangeAsk,
+        environment: &EnvironmentName,
+        document: Arc<EnvironmentDocument>,
+        text: &str,
+    ) -> ChangeReply {
+        let present = self.environments.get(environment);
+        if present.is_some_and(|present| present.document == document) {
+            return Err(self.refuse(ResultCode::NothingChanged, environment));
+        }
+        if present.is_none() && self.environments.len() >= ENVIRONMENTS_MAX {
+            return Err(self.refuse(ResultCode::OutOfRange, environment));
+        }
+        self.version.0 += 1;
+        let version = self.version;
+        let state = self.environments.entry(environment.clone()).or_default();
+        assert!(state.changed < version, "versions only grow");
+        state.document = document;
+        state.changed = version;
+        state.history.push_back(ChangeRecord {
+            version,
+            change: ask.change.clone(),
+            operator: Arc::clone(&ask.operator),
+            made_ms: ask.made_ms,
+            summary: Arc::from(text),
+        });
+        if state.history.len() > HISTORY_KEPT {
+            state.history.pop_front();
+        }
+        Ok(ChangeDone { version })
+    }
+}
+
+fn find_centre_mut<'a>(
+    document: &'a mut EnvironmentDocument,
+    name: &CentreName,
+) -> Option<&'a mut CentreEntry> {
+    document
+        .regions
+        .iter_mut()
+        .flat_map(|region| &mut region.data_centres)
+        .find(|centre| centre.name == *name)
+}
+
+/// Leaves each data centre in the state that the target has, so that a promotion returns none
+/// that was taken out.
+fn keep_centre_states(document: &mut EnvironmentDocument, target: &EnvironmentDocument) {
+    let centres = document
+        .regions
+        .iter_mut()
+        .flat_map(|region| &mut region.data_centres);
+    for centre in centres {
+        if let Some(present) = target.find_centre(&centre.name) {
+            centre.state = present.state;
+        }
+    }
+}
--- /dev/null
+++ b/daisyhinge/src/control/book/claims.rs
@@ -0,0 +1,185 @@
+//! Claims: a request that may not be repeated is won by one attempt.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::prelude::*;
+use crate::vocabulary::claim::{ClaimAsk, ClaimEnd, ClaimEnding, ClaimOutcome, ClaimReply};
+
+/// How long a claim is kept, in milliseconds of the log's clock.
+pub const CLAIM_KEPT_MS: u64 = 600_000;
+/// Age beyond which a request is refused, in milliseconds; less than claims are kept, since
+/// callers' clocks are not exact.
+pub const CLAIM_AGE_MAX_MS: u64 = 540_000;
+/// Claims at most.
+pub const CLAIMS_MAX: usize = 100_000;
+/// Largest payload of an outcome that is kept, in bytes.
+pub const OUTCOME_MAX_BYTES: usize = 64 << 10;
+/// All payloads that are kept, in bytes; older ones give way.
+pub const OUTCOMES_MAX_BYTES: usize = 16 << 20;
+
+/// Identifiers are per service.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+struct ClaimKey {
+    service: ServiceName,
+    request: RequestId,
+}
+
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+struct ClaimRecord {
+    digest: RequestDigest,
+    /// The attempt that won; it never changes.
+    attempt: AttemptId,
+    claimed_ms: u64,
+    /// Counts claims; older ones have smaller numbers.
+    sequence: u64,
+    /// Whether it was answered, though the outcome may not be kept any more.
+    ended: bool,
+    outcome: Option<ClaimOutcome>,
+}
+
+/// Claims that are kept.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ClaimTable {
+    records: BTreeMap<ClaimKey, ClaimRecord>,
+    sequence: u64,
+    /// Keys by sequence; rebuilt from the records.
+    #[serde(skip)]
+    order: BTreeMap<u64, ClaimKey>,
+    /// Sequences of claims with an outcome; rebuilt from the records.
+    #[serde(skip)]
+    outcomes: BTreeMap<u64, usize>,
+    /// Bytes of all outcomes; rebuilt from the records.
+    #[serde(skip)]
+    outcome_bytes: usize,
+}
+
+impl ClaimTable {
+    /// Claims kept.
+    pub fn count(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Restores what is derived from the records.
+    pub(super) fn rebuild(&mut self) {
+        self.order.clear();
+        self.outcomes.clear();
+        self.outcome_bytes = 0;
+        for (key, record) in &self.records {
+            self.order.insert(record.sequence, key.clone());
+            if let Some(outcome) = &record.outcome {
+                self.outcomes.insert(record.sequence, outcome.body.len());
+                self.outcome_bytes += outcome.body.len();
+            }
+        }
+    }
+
+    pub(super) fn expire(&mut self, clock_ms: u64) {
+        while let Some((sequence, key)) = self.order.first_key_value() {
+            let (sequence, key) = (*sequence, key.clone());
+            let due = self
+                .records
+                .get(&key)
+                .is_none_or(|record| record.claimed_ms + CLAIM_KEPT_MS <= clock_ms);
+            if !due {
+                return;
+            }
+            self.remove(sequence, &key);
+        }
+    }
+
+    fn remove(&mut self, sequence: u64, key: &ClaimKey) {
+        self.records.remove(key);
+        self.order.remove(&sequence);
+        self.outcome_bytes -= self.outcomes.remove(&sequence).unwrap_or(0);
+    }
+
+    pub(super) fn claim(&mut self, clock_ms: u64, ask: &ClaimAsk) -> ClaimReply {
+        let key = ClaimKey {
+            service: ask.service.clone(),
+            request: ask.request.clone(),
+        };
+        if let Some(record) = self.records.get(&key) {
+            return answer_known(record, ask);
+        }
+        if ask.age_ms >= CLAIM_AGE_MAX_MS {
+            return ClaimReply::Refused(ResultCode::RequestTooOld);
+        }
+        if self.records.len() >= CLAIMS_MAX {
+            return ClaimReply::Refused(ResultCode::ClaimsFull);
+        }
+        self.sequence += 1;
+        self.order.insert(self.sequence, key.clone());
+        self.records.insert(
+            key,
+            ClaimRecord {
+                digest: ask.digest,
+                attempt: ask.attempt,
+                claimed_ms: clock_ms,
+                sequence: self.sequence,
+                ended: false,
+                outcome: None,
+            },
+        );
+        ClaimReply::Won
+    }
+
+    /// Records an end; `false` if the attempt does not hold the claim.
+    pub(super) fn end(&mut self, end: &ClaimEnd) -> bool {
+        let key = ClaimKey {
+            service: end.service.clone(),
+            request: end.request.clone(),
+        };
+        let Some(record) = self.records.get_mut(&key) else {
+            // Given back before, or forgotten.
+            return end.end == ClaimEnding::NotRun;
+        };
+        if record.attempt != end.attempt {
+            return false;
+        }
+        let sequence = record.sequence;
+        match &end.end {
+            ClaimEnding::NotRun if !record.ended => self.remove(sequence, &key),
+            ClaimEnding::NotRun => return false,
+            ClaimEnding::Answered(outcome) if !record.ended => {
+                record.ended = true;
+                if outcome.body.len() > OUTCOME_MAX_BYTES {
+                    return false;
+                }
+                record.outcome = Some(outcome.clone());
+                self.outcomes.insert(sequence, outcome.body.len());
+                self.outcome_bytes += outcome.body.len();
+                self.drop_old_outcomes();
+            }
+            ClaimEnding::Answered(_) => {}
+        }
+        true
+    }
+
+    fn drop_old_outcomes(&mut self) {
+        while self.outcome_bytes > OUTCOMES_MAX_BYTES {
+            let Some((sequence, bytes)) = self.outcomes.pop_first() else {
+                return;
+            };
+            self.outcome_bytes -= bytes;
+            let record = self
+                .order
+                .get(&sequence)
+                .and_then(|key| self.records.get_mut(key));
+            if let Some(record) = record {
+                record.outcome = None;
+            }
+        }
+    }
+}
+
+fn answer_known(record: &ClaimRecord, ask: &ClaimAsk) -> ClaimReply {
+    if record.digest != ask.digest {
+        return ClaimReply::Refused(ResultCode::RequestIdReused);
+    }
+    if record.attempt == ask.attempt && !record.ended {
+        return ClaimReply::Won;
+    }
+    ClaimReply::Lost(record.outcome.clone())
+}
--- /dev/null
+++ b/daisyhinge/src/control/core.rs
@@ -0,0 +1,420 @@
+//! A control VM without I/O: the voter, the book and the watch over entries, and the asks that
+//! wait for them.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+
+use crate::control::book::{
+    BookCommand, BookKeeper, BookKind, BookState, ChangeReply, EnvironmentReading,
+};
+use crate::control::log::{LogEntry, LogSnapshot};
+use crate::control::member::{MemberChange, VoterId, VoterMember, VoterSet};
+use crate::control::message::VoterMessage;
+use crate::control::voter::{SaveBatch, VoterAction, VoterEvent, VoterMachine};
+use crate::prelude::*;
+use crate::vocabulary::change::{ChangeAsk, ChangeRecord, ChangeRefusal};
+use crate::vocabulary::claim::{ClaimAsk, ClaimEnd, ClaimReply};
+use crate::vocabulary::event::EventDraft;
+use crate::vocabulary::freshness::{FreshAsk, FreshReply};
+use crate::vocabulary::view::ControlView;
+
+mod ask;
+mod fresh;
+mod report;
+pub mod watch;
+
+use watch::EntryWatch;
+
+/// Applied entries after which a snapshot is taken.
+pub const COMPACT_ENTRIES: u64 = 8_192;
+/// Bytes of applied commands after which a snapshot is taken.
+pub const COMPACT_BYTES: usize = 16 << 20;
+/// Asks that may wait at a time.
+pub const ASKS_MAX: usize = 65_536;
+/// Largest command, in bytes.
+pub const COMMAND_MAX_BYTES: usize = 2 << 20;
+
+/// How commands and the book are encoded.
+#[derive(Clone, Copy, Debug)]
+pub struct BookCodec {
+    /// Encodes a command.
+    pub encode_command: fn(&BookCommand) -> Bytes,
+    /// Decodes a command.
+    pub decode_command: fn(&Bytes) -> Option<BookCommand>,
+    /// Encodes the book.
+    pub encode_state: fn(&BookState) -> Bytes,
+    /// Decodes the book.
+    pub decode_state: fn(&Bytes) -> Option<BookState>,
+}
+
+/// What a control VM is asked.
+#[derive(Clone, Debug)]
+pub enum CoreAsk {
+    /// A proof of freshness.
+    Fresh(FreshAsk),
+    /// A claim.
+    Claim(ClaimAsk),
+    /// The end of a claim.
+    EndClaim(ClaimEnd),
+    /// A change; where it adds a control VM, with the identity that the VM gave.
+    Change(ChangeAsk, Option<VoterId>),
+    /// The newest view.
+    View,
+    /// An environment.
+    Environment(EnvironmentName),
+    /// The history of an environment.
+    History(EnvironmentName),
+}
+
+/// The reply to a [`CoreAsk`].
+#[derive(Clone, Debug)]
+pub enum CoreReply {
+    /// Of [`CoreAsk::Fresh`].
+    Fresh(FreshReply),
+    /// Of [`CoreAsk::Claim`].
+    Claim(ClaimReply),
+    /// Of [`CoreAsk::EndClaim`].
+    EndClaim(bool),
+    /// Of [`CoreAsk::Change`].
+    Change(ChangeReply),
+    /// Of [`CoreAsk::View`].
+    View(Result<Arc<ControlView>, ChangeRefusal>),
+    /// Of [`CoreAsk::Environment`].
+    Environment(Result<EnvironmentReading, ChangeRefusal>),
+    /// Of [`CoreAsk::History`].
+    History(Result<Vec<ChangeRecord>, ChangeRefusal>),
+}
+
+/// What a control VM is told.
+#[derive(Clone, Debug)]
+pub enum CoreEvent {
+    /// Time passed.
+    Tick,
+    /// A message of another control VM came in.
+    Received(VoterMessage),
+    /// That save, and all before it, is synced.
+    Saved(u64),
+    /// Somebody asks; the ticket names the ask in the reply.
+    Asked {
+        /// Names the ask; not 0.
+        ticket: u64,
+        /// The ask.
+        ask: CoreAsk,
+    },
+    /// Whoever asked gave up.
+    GaveUp {
+        /// The ask.
+        ticket: u64,
+    },
+    /// A control VM of a known name showed another identity: its disk was lost.
+    IdentityChanged {
+        /// The new identity.
+        id: VoterId,
+        /// Where it is.
+        address: SocketAddr,
+    },
+    /// The first members, which all showed that they hold nothing; this VM founds the log.
+    Found(VoterSet),
+    /// All that is known for now was told.
+    Flush,
+}
+
+/// What a control VM wants done, in order.
+#[derive(Clone, Debug)]
+pub enum CoreAction {
+    /// Send a message.
+    Send(VoterMessage),
+    /// Store and sync, then tell [`CoreEvent::Saved`].
+    Save(SaveBatch),
+    /// Store and sync a snapshot, then tell [`CoreEvent::Saved`].
+    SaveSnapshot {
+        /// Sequence of the save.
+        sequence: u64,
+        /// The snapshot.
+        snapshot: LogSnapshot,
+        /// Whether stored entries are void.
+        reset: bool,
+    },
+    /// Answer an ask.
+    Reply {
+        /// The ask.
+        ticket: u64,
+        /// The reply.
+        reply: CoreReply,
+    },
+    /// Something for the time line.
+    Note(EventDraft),
+}
+
+/// Where an ask's command is in the log.
+#[derive(Clone, Copy, Debug)]
+struct LogPlace {
+    term: u64,
+    ticket: u64,
+}
+
+/// The log's own clock while this VM leads.
+#[derive(Clone, Copy, Debug)]
+struct LogClock {
+    base_ms: u64,
+    since: MonotonicTime,
+}
+
+/// A control VM without I/O.
+#[derive(Debug)]
+pub struct ControlCore {
+    voter: VoterMachine,
+    book: BookKeeper,
+    watch: EntryWatch,
+    codec: BookCodec,
+    /// Asks that wait.
+    asks: BTreeMap<u64, CoreAsk>,
+    /// Those of them that wait for an entry of the log, by its index.
+    places: BTreeMap<u64, LogPlace>,
+    clock: Option<LogClock>,
+    applied_bytes: usize,
+    voter_actions: Vec<VoterAction>,
+}
+
+impl ControlCore {
+    /// A control VM over `voter`, which was just opened with `opened` as its first actions.
+    pub fn open(
+        now: MonotonicTime,
+        voter: VoterMachine,
+        opened: Vec<VoterAction>,
+        codec: BookCodec,
+        actions: &mut Vec<CoreAction>,
+    ) -> Self {
+        let mut core = Self {
+            voter,
+            book: BookKeeper::default(),
+            watch: EntryWatch::default(),
+            codec,
+            asks: BTreeMap::new(),
+            places: BTreeMap::new(),
+            clock: None,
+            applied_bytes: 0,
+            voter_actions: opened,
+        };
+        core.take_voter_actions(now, actions);
+        core
+    }
+
+    /// Takes one event and adds what is to be done.
+    pub fn step(&mut self, now: MonotonicTime, event: CoreEvent, actions: &mut Vec<CoreAction>) {
+        match event {
+            CoreEvent::Tick => self.tick(now, actions),
+            CoreEvent::Received(message) => {
+                self.step_voter(now, VoterEvent::Received(message), actions);
+            }
+            CoreEvent::Saved(sequence) => {
+                self.step_voter(now, VoterEvent::Saved(sequence), actions);
+            }
+            CoreEvent::Asked { ticket, ask } => self.take_ask(now, ticket, ask, actions),
+            CoreEvent::GaveUp { ticket } => {
+                self.asks.remove(&ticket);
+            }
+            CoreEvent::IdentityChanged { id, address } => {
+                self.replace_member(now, &id, address, actions);
+            }
+            CoreEvent::Found(set) => self.step_voter(now, VoterEvent::Found(set), actions),
+            CoreEvent::Flush => self.step_voter(now, VoterEvent::Flush, actions),
+        }
+    }
+
+    /// The voter.
+    pub fn voter(&self) -> &VoterMachine {
+        &self.voter
+    }
+
+    /// The book.
+    pub fn book(&self) -> &BookKeeper {
+        &self.book
+    }
+
+    fn step_voter(&mut self, now: MonotonicTime, event: VoterEvent, actions: &mut Vec<CoreAction>) {
+        self.voter.step(now, event, &mut self.voter_actions);
+        self.take_voter_actions(now, actions);
+    }
+
+    fn take_voter_actions(&mut self, now: MonotonicTime, actions: &mut Vec<CoreAction>) {
+        for action in std::mem::take(&mut self.voter_actions) {
+            match action {
+                VoterAction::Send(message) => actions.push(CoreAction::Send(message)),
+                VoterAction::Save(batch) => actions.push(CoreAction::Save(batch)),
+                VoterAction::SaveSnapshot {
+                    sequence,
+                    snapshot,
+                    reset,
+                } => actions.push(CoreAction::SaveSnapshot {
+                    sequence,
+                    snapshot,
+                    reset,
+                }),
+                VoterAction::Apply(entry) => self.apply(now, &entry, actions),
+                VoterAction::Restore(snapshot) => self.restore(&snapshot),
+                VoterAction::Proposed {
+                    ticket,
+                    index,
+                    term,
+                } => self.note_place(ticket, index, term),
+                VoterAction::Refused { ticket, code } => self.refuse_ask(ticket, code, actions),
+                VoterAction::Confirmed { ticket } => self.answer_read(ticket, actions),
+                VoterAction::Led { term } => self.note_led(now, term, actions),
+                VoterAction::Unled { term } => self.note_unled(term, actions),
+            }
+        }
+    }
+
+    fn tick(&mut self, now: MonotonicTime, actions: &mut Vec<CoreAction>) {
+        self.step_voter(now, VoterEvent::Tick, actions);
+        if self.voter.confirmed_at().is_some() {
+            for kind in self
+                .watch
+                .find_changes(now, self.log_clock_ms(now), self.book.state())
+            {
+                self.propose(now, 0, kind, actions);
+            }
+        }
+        self.compact(now, actions);
+    }
+
+    fn compact(&mut self, now: MonotonicTime, actions: &mut Vec<CoreAction>) {
+        let index = self.voter.commit();
+        let behind = index - self.voter.log().snapshot().index;
+        if behind >= COMPACT_ENTRIES || (behind > 0 && self.applied_bytes >= COMPACT_BYTES) {
+            self.applied_bytes = 0;
+            let bytes = (self.codec.encode_state)(self.book.state());
+            self.step_voter(now, VoterEvent::Compact { index, bytes }, actions);
+        }
+    }
+
+    /// Proposes a command; its reply goes to `ticket` unless that is 0.
+    fn propose(
+        &mut self,
+        now: MonotonicTime,
+        ticket: u64,
+        kind: BookKind,
+        actions: &mut Vec<CoreAction>,
+    ) {
+        let command = self.encode_command(now, kind);
+        if command.len() > COMMAND_MAX_BYTES {
+            self.refuse_ask(ticket, ResultCode::DocumentTooLarge, actions);
+            return;
+        }
+        self.step_voter(now, VoterEvent::Propose { ticket, command }, actions);
+    }
+
+    fn encode_command(&self, now: MonotonicTime, kind: BookKind) -> Bytes {
+        let at_ms = self.log_clock_ms(now);
+        (self.codec.encode_command)(&BookCommand { at_ms, kind })
+    }
+
+    fn log_clock_ms(&self, now: MonotonicTime) -> u64 {
+        let applied_ms = self.book.state().clock_ms;
+        self.clock.map_or(applied_ms, |clock| {
+            let led = now.since(clock.since).as_millis();
+            let led_ms = u64::try_from(led).unwrap_or(u64::MAX);
+            clock.base_ms.saturating_add(led_ms).max(applied_ms)
+        })
+    }
+
+    fn note_place(&mut self, ticket: u64, index: u64, term: u64) {
+        if ticket != 0 {
+            self.places.insert(index, LogPlace { term, ticket });
+        }
+    }
+
+    fn apply(&mut self, now: MonotonicTime, entry: &LogEntry, actions: &mut Vec<CoreAction>) {
+        let command = entry.payload.command();
+        let place = self.places.remove(&entry.index);
+        self.applied_bytes += command.len();
+        if command.is_empty() {
+            return;
+        }
+        let command = (self.codec.decode_command)(command).expect("committed commands decode");
+        let reply = self.book.apply(&command);
+        self.note_applied(now, &command, &reply, actions);
+        if let Some(place) = place {
+            if place.term == entry.term {
+                self.answer_applied(now, place.ticket, &reply, actions);
+            } else {
+                self.refuse_ask(place.ticket, ResultCode::ChangeOutcomeUnknown, actions);
+            }
+        }
+    }
+
+    fn restore(&mut self, snapshot: &LogSnapshot) {
+        let state = if snapshot.bytes.is_empty() {
+            Some(BookState::default())
+        } else {
+            (self.codec.decode_state)(&snapshot.bytes)
+        };
+        let state = state.expect("snapshots are checked by their sums and decode");
+        assert!(
+            state.version >= self.book.state().version,
+            "a snapshot reverts versions"
+        );
+        self.book = BookKeeper::open(state);
+    }
+
+    fn note_led(&mut self, now: MonotonicTime, term: u64, actions: &mut Vec<CoreAction>) {
+        self.clock = Some(LogClock {
+            base_ms: self.book.state().clock_ms,
+            since: now,
+        });
+        self.watch.restart(now);
+        actions.push(report::note_term(true, term));
+    }
+
+    fn note_unled(&mut self, term: u64, actions: &mut Vec<CoreAction>) {
+        self.clock = None;
+        actions.push(report::note_term(false, term));
+        for (_, place) in std::mem::take(&mut self.places) {
+            self.refuse_ask(place.ticket, ResultCode::ChangeOutcomeUnknown, actions);
+        }
+    }
+
+    /// Takes a VM in under its new identity; its former one leaves once the new one votes.
+    fn replace_member(
+        &mut self,
+        now: MonotonicTime,
+        id: &VoterId,
+        address: SocketAddr,
+        actions: &mut Vec<CoreAction>,
+    ) {
+        if let Some(member) = self.make_member(id, address)
+            && member.replaces.is_some()
+            && self.voter.is_leader()
+        {
+            let event = VoterEvent::ChangeMembers {
+                ticket: 0,
+                change: MemberChange::AddLearner(member),
+                command: Bytes::new(),
+            };
+            self.step_voter(now, event, actions);
+        }
+    }
+
+    /// A learner of that identity, unless it is a member already.
+    fn make_member(&self, id: &VoterId, address: SocketAddr) -> Option<VoterMember> {
+        let set = self.voter.voters();
+        if set.find_member(id).is_some() {
+            return None;
+        }
+        let former = set
+            .members
+            .iter()
+            .rev()
+            .find(|member| member.id.vm == id.vm);
+        Some(VoterMember {
+            id: id.clone(),
+            address,
+            learner: true,
+            replaces: former.map(|member| member.id.number),
+        })
+    }
+}
--- /dev/null
+++ b/daisyhinge/src/control/core/ask.rs
@@ -0,0 +1,199 @@
+//! Asks: how each is taken, refused and answered.
+
+use super::{ASKS_MAX, ControlCore, CoreAction, CoreAsk, CoreReply};
+use crate::control::book::{BookKind, BookReply};
+use crate::control::member::{MemberChange, VoterId};
+use crate::control::voter::VoterEvent;
+use crate::prelude::*;
+use crate::vocabulary::change::{ChangeAsk, ChangeKind, ChangeRefusal};
+use crate::vocabulary::claim::ClaimReply;
+use crate::vocabulary::name::check_name;
+
+impl ControlCore {
+    pub(super) fn take_ask(
+        &mut self,
+        now: MonotonicTime,
+        ticket: u64,
+        ask: CoreAsk,
+        actions: &mut Vec<CoreAction>,
+    ) {
+        self.asks.insert(ticket, ask.clone());
+        if self.asks.len() > ASKS_MAX {
+            self.refuse_ask(ticket, ResultCode::Overloaded, actions);
+            return;
+        }
+        if !self.voter.is_leader() {
+            self.refuse_ask(ticket, ResultCode::NotLeader, actions);
+            return;
+        }
+        match ask {
+            CoreAsk::Fresh(ask) => self.take_fresh(now, ticket, &ask, actions),
+            CoreAsk::Claim(ask) => {
+                let named = check_name(ask.request.as_str()) && check_name(ask.service.as_str());
+                if named {
+                    self.propose(now, ticket, BookKind::Claim(ask), actions);
+                } else {
+                    self.refuse_ask(ticket, ResultCode::BadName, actions);
+                }
+            }
+            CoreAsk::EndClaim(end) => self.propose(now, ticket, BookKind::EndClaim(end), actions),
+            CoreAsk::Change(ask, id) => self.take_change(now, ticket, ask, id, actions),
+            CoreAsk::View | CoreAsk::Environment(_) | CoreAsk::History(_) => {
+                self.step_voter(now, VoterEvent::Confirm { ticket }, actions);
+            }
+        }
+    }
+
+    fn take_change(
+        &mut self,
+        now: MonotonicTime,
+        ticket: u64,
+        ask: ChangeAsk,
+        id: Option<VoterId>,
+        actions: &mut Vec<CoreAction>,
+    ) {
+        if !check_name(ask.change.as_str()) || !check_environments(&ask.kind) {
+            self.refuse_ask(ticket, ResultCode::BadName, actions);
+            return;
+        }
+        // What was decided on is committed, so that its reply needs no quorum.
+        if let Some(reply) = self.book.state().changes.find_reply(&ask) {
+            self.reply(ticket, CoreReply::Change(reply), actions);
+            return;
+        }
+        match self.find_member_change(&ask.kind, id) {
+            Ok(None) => self.propose(now, ticket, BookKind::Change(ask), actions),
+            Ok(Some(change)) => {
+                let command = self.encode_command(now, BookKind::Change(ask));
+                let event = VoterEvent::ChangeMembers {
+                    ticket,
+                    change,
+                    command,
+                };
+                self.step_voter(now, event, actions);
+            }
+            Err(code) => self.refuse_ask(ticket, code, actions),
+        }
+    }
+
+    /// The step of members that a change asks for; none if it is about something else.
+    fn find_member_change(
+        &self,
+        kind: &ChangeKind,
+        id: Option<VoterId>,
+    ) -> Result<Option<MemberChange>, ResultCode> {
+        match kind {
+            ChangeKind::AddVoter { vm, address } => {
+                let id = id
+                    .filter(|id| id.vm == *vm)
+                    .ok_or(ResultCode::UnknownVoter)?;
+                let member = self.make_member(&id, *address);
+                let member = member.ok_or(ResultCode::VoterPresent)?;
+                Ok(Some(MemberChange::AddLearner(member)))
+            }
+            ChangeKind::RemoveVoter { vm } => {
+                let members = &self.voter.voters().members;
+                // Of a VM with a lost disk the former identity comes first.
+                let member = members.iter().find(|member| member.id.vm == *vm);
+                let member = member.ok_or(ResultCode::UnknownVoter)?;
+                Ok(Some(MemberChange::Remove(member.id.clone())))
+            }
+            _ => Ok(None),
+        }
+    }
+
+    pub(super) fn reply(&mut self, ticket: u64, reply: CoreReply, actions: &mut Vec<CoreAction>) {
+        if self.asks.remove(&ticket).is_some() {
+            actions.push(CoreAction::Reply { ticket, reply });
+        }
+    }
+
+    /// Answers an ask with a code. Where its command is in the log already, it may still count.
+    pub(super) fn refuse_ask(
+        &mut self,
+        ticket: u64,
+        code: ResultCode,
+        actions: &mut Vec<CoreAction>,
+    ) {
+        let Some(ask) = self.asks.get(&ticket) else {
+            return;
+        };
+        let refusal = ChangeRefusal {
+            code,
+            current: self.book.state().version,
+            winner: None,
+            leader: self.voter.leader_operator(),
+        };
+        let reply = match ask {
+            CoreAsk::Fresh(_) => CoreReply::Fresh(Err(hide_unknown(code))),
+            CoreAsk::Claim(_) => CoreReply::Claim(ClaimReply::Refused(hide_unknown(code))),
+            CoreAsk::EndClaim(_) => CoreReply::EndClaim(false),
+            CoreAsk::Change(..) => CoreReply::Change(Err(refusal)),
+            CoreAsk::View => CoreReply::View(Err(refusal)),
+            CoreAsk::Environment(_) => CoreReply::Environment(Err(refusal)),
+            CoreAsk::History(_) => CoreReply::History(Err(refusal)),
+        };
+        self.reply(ticket, reply, actions);
+    }
+
+    /// Answers a read that a quorum confirmed.
+    pub(super) fn answer_read(&mut self, ticket: u64, actions: &mut Vec<CoreAction>) {
+        let unknown = || ChangeRefusal {
+            code: ResultCode::UnknownEnvironment,
+            current: VersionNumber(0),
+            winner: None,
+            leader: None,
+        };
+        let reply = match self.asks.get(&ticket) {
+            Some(CoreAsk::View) => CoreReply::View(Ok(std::sync::Arc::clone(self.book.view()))),
+            Some(CoreAsk::Environment(name)) => {
+                CoreReply::Environment(self.book.find_environment(name).ok_or_else(unknown))
+            }
+            Some(CoreAsk::History(name)) => {
+                CoreReply::History(self.book.find_history(name).ok_or_else(unknown))
+            }
+            _ => return,
+        };
+        self.reply(ticket, reply, actions);
+    }
+
+    /// Answers the ask whose command was applied.
+    pub(super) fn answer_applied(
+        &mut self,
+        now: MonotonicTime,
+        ticket: u64,
+        reply: &BookReply,
+        actions: &mut Vec<CoreAction>,
+    ) {
+        let reply = match reply {
+            BookReply::Change(reply) => CoreReply::Change(reply.clone()),
+            BookReply::Claim(reply) => CoreReply::Claim(reply.clone()),
+            BookReply::EndClaim(recorded) => CoreReply::EndClaim(*recorded),
+            BookReply::Entries(_) => {
+                self.answer_joined(now, ticket, actions);
+                return;
+            }
+        };
+        self.reply(ticket, reply, actions);
+    }
+}
+
+/// Entries learn only that no quorum answered.
+fn hide_unknown(code: ResultCode) -> ResultCode {
+    match code {
+        ResultCode::ChangeOutcomeUnknown => ResultCode::NoQuorum,
+        code => code,
+    }
+}
+
+fn check_environments(kind: &ChangeKind) -> bool {
+    match kind {
+        ChangeKind::Apply { environment, .. } | ChangeKind::SetCentre { environment, .. } => {
+            check_name(environment.as_str())
+        }
+        ChangeKind::Promote { from, to, .. } => {
+            check_name(from.as_str()) && check_name(to.as_str())
+        }
+        ChangeKind::AddVoter { vm, .. } | ChangeKind::RemoveVoter { vm } => check_name(vm.as_str()),
+    }
+}
--- /dev/null
+++ b/daisyhinge/src/control/core/fresh.rs
@@ -0,0 +1,76 @@
+//! Proofs of freshness.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::{ControlCore, CoreAction, CoreAsk, CoreReply};
+use crate::control::book::BookKind;
+use crate::prelude::*;
+use crate::vocabulary::clock::span_to_micros;
+use crate::vocabulary::freshness::{FreshAsk, FreshProof, FreshReply};
+use crate::vocabulary::name::check_name;
+
+/// Oldest confirmation that is handed out; one that is older shows that no quorum answers.
+pub const PROOF_AGE_MAX: Duration = Duration::from_secs(1);
+
+impl ControlCore {
+    pub(super) fn take_fresh(
+        &mut self,
+        now: MonotonicTime,
+        ticket: u64,
+        ask: &FreshAsk,
+        actions: &mut Vec<CoreAction>,
+    ) {
+        let entry = &ask.entry;
+        let named = [
+            entry.vm.as_str(),
+            entry.environment.as_str(),
+            entry.data_centre.as_str(),
+        ];
+        if !named.into_iter().all(check_name) {
+            self.refuse_ask(ticket, ResultCode::BadName, actions);
+            return;
+        }
+        let listed = self.book.state().entries.live.get(&entry.vm);
+        if listed.is_some_and(|listed| listed.incarnation > entry.incarnation) {
+            self.refuse_ask(ticket, ResultCode::EntryReplaced, actions);
+            return;
+        }
+        self.watch.note_ask(now, ask, self.book.state());
+        let joins = self.book.state().would_join(entry) && self.watch.may_join(now, entry);
+        if joins && self.voter.confirmed_at().is_some() {
+            self.propose(now, ticket, BookKind::Join(entry.clone()), actions);
+        } else {
+            let reply = self.prove(now, ask.holds);
+            self.reply(ticket, CoreReply::Fresh(reply), actions);
+        }
+    }
+
+    pub(super) fn answer_joined(
+        &mut self,
+        now: MonotonicTime,
+        ticket: u64,
+        actions: &mut Vec<CoreAction>,
+    ) {
+        if let Some(CoreAsk::Fresh(ask)) = self.asks.get(&ticket) {
+            let reply = self.prove(now, ask.holds);
+            self.reply(ticket, CoreReply::Fresh(reply), actions);
+        }
+    }
+
+    /// The newest confirmation by a quorum. Its age counts from when the question was sent: what
+    /// any leader committed before that moment is in the version here.
+    fn prove(&self, now: MonotonicTime, holds: VersionNumber) -> FreshReply {
+        let asked_at = self.voter.confirmed_at().ok_or(ResultCode::NoQuorum)?;
+        let age = now.since(asked_at);
+        if age > PROOF_AGE_MAX {
+            return Err(ResultCode::NoQuorum);
+        }
+        let version = self.book.state().version;
+        Ok(FreshProof {
+            version,
+            age_us: span_to_micros(age),
+            view: (holds != version).then(|| Arc::clone(self.book.view())),
+        })
+    }
+}
--- /dev/null
+++ b/daisyhinge/src/control/core/report.rs
@@ -0,0 +1,129 @@
+//! What a control VM says of itself: its status and events of the time line.
+
+use super::{ControlCore, CoreAction};
+use crate::control::book::{BookCommand, BookKind, BookReply};
+use crate::control::member::VoterMember;
+use crate::prelude::*;
+use crate::vocabulary::claim::ClaimReply;
+use crate::vocabulary::clock::span_to_millis;
+use crate::vocabulary::control::{ControlRole, ControlStatus, EntryStatus, VoterStatus};
+use crate::vocabulary::event::{EventDraft, EventKind};
+use crate::vocabulary::view::EntryRecord;
+
+impl ControlCore {
+    /// Its state.
+    pub fn status(&self, now: MonotonicTime) -> ControlStatus {
+        let voter = &self.voter;
+        let state = self.book.state();
+        let confirmed = voter.confirmed_at();
+        ControlStatus {
+            vm: voter.id().vm.clone(),
+            number: voter.id().number,
+            role: find_role(voter.role_name()),
+            term: voter.term(),
+            leader: voter.leader().map(|id| id.vm.clone()),
+            leader_operator: voter.leader_operator(),
+            commit: voter.commit(),
+            snapshot: voter.log().snapshot().index,
+            version: state.version,
+            claims: state.claims.count() as u64,
+            confirmed_ms: confirmed.map(|at| span_to_millis(now.since(at))),
+            voters: voter
+                .voters()
+                .members
+                .iter()
+                .map(|member| self.voter_status(now, member))
+                .collect(),
+            entries: state
+                .entries
+                .live
+                .values()
+                .map(|entry| self.entry_status(now, entry))
+                .collect(),
+        }
+    }
+
+    fn voter_status(&self, now: MonotonicTime, member: &VoterMember) -> VoterStatus {
+        let progress = self.voter.peer_progress(&member.id);
+        VoterStatus {
+            vm: member.id.vm.clone(),
+            number: member.id.number,
+            address: member.address,
+            learner: member.learner,
+            matched: progress.map(|(matched, _)| matched),
+            heard_ms: progress.map(|(_, heard)| span_to_millis(now.since(heard))),
+        }
+    }
+
+    fn entry_status(&self, now: MonotonicTime, entry: &EntryRecord) -> EntryStatus {
+        let record = self.watch.find_record(&entry.vm);
+        let record = record
+            .filter(|record| self.voter.is_leader() && record.incarnation == entry.incarnation);
+        EntryStatus {
+            vm: entry.vm.clone(),
+            environment: entry.environment.clone(),
+            incarnation: entry.incarnation,
+            holds: record.and_then(|record| record.holds),
+            asked_ms: record.map(|record| span_to_millis(now.since(record.asked))),
+        }
+    }
+
+    /// Notes what an applied command brought; only the leader reports it.
+    pub(super) fn note_applied(
+        &mut self,
+        now: MonotonicTime,
+        command: &BookCommand,
+        reply: &BookReply,
+        actions: &mut Vec<CoreAction>,
+    ) {
+        if !self.voter.is_leader() {
+            return;
+        }
+        let version = self.book.state().version;
+        let draft = match (&command.kind, reply) {
+            (BookKind::Join(entry), BookReply::Entries(true)) => {
+                self.watch.note_joined(now, &entry.vm);
+                EventDraft::new(EventKind::EntryJoined).with_centre(&entry.data_centre)
+            }
+            (BookKind::Lose { released, .. }, BookReply::Entries(true)) => {
+                let kind = if *released {
+                    EventKind::EntryLeft
+                } else {
+                    EventKind::EntryLost
+                };
+                EventDraft::new(kind)
+            }
+            (_, BookReply::Change(Ok(_))) => EventDraft::new(EventKind::ChangeCommitted),
+            (_, BookReply::Change(Err(refusal))) => {
+                EventDraft::new(EventKind::ChangeRefused).with_code(refusal.code)
+            }
+            (BookKind::Claim(ask), BookReply::Claim(ClaimReply::Won)) => {
+                EventDraft::new(EventKind::ClaimWon).with_request(&ask.request)
+            }
+            (BookKind::Claim(ask), BookReply::Claim(_)) => {
+                EventDraft::new(EventKind::ClaimLost).with_request(&ask.request)
+            }
+            _ => return,
+        };
+        actions.push(CoreAction::Note(draft.with_version(version)));
+    }
+}
+
+pub(super) fn note_term(led: bool, term: u64) -> CoreAction {
+    let kind = if led {
+        EventKind::LeaderElected
+    } else {
+        EventKind::LeaderLost
+    };
+    CoreAction::Note(EventDraft::new(kind).with_value(term))
+}
+
+fn find_role(name: &str) -> ControlRole {
+    match name {
+        "leader" => ControlRole::Leader,
+        "follower" => ControlRole::Follower,
+        "learner" => ControlRole::Learner,
+        "outside" => ControlRole::Outside,
+        _ => ControlRole::Candidate,
+    }
+}
--- /dev/null
+++ b/daisyhinge/src/control/core/watch.rs
@@ -0,0 +1,201 @@
+//! The leader's watch over entries: who asks, who has fallen silent, who joins too often.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::control::book::{BookKind, BookState};
+use crate::prelude::*;
+use crate::vocabulary::clock::span_to_millis;
+use crate::vocabulary::freshness::{FreshAsk, LEASE_DRIFT_SPAN, LEASE_SPAN};
+use crate::vocabulary::view::{EntryRecord, EntryState};
+
+/// Silence after which an entry is lost.
+pub const ENTRY_LOST_SPAN: Duration = Duration::from_secs(3);
+/// How long a departed entry stays listed: beyond any lease that it may hold.
+pub const DEPARTED_KEPT_SPAN: Duration = Duration::from_secs(20);
+/// Joins of one VM are counted over this time.
+pub const FLAP_SPAN: Duration = Duration::from_mins(1);
+/// Joins of one VM within [`FLAP_SPAN`] that are not delayed.
+pub const FLAP_FREE_JOINS: u32 = 3;
+/// Longest delay of a join.
+pub const FLAP_DELAY_MAX: Duration = Duration::from_secs(30);
+/// A pause between ticks from which it follows that this process, not the entries, was silent.
+const FROZEN_SPAN: Duration = Duration::from_secs(1);
+/// Time after which a change of entries is proposed again.
+const REPEAT_SPAN: Duration = Duration::from_secs(1);
+
+const _: () = assert!(
+    DEPARTED_KEPT_SPAN.as_millis() > 2 * (LEASE_SPAN.as_millis() + LEASE_DRIFT_SPAN.as_millis()),
+    "a departed entry is listed for longer than its lease can run"
+);
+
+/// What the leader knows of an entry.
+#[derive(Clone, Copy, Debug)]
+pub struct WatchRecord {
+    /// Its incarnation.
+    pub incarnation: IncarnationNumber,
+    /// When it last asked.
+    pub asked: MonotonicTime,
+    /// Version that it held then.
+    pub holds: Option<VersionNumber>,
+    /// Whether it held a version that lists it as leaving: it keeps no replica any more.
+    pub released: bool,
+    /// When its loss was last proposed.
+    losing: Option<MonotonicTime>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct JoinRecord {
+    count: u32,
+    last: MonotonicTime,
+}
+
+/// Watches entries while this VM leads.
+#[derive(Clone, Debug, Default)]
+pub struct EntryWatch {
+    records: BTreeMap<VmName, WatchRecord>,
+    joins: BTreeMap<VmName, JoinRecord>,
+    ticked: MonotonicTime,
+    forgetting: Option<MonotonicTime>,
+}
+
+impl EntryWatch {
+    /// Begins anew: all entries count as heard now.
+    pub fn restart(&mut self, now: MonotonicTime) {
+        self.records.clear();
+        self.ticked = now;
+        self.forgetting = None;
+    }
+
+    /// What is known of an entry.
+    pub fn find_record(&self, vm: &VmName) -> Option<&WatchRecord> {
+        self.records.get(vm)
+    }
+
+    /// Notes an ask.
+    pub fn note_ask(&mut self, now: MonotonicTime, ask: &FreshAsk, state: &BookState) {
+        let entry = &ask.entry;
+        let listed = state.entries.live.get(&entry.vm) == Some(entry);
+        let leaves = listed && entry.state == EntryState::Leaving && ask.holds == state.version;
+        let former = self.records.get(&entry.vm);
+        let former = former.filter(|record| record.incarnation == entry.incarnation);
+        let released = entry.state == EntryState::Leaving
+            && (leaves || former.is_some_and(|record| record.released));
+        self.records.insert(
+            entry.vm.clone(),
+            WatchRecord {
+                incarnation: entry.incarnation,
+                asked: now,
+                holds: Some(ask.holds),
+                released,
+                losing: None,
+            },
+        );
+    }
+
+    /// Whether the entry may be listed now; one that joins often waits longer each time.
+    pub fn may_join(&self, now: MonotonicTime, entry: &EntryRecord) -> bool {
+        let Some(joins) = self.joins.get(&entry.vm) else {
+            return true;
+        };
+        entry.state == EntryState::Leaving || now.since(joins.last) >= find_delay(joins.count)
+    }
+
+    /// Notes that an entry was listed anew.
+    pub fn note_joined(&mut self, now: MonotonicTime, vm: &VmName) {
+        self.joins
+            .retain(|_, joins| now.since(joins.last) < FLAP_SPAN);
+        let joins = self.joins.entry(vm.clone()).or_insert(JoinRecord {
+            count: 0,
+            last: now,
+        });
+        joins.count += 1;
+        joins.last = now;
+    }
+
+    /// The changes of membership that are due.
+    pub fn find_changes(
+        &mut self,
+        now: MonotonicTime,
+        clock_ms: u64,
+        state: &BookState,
+    ) -> Vec<BookKind> {
+        let frozen = now.since(self.ticked) >= FROZEN_SPAN;
+        self.ticked = now;
+        if frozen {
+            self.records
+                .values_mut()
+                .for_each(|record| record.asked = now);
+        }
+        self.records
+            .retain(|vm, _| state.entries.live.contains_key(vm));
+        let mut changes = Vec::new();
+        for (vm, entry) in &state.entries.live {
+            changes.extend(self.find_loss(now, vm, entry.incarnation));
+        }
+        changes.extend(self.find_forgotten(now, clock_ms, state));
+        changes
+    }
+
+    fn find_loss(
+        &mut self,
+        now: MonotonicTime,
+        vm: &VmName,
+        incarnation: IncarnationNumber,
+    ) -> Option<BookKind> {
+        let fresh = WatchRecord {
+            incarnation,
+            asked: now,
+            holds: None,
+            released: false,
+            losing: None,
+        };
+        let record = self.records.entry(vm.clone()).or_insert(fresh);
+        if record.incarnation != incarnation {
+            // A newer process asks and waits to be listed; the listed one is gone.
+            return None;
+        }
+        let silent = now.since(record.asked) >= ENTRY_LOST_SPAN;
+        let proposed = record.losing.is_some_and(|at| now.since(at) < REPEAT_SPAN);
+        if !silent || proposed {
+            return None;
+        }
+        record.losing = Some(now);
+        Some(BookKind::Lose {
+            vm: vm.clone(),
+            incarnation,
+            released: record.released,
+        })
+    }
+
+    fn find_forgotten(
+        &mut self,
+        now: MonotonicTime,
+        clock_ms: u64,
+        state: &BookState,
+    ) -> Option<BookKind> {
+        let before_ms = clock_ms.checked_sub(span_to_millis(DEPARTED_KEPT_SPAN))?;
+        let due = state
+            .entries
+            .departed
+            .iter()
+            .any(|record| record.at_ms <= before_ms);
+        if !due
+            || self
+                .forgetting
+                .is_some_and(|at| now.since(at) < REPEAT_SPAN)
+        {
+            return None;
+        }
+        self.forgetting = Some(now);
+        Some(BookKind::Forget { before_ms })
+    }
+}
+
+/// How long after its last join an entry may join again.
+fn find_delay(count: u32) -> Duration {
+    let Some(over) = count.checked_sub(FLAP_FREE_JOINS) else {
+        return Duration::ZERO;
+    };
+    Duration::from_secs(1 << over.min(10)).min(FLAP_DELAY_MAX)
+}
--- /dev/null
+++ b/daisyhinge/src/control/record.rs
@@ -0,0 +1,186 @@
+//! Checksummed records, of which every file of the data folder is made.
+//!
+//! Layout, little endian: mark (4 bytes), length of the body (4), CRC-32 of what follows (4),
+//! number of the batch (8), flags (1), kind (1), body. All records of one sync carry the same
+//! batch number and the last of them says so; a batch that is not whole was never acknowledged.
+
+use bytes::Bytes;
+
+use crate::control::log::{LogEntry, LogPayload};
+use crate::control::member::VoterSet;
+
+/// Bytes before the body of a record.
+pub const RECORD_HEAD_BYTES: usize = 22;
+/// Longest body that is read, in bytes.
+pub const RECORD_MAX_BYTES: usize = 16 << 20;
+
+const RECORD_MARK: u32 = 0x31_44_48_44;
+const FLAG_LAST: u8 = 1;
+
+/// What a record holds.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[repr(u8)]
+pub enum RecordKind {
+    /// Term and vote, as JSON.
+    Hard = 1,
+    /// An entry of the log; it replaces all stored entries from its index on.
+    Entry = 2,
+    /// Makes all stored entries before it void.
+    Reset = 3,
+    /// Head of a snapshot, as JSON.
+    SnapshotHead = 4,
+    /// A part of a snapshot's bytes.
+    SnapshotPart = 5,
+    /// The identity of the voter, as JSON.
+    Identity = 6,
+}
+
+impl RecordKind {
+    fn from_number(number: u8) -> Option<Self> {
+        [
+            Self::Hard,
+            Self::Entry,
+            Self::Reset,
+            Self::SnapshotHead,
+            Self::SnapshotPart,
+            Self::Identity,
+        ]
+        .into_iter()
+        .find(|kind| *kind as u8 == number)
+    }
+}
+
+/// A record as it was read.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct StoredRecord {
+    /// Number of its batch.
+    pub batch: u64,
+    /// Whether it is the last of its batch.
+    pub last: bool,
+    /// What it holds.
+    pub kind: RecordKind,
+    /// The body.
+    pub body: Bytes,
+    /// Offset of the byte after it.
+    pub end: usize,
+}
+
+/// Adds a record to `out`.
+///
+/// # Panics
+/// If the body is longer than [`RECORD_MAX_BYTES`].
+pub fn write_record(out: &mut Vec<u8>, batch: u64, last: bool, kind: RecordKind, body: &[u8]) {
+    let length = u32::try_from(body.len()).expect("bodies are bounded");
+    assert!(body.len() <= RECORD_MAX_BYTES, "bodies are bounded");
+    out.extend_from_slice(&RECORD_MARK.to_le_bytes());
+    out.extend_from_slice(&length.to_le_bytes());
+    let checksum_at = out.len();
+    out.extend_from_slice(&[0; 4]);
+    out.extend_from_slice(&batch.to_le_bytes());
+    out.push(if last { FLAG_LAST } else { 0 });
+    out.push(kind as u8);
+    out.extend_from_slice(body);
+    let checksum = crc32fast::hash(&out[checksum_at + 4..]);
+    out[checksum_at..checksum_at + 4].copy_from_slice(&checksum.to_le_bytes());
+}
+
+/// The record at `offset`, if a whole one with the right checksum is there.
+pub fn read_record(bytes: &Bytes, offset: usize) -> Option<StoredRecord> {
+    let head = bytes.get(offset..offset.checked_add(RECORD_HEAD_BYTES)?)?;
+    if read_u32(head, 0)? != RECORD_MARK {
+        return None;
+    }
+    let length = usize::try_from(read_u32(head, 4)?).ok()?;
+    if length > RECORD_MAX_BYTES {
+        return None;
+    }
+    let end = offset + RECORD_HEAD_BYTES + length;
+    let covered = bytes.get(offset + 12..end)?;
+    if crc32fast::hash(covered) != read_u32(head, 8)? {
+        return None;
+    }
+    Some(StoredRecord {
+        batch: read_u64(head, 12)?,
+        last: head[20] & FLAG_LAST != 0,
+        kind: RecordKind::from_number(head[21])?,
+        body: bytes.slice(offset + RECORD_HEAD_BYTES..end),
+        end,
+    })
+}
+
+/// The largest batch number of whole records that start after `offset`.
+pub fn find_later_batch(bytes: &Bytes, offset: usize) -> Option<u64> {
+    let mark = RECORD_MARK.to_le_bytes();
+    let mut at = offset + 1;
+    let mut newest = None;
+    while let Some(found) = bytes.get(at..).and_then(|rest| find_bytes(rest, &mark)) {
+        match read_record(bytes, at + found) {
+            Some(record) => {
+                newest = newest.max(Some(record.batch));
+                at = record.end;
+            }
+            None => at += found + 1,
+        }
+    }
+    newest
+}
+
+fn find_bytes(text: &[u8], wanted: &[u8]) -> Option<usize> {
+    text.windows(wanted.len())
+        .position(|window| window == wanted)
+}
+
+/// An entry of the log as the body of a record.
+///
+/// # Panics
+/// Never: members always encode.
+pub fn encode_entry(entry: &LogEntry) -> Vec<u8> {
+    let mut body = Vec::with_capacity(32 + entry.payload.command().len());
+    body.extend_from_slice(&entry.index.to_le_bytes());
+    body.extend_from_slice(&entry.term.to_le_bytes());
+    match &entry.payload {
+        LogPayload::Blank => body.push(0),
+        LogPayload::Command(_) => body.push(1),
+        LogPayload::Voters(set, _) => {
+            body.push(2);
+            let set = serde_json::to_vec(set).expect("members encode");
+            let length = u32::try_from(set.len()).expect("members are few");
+            body.extend_from_slice(&length.to_le_bytes());
+            body.extend_from_slice(&set);
+        }
+    }
+    body.extend_from_slice(entry.payload.command());
+    body
+}
+
+/// The entry in the body of a record.
+pub fn decode_entry(body: &Bytes) -> Option<LogEntry> {
+    let index = read_u64(body, 0)?;
+    let term = read_u64(body, 8)?;
+    let payload = match *body.get(16)? {
+        0 => LogPayload::Blank,
+        1 => LogPayload::Command(body.slice(17..)),
+        2 => {
+            let length = usize::try_from(read_u32(body, 17)?).ok()?;
+            let end = 21_usize.checked_add(length)?;
+            let set: VoterSet = serde_json::from_slice(body.get(21..end)?).ok()?;
+            LogPayload::Voters(set, body.slice(end..))
+        }
+        _ => return None,
+    };
+    Some(LogEntry {
+        index,
+        term,
+        payload,
+    })
+}
+
+fn read_u32(bytes: &[u8], at: usize) -> Option<u32> {
+    let field = bytes.get(at..at.checked_add(4)?)?;
+    Some(u32::from_le_bytes(field.try_into().ok()?))
+}
+
+fn read_u64(bytes: &[u8], at: usize) -> Option<u64> {
+    let field = bytes.get(at..at.checked_add(8)?)?;
+    Some(u64::from_le_bytes(field.try_into().ok()?))
+}
--- /dev/null
+++ b/daisyhinge/src/control/store.rs
@@ -0,0 +1,233 @@
+//! What to write to the data folder, in which order, and how to read it back.
+//!
+//! The folder holds `identity`, one snapshot and segments of the log, each named by the number
+//! of its first batch. Every plan ends with syncs of the files it wrote and, where names
+//! changed, of the folder; nothing is acknowledged before its plan is done.
+
+use crate::control::log::{HardState, LogEntry, LogSnapshot};
+use crate::control::member::VoterId;
+use crate::control::record::{RecordKind, encode_entry, write_record};
+use crate::control::voter::SaveBatch;
+
+pub mod disk;
+mod recover;
+
+pub use disk::{DiskOp, StoreFault, StoredFile};
+pub use recover::{OpenedStore, open_store};
+
+/// Size at which a new segment is begun, in bytes.
+pub const SEGMENT_BYTES: u64 = 8 << 20;
+/// Part of a snapshot in one record, in bytes.
+const SNAPSHOT_RECORD_BYTES: usize = 1 << 20;
+const SNAPSHOT_TEMPORARY: &str = "snapshot.tmp";
+const IDENTITY_TEMPORARY: &str = "identity.tmp";
+const IDENTITY_FILE: &str = "identity";
+
+/// A segment of the log.
+#[derive(Clone, Debug, Eq, PartialEq)]
+struct LogSegment {
+    /// Number of its first batch.
+    first_batch: u64,
+    bytes: u64,
+    /// Highest index of any entry in it.
+    last_index: u64,
+}
+
+impl LogSegment {
+    fn file(&self) -> String {
+        segment_file(self.first_batch)
+    }
+}
+
+fn segment_file(first_batch: u64) -> String {
+    format!("log-{first_batch:020}")
+}
+
+fn snapshot_file(index: u64) -> String {
+    format!("snapshot-{index:020}")
+}
+
+/// Plans the writes of one data folder.
+#[derive(Clone, Debug)]
+pub struct StoreWriter {
+    hard: HardState,
+    /// Number of the next batch.
+    batch: u64,
+    segments: Vec<LogSegment>,
+    snapshot_index: u64,
+}
+
+impl StoreWriter {
+    /// Plans `saves` as one batch with one sync.
+    pub fn plan_saves(&mut self, saves: &[SaveBatch]) -> Vec<DiskOp> {
+        let mut ops = Vec::new();
+        if let Some(hard) = saves.iter().rev().find_map(|save| save.hard.clone()) {
+            self.hard = hard;
+        }
+        let roll = self
+            .segments
+            .last()
+            .is_none_or(|segment| segment.bytes >= SEGMENT_BYTES);
+        if roll {
+            self.begin_segment();
+        }
+        let hard_changed = roll || saves.iter().any(|save| save.hard.is_some());
+        let entries: Vec<&LogEntry> = saves.iter().flat_map(|save| &save.entries).collect();
+        let mut bodies = Vec::with_capacity(entries.len() + 1);
+        if hard_changed || entries.is_empty() {
+            bodies.push((RecordKind::Hard, self.hard_body()));
+        }
+        bodies.extend(
+            entries
+                .iter()
+                .map(|entry| (RecordKind::Entry, encode_entry(entry))),
+        );
+        let last_index = entries.iter().map(|entry| entry.index).max().unwrap_or(0);
+        self.append_batch(&bodies, last_index, &mut ops);
+        if roll {
+            ops.push(DiskOp::SyncFolder);
+        }
+        ops
+    }
+
+    /// Plans a snapshot, and the removal of what it makes needless. With `reset` all stored
+    /// entries are void.
+    pub fn plan_snapshot(&mut self, snapshot: &LogSnapshot, reset: bool) -> Vec<DiskOp> {
+        let name = snapshot_file(snapshot.index);
+        let mut ops = vec![
+            DiskOp::Remove(SNAPSHOT_TEMPORARY.to_owned()),
+            DiskOp::Append {
+                file: SNAPSHOT_TEMPORARY.to_owned(),
+                bytes: encode_snapshot(snapshot),
+            },
+            DiskOp::SyncFile(SNAPSHOT_TEMPORARY.to_owned()),
+            DiskOp::Rename {
+                from: SNAPSHOT_TEMPORARY.to_owned(),
+                to: name,
+            },
+            DiskOp::SyncFolder,
+        ];
+        self.plan_segment(snapshot.index, reset, &mut ops);
+        ops
+    }
+
+    /// Plans a new segment and the removal of those that the snapshot at `index` makes needless.
+    fn plan_segment(&mut self, index: u64, reset: bool, ops: &mut Vec<DiskOp>) {
+        self.begin_segment();
+        let mut bodies = vec![(RecordKind::Hard, self.hard_body())];
+        if reset {
+            bodies.push((RecordKind::Reset, Vec::new()));
+        }
+        self.append_batch(&bodies, 0, ops);
+        ops.push(DiskOp::SyncFolder);
+        self.remove_needless(index, reset, ops);
+    }
+
+    fn remove_needless(&mut self, index: u64, reset: bool, ops: &mut Vec<DiskOp>) {
+        let active = self.segments.len() - 1;
+        let needless = self.segments[..active]
+            .iter()
+            .take_while(|segment| reset || segment.last_index <= index)
+            .count();
+        // One sync each, so that a crash leaves no gap among the segments.
+        for segment in self.segments.drain(..needless) {
+            ops.push(DiskOp::Remove(segment.file()));
+            ops.push(DiskOp::SyncFolder);
+        }
+        if self.snapshot_index > 0 && self.snapshot_index != index {
+            ops.push(DiskOp::Remove(snapshot_file(self.snapshot_index)));
+        }
+        self.snapshot_index = index;
+        ops.push(DiskOp::SyncFolder);
+    }
+
+    fn hard_body(&self) -> Vec<u8> {
+        serde_json::to_vec(&self.hard).expect("term and vote encode")
+    }
+
+    fn begin_segment(&mut self) {
+        self.segments.push(LogSegment {
+            first_batch: self.batch,
+            bytes: 0,
+            last_index: 0,
+        });
+    }
+
+    fn append_batch(
+        &mut self,
+        bodies: &[(RecordKind, Vec<u8>)],
+        last_index: u64,
+        ops: &mut Vec<DiskOp>,
+    ) {
+        let mut bytes = Vec::new();
+        for (place, (kind, body)) in bodies.iter().enumerate() {
+            let last = place + 1 == bodies.len();
+            write_record(&mut bytes, self.batch, last, *kind, body);
+        }
+        self.batch += 1;
+        let segment = self.segments.last_mut().expect("a segment is begun first");
+        segment.bytes += bytes.len() as u64;
+        segment.last_index = segment.last_index.max(last_index);
+        let file = segment.file();
+        ops.push(DiskOp::Append {
+            file: file.clone(),
+            bytes,
+        });
+        ops.push(DiskOp::SyncFile(file));
+    }
+}
+
+fn encode_snapshot(snapshot: &LogSnapshot) -> Vec<u8> {
+    let head = recover::SnapshotHead {
+        index: snapshot.index,
+        term: snapshot.term,
+        voters: snapshot.voters.clone(),
+        total: snapshot.bytes.len() as u64,
+    };
+    let head = serde_json::to_vec(&head).expect("the head encodes");
+    let parts: Vec<&[u8]> = snapshot.bytes.chunks(SNAPSHOT_RECORD_BYTES).collect();
+    let mut out = Vec::with_capacity(snapshot.bytes.len() + head.len() + 64);
+    write_record(
+        &mut out,
+        0,
+        parts.is_empty(),
+        RecordKind::SnapshotHead,
+        &head,
+    );
+    for (place, part) in parts.iter().enumerate() {
+        let last = place + 1 == parts.len();
+        write_record(&mut out, 0, last, RecordKind::SnapshotPart, part);
+    }
+    out
+}
+
+/// Plans a new folder: the first segment before the identity, whose presence says that the
+/// folder is complete.
+fn plan_folder(id: &VoterId, stale: &[StoredFile]) -> (StoreWriter, Vec<DiskOp>) {
+    let mut ops: Vec<DiskOp> = stale
+        .iter()
+        .map(|file| DiskOp::Remove(file.name.clone()))
+        .collect();
+    ops.push(DiskOp::SyncFolder);
+    let mut writer = StoreWriter {
+        hard: HardState::default(),
+        batch: 1,
+        segments: Vec::new(),
+        snapshot_index: 0,
+    };
+    ops.extend(writer.plan_saves(&[]));
+    let mut bytes = Vec::new();
+    let body = serde_json::to_vec(&recover::FolderIdentity::new(id)).expect("the identity encodes");
+    write_record(&mut bytes, 0, true, RecordKind::Identity, &body);
+    ops.push(DiskOp::Append {
+        file: IDENTITY_TEMPORARY.to_owned(),
+        bytes,
+    });
+    ops.push(DiskOp::SyncFile(IDENTITY_TEMPORARY.to_owned()));
+    ops.push(DiskOp::Rename {
+        from: IDENTITY_TEMPORARY.to_owned(),
+        to: IDENTITY_FILE.to_owned(),
+    });
+    ops.push(DiskOp::SyncFolder);
+    (writer, ops)
+}
--- /dev/null
+++ b/daisyhinge/src/control/store/recover.rs
@@ -0,0 +1,349 @@
+//! Reading the data folder after a start.
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use super::disk::{ADVICE_DAMAGED, ADVICE_MISMATCH};
+use super::{
+    DiskOp, IDENTITY_FILE, IDENTITY_TEMPORARY, LogSegment, SNAPSHOT_TEMPORARY, StoreFault,
+    StoreWriter, StoredFile, plan_folder, segment_file, snapshot_file,
+};
+use crate::control::log::{HardState, LogEntry, LogSnapshot, StoredLog};
+use crate::control::member::{VoterId, VoterSet};
+use crate::control::record::{
+    RecordKind, StoredRecord, decode_entry, find_later_batch, read_record,
+};
+use crate::prelude::*;
+
+const FOLDER_FORMAT: u32 = 1;
+
+#[derive(Debug, Deserialize, Serialize)]
+pub(super) struct FolderIdentity {
+    format: u32,
+    id: VoterId,
+}
+
+impl FolderIdentity {
+    pub(super) fn new(id: &VoterId) -> Self {
+        Self {
+            format: FOLDER_FORMAT,
+            id: id.clone(),
+        }
+    }
+}
+
+#[derive(Debug, Deserialize, Serialize)]
+pub(super) struct SnapshotHead {
+    pub index: u64,
+    pub term: u64,
+    pub voters: VoterSet,
+    pub total: u64,
+}
+
+/// An opened data folder.
+#[derive(Debug)]
+pub struct OpenedStore {
+    /// The identity that the folder holds.
+    pub id: VoterId,
+    /// What it held.
+    pub stored: StoredLog,
+    /// Plans further writes.
+    pub writer: StoreWriter,
+    /// To be done before anything else.
+    pub ops: Vec<DiskOp>,
+}
+
+/// Opens the folder of `vm` from its files; an empty one gets the identity number `number`.
+///
+/// # Errors
+/// [`ResultCode::RecordDamaged`] where something that was synced is damaged, and
+/// [`ResultCode::FolderMismatch`] where the folder is another VM's or unknown.
+pub fn open_store(
+    vm: &VmName,
+    number: u64,
+    files: &[StoredFile],
+) -> Result<OpenedStore, StoreFault> {
+    let Some(identity) = find_file(files, IDENTITY_FILE) else {
+        return make_store(vm, number, files);
+    };
+    let id = read_identity(vm, identity)?;
+    let snapshot = read_newest_snapshot(files)?;
+    let mut reading = LogReading::default();
+    let mut ops = Vec::new();
+    let segments = list_segments(files);
+    let count = segments.len();
+    for (place, (first_batch, file)) in segments.into_iter().enumerate() {
+        if place > 0 && first_batch != reading.batch {
+            return Err(damaged(file, 0));
+        }
+        reading.batch = first_batch;
+        reading.read_segment(file, place + 1 == count, &mut ops)?;
+    }
+    let Some(hard) = reading.hard.take() else {
+        // Every folder with an identity had a whole first batch with term and vote.
+        return Err(damaged(identity, 0));
+    };
+    remove_stale(files, &snapshot, &mut ops);
+    let mut writer = StoreWriter {
+        hard: hard.clone(),
+        batch: reading.batch,
+        segments: reading.segments,
+        snapshot_index: snapshot.index,
+    };
+    let any = !reading.entries.is_empty();
+    let selected = select_entries(reading.entries, &snapshot);
+    let selected = selected.map_err(|()| damaged(identity, 0))?;
+    if selected.is_none() && any {
+        // The crash came after the snapshot and before what makes the old log void.
+        writer.plan_segment(snapshot.index, true, &mut ops);
+    }
+    Ok(OpenedStore {
+        id,
+        writer,
+        stored: StoredLog {
+            hard,
+            snapshot,
+            entries: selected.unwrap_or_default(),
+        },
+        ops,
+    })
+}
+
+fn make_store(vm: &VmName, number: u64, files: &[StoredFile]) -> Result<OpenedStore, StoreFault> {
+    // A crash while the folder was made leaves at most the first segment and a temporary file.
+    let first = segment_file(1);
+    let foreign = files
+        .iter()
+        .find(|file| file.name != first && file.name != IDENTITY_TEMPORARY);
+    if let Some(file) = foreign {
+        return Err(mismatch(file));
+    }
+    let id = VoterId {
+        vm: vm.clone(),
+        number,
+    };
+    let (writer, ops) = plan_folder(&id, files);
+    Ok(OpenedStore {
+        id,
+        stored: StoredLog::default(),
+        writer,
+        ops,
+    })
+}
+
+fn find_file<'a>(files: &'a [StoredFile], name: &str) -> Option<&'a StoredFile> {
+    files.iter().find(|file| file.name == name)
+}
+
+fn damaged(file: &StoredFile, offset: usize) -> StoreFault {
+    StoreFault {
+        code: ResultCode::RecordDamaged,
+        file: file.name.clone(),
+        offset: offset as u64,
+        advice: ADVICE_DAMAGED,
+    }
+}
+
+fn mismatch(file: &StoredFile) -> StoreFault {
+    StoreFault {
+        code: ResultCode::FolderMismatch,
+        file: file.name.clone(),
+        offset: 0,
+        advice: ADVICE_MISMATCH,
+    }
+}
+
+fn read_identity(vm: &VmName, file: &StoredFile) -> Result<VoterId, StoreFault> {
+    let record = read_record(&file.bytes, 0).ok_or_else(|| damaged(file, 0))?;
+    let identity: FolderIdentity = (record.kind == RecordKind::Identity)
+        .then(|| serde_json::from_slice(&record.body).ok())
+        .flatten()
+        .ok_or_else(|| mismatch(file))?;
+    if identity.format != FOLDER_FORMAT || identity.id.vm != *vm {
+        return Err(mismatch(file));
+    }
+    Ok(identity.id)
+}
+
+fn list_segments(files: &[StoredFile]) -> Vec<(u64, &StoredFile)> {
+    let mut segments: Vec<(u64, &StoredFile)> = files
+        .iter()
+        .filter_map(|file| {
+            let number = file.name.strip_prefix("log-")?.parse().ok()?;
+            Some((number, file))
+        })
+        .collect();
+    segments.sort_by_key(|(number, _)| *number);
+    segments
+}
+
+fn read_newest_snapshot(files: &[StoredFile]) -> Result<LogSnapshot, StoreFault> {
+    let newest = files
+        .iter()
+        .filter(|file| file.name.starts_with("snapshot-"))
+        .max_by(|a, b| a.name.cmp(&b.name));
+    newest.map_or_else(
+        || Ok(LogSnapshot::default()),
+        |file| read_snapshot(file).ok_or_else(|| damaged(file, 0)),
+    )
+}
+
+fn read_snapshot(file: &StoredFile) -> Option<LogSnapshot> {
+    let first = read_record(&file.bytes, 0)?;
+    if first.kind != RecordKind::SnapshotHead {
+        return None;
+    }
+    let head: SnapshotHead = serde_json::from_slice(&first.body).ok()?;
+    let mut bytes = Vec::new();
+    let (mut end, mut last) = (first.end, first.last);
+    while !last {
+        let part = read_record(&file.bytes, end)?;
+        if part.kind != RecordKind::SnapshotPart {
+            return None;
+        }
+        bytes.extend_from_slice(&part.body);
+        (end, last) = (part.end, part.last);
+    }
+    let whole = bytes.len() as u64 == head.total && file.name == snapshot_file(head.index);
+    whole.then(|| LogSnapshot {
+        index: head.index,
+        term: head.term,
+        voters: head.voters,
+        bytes: bytes.into(),
+    })
+}
+
+fn remove_stale(files: &[StoredFile], snapshot: &LogSnapshot, ops: &mut Vec<DiskOp>) {
+    let kept = snapshot_file(snapshot.index);
+    let stale = files.iter().filter(|file| {
+        file.name == SNAPSHOT_TEMPORARY
+            || file.name == IDENTITY_TEMPORARY
+            || (file.name.starts_with("snapshot-") && file.name != kept)
+    });
+    let before = ops.len();
+    ops.extend(stale.map(|file| DiskOp::Remove(file.name.clone())));
+    if ops.len() > before {
+        ops.push(DiskOp::SyncFolder);
+    }
+}
+
+/// The entries that follow the snapshot; unset where they are of a log that it replaced.
+fn select_entries(
+    entries: Vec<LogEntry>,
+    snapshot: &LogSnapshot,
+) -> Result<Option<Vec<LogEntry>>, ()> {
+    let at_snapshot = entries.iter().find(|entry| entry.index == snapshot.index);
+    let first = entries.first().map_or(0, |entry| entry.index);
+    let agrees = match at_snapshot {
+        Some(entry) => entry.term == snapshot.term,
+        None => first == snapshot.index + 1,
+    };
+    if agrees {
+        let after = entries
+            .into_iter()
+            .filter(|entry| entry.index > snapshot.index);
+        return Ok(Some(after.collect()));
+    }
+    if first > snapshot.index + 1 {
+        return Err(());
+    }
+    Ok(None)
+}
+
+/// What was read of the log so far.
+#[derive(Debug, Default)]
+struct LogReading {
+    hard: Option<HardState>,
+    entries: Vec<LogEntry>,
+    segments: Vec<LogSegment>,
+    /// Number of the batch that comes next.
+    batch: u64,
+}
+
+impl LogReading {
+    fn read_segment(
+        &mut self,
+        file: &StoredFile,
+        newest: bool,
+        ops: &mut Vec<DiskOp>,
+    ) -> Result<(), StoreFault> {
+        self.segments.push(LogSegment {
+            first_batch: self.batch,
+            bytes: 0,
+            last_index: 0,
+        });
+        let mut end = 0;
+        while end < file.bytes.len() {
+            let Some(batch) = read_batch(&file.bytes, end, self.batch) else {
+                self.check_torn(file, end, newest)?;
+                ops.push(DiskOp::Cut {
+                    file: file.name.clone(),
+                    length: end as u64,
+                });
+                ops.push(DiskOp::SyncFile(file.name.clone()));
+                break;
+            };
+            end = batch.last().map_or(end, |record| record.end);
+            for record in batch {
+                self.take_record(&record)
+                    .ok_or_else(|| damaged(file, end))?;
+            }
+            self.batch += 1;
+        }
+        self.segments.last_mut().expect("pushed above").bytes = end as u64;
+        Ok(())
+    }
+
+    /// A batch that is not whole was torn by a crash if it is the very last one. A later batch
+    /// was begun only after this one was synced, and shows that it was damaged since.
+    fn check_torn(&self, file: &StoredFile, end: usize, newest: bool) -> Result<(), StoreFault> {
+        let later = find_later_batch(&file.bytes, end);
+        if !newest || later.is_some_and(|batch| batch > self.batch) {
+            return Err(damaged(file, end));
+        }
+        Ok(())
+    }
+
+    fn take_record(&mut self, record: &StoredRecord) -> Option<()> {
+        match record.kind {
+            RecordKind::Hard => self.hard = Some(serde_json::from_slice(&record.body).ok()?),
+            RecordKind::Reset => self.entries.clear(),
+            RecordKind::Entry => self.take_entry(decode_entry(&record.body)?)?,
+            _ => return None,
+        }
+        Some(())
+    }
+
+    fn take_entry(&mut self, entry: LogEntry) -> Option<()> {
+        let segment = self.segments.last_mut()?;
+        segment.last_index = segment.last_index.max(entry.index);
+        if let Some(first) = self.entries.first() {
+            let keep = entry.index.checked_sub(first.index)?;
+            let keep = usize::try_from(keep).ok()?;
+            if keep > self.entries.len() {
+                return None;
+            }
+            self.entries.truncate(keep);
+        }
+        self.entries.push(entry);
+        Some(())
+    }
+}
+
+/// The whole batch `number` at `offset`.
+fn read_batch(bytes: &Bytes, offset: usize, number: u64) -> Option<Vec<StoredRecord>> {
+    let mut batch = Vec::new();
+    let mut end = offset;
+    loop {
+        let record = read_record(bytes, end)?;
+        if record.batch != number {
+            return None;
+        }
+        end = record.end;
+        let last = record.last;
+        batch.push(record);
+        if last {
+            return Some(batch);
+        }
+    }
+}
--- /dev/null
+++ b/daisyhinge/src/control/voter.rs
@@ -0,0 +1,465 @@
+//! The replicated log: one voter.
+//!
+//! A voter stands for election only after a quorum said that it would vote for it, so that one
+//! that was cut off disturbs nobody when it comes back. A leader that does not hear from a
+//! quorum steps down. Entries are acknowledged only once they are synced, and term and vote are
+//! synced before any message that depends on them leaves.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+
+use crate::control::log::{HardState, LogEntry, LogPayload, LogSnapshot, StoredLog, VoterLog};
+use crate::control::member::{VoterId, VoterSet};
+use crate::control::message::{VoterBody, VoterMessage};
+use crate::prelude::*;
+
+pub mod action;
+mod election;
+mod follow;
+mod lead;
+mod replicate;
+
+pub use action::{SaveBatch, VoterAction, VoterEvent};
+use lead::LeadState;
+
+/// Time between a leader's heartbeats.
+pub const HEARTBEAT_SPAN: Duration = Duration::from_millis(100);
+/// Shortest silence after which a voter stands for election; the longest is twice that.
+pub const ELECTION_SPAN: Duration = Duration::from_millis(500);
+/// Silence of a quorum after which a leader steps down.
+pub const STEP_DOWN_SPAN: Duration = Duration::from_millis(900);
+/// Entries of one append, in bytes, unless a single one is larger.
+pub const APPEND_MAX_BYTES: usize = 512 << 10;
+/// Part of a snapshot in one message, in bytes.
+pub const SNAPSHOT_PART_BYTES: usize = 256 << 10;
+/// Largest snapshot that is accepted, in bytes.
+pub const SNAPSHOT_MAX_BYTES: u64 = 64 << 20;
+/// Entries that may wait for commit before a leader refuses more.
+pub const UNCOMMITTED_MAX: u64 = 16_384;
+
+/// What a voter does at present.
+#[derive(Clone, Debug)]
+enum VoterRole {
+    /// Follows the leader of the term, if one is known.
+    Follower,
+    /// Asks who would vote for it.
+    PreCandidate(BTreeMap<VoterId, bool>),
+    /// Asks for votes.
+    Candidate(BTreeMap<VoterId, bool>),
+    /// Leads the term.
+    Leader(Box<LeadState>),
+}
+
+/// A snapshot that comes in by parts.
+#[derive(Clone, Debug)]
+struct IncomingSnapshot {
+    index: u64,
+    term: u64,
+    bytes: Vec<u8>,
+}
+
+/// One voter of the replicated log.
+#[derive(Debug)]
+pub struct VoterMachine {
+    id: VoterId,
+    operator_address: SocketAddr,
+    hard: HardState,
+    log: VoterLog,
+    /// Member sets of entries that are not yet covered by the snapshot, with their index.
+    voter_sets: VecDeque<(u64, VoterSet)>,
+    role: VoterRole,
+    leader: Option<VoterId>,
+    leader_operator: Option<SocketAddr>,
+    /// When the leader was last heard of.
+    leader_heard: Option<MonotonicTime>,
+    election_at: MonotonicTime,
+    commit: u64,
+    applied: u64,
+    /// Last entry that agrees with the leader of the current term.
+    verified: u64,
+    synced: u64,
+    /// Last entry that was handed to the disk.
+    save_sent: u64,
+    hard_changed: bool,
+    hard_sequence: u64,
+    sequence: u64,
+    saved_sequence: u64,
+    /// Saves under way, with the last entry of each.
+    saves: VecDeque<(u64, u64)>,
+    /// Messages that wait for a save.
+    held: VecDeque<(u64, VoterMessage)>,
+    /// Snapshot whose save is under way, with its sequence, and when it was asked for.
+    installing: Option<(u64, u64, u64)>,
+    incoming: Option<IncomingSnapshot>,
+    rng: ChaCha8Rng,
+}
+
+impl VoterMachine {
+    /// A voter with what its disk held. `actions` receives what restores the applied state.
+    pub fn open(
+        now: MonotonicTime,
+        id: VoterId,
+        operator_address: SocketAddr,
+        stored: StoredLog,
+        rng: ChaCha8Rng,
+        actions: &mut Vec<VoterAction>,
+    ) -> Self {
+        let snapshot_index = stored.snapshot.index;
+        let mut voter_sets = VecDeque::from([(snapshot_index, stored.snapshot.voters.clone())]);
+        voter_sets.extend(stored.entries.iter().filter_map(find_voters));
+        if snapshot_index > 0 {
+            actions.push(VoterAction::Restore(stored.snapshot.clone()));
+        }
+        let log = VoterLog::open(stored.snapshot, stored.entries);
+        let last = log.last_index();
+        let mut machine = Self {
+            id,
+            operator_address,
+            hard: stored.hard,
+            log,
+            voter_sets,
+            role: VoterRole::Follower,
+            leader: None,
+            leader_operator: None,
+            leader_heard: None,
+            election_at: now,
+            commit: snapshot_index,
+            applied: snapshot_index,
+            verified: 0,
+            synced: last,
+            save_sent: last,
+            hard_changed: false,
+            hard_sequence: 0,
+            sequence: 0,
+            saved_sequence: 0,
+            saves: VecDeque::new(),
+            held: VecDeque::new(),
+            installing: None,
+            incoming: None,
+            rng,
+        };
+        machine.restart_election_timer(now);
+        machine
+    }
+
+    /// Takes one event and adds what is to be done.
+    ///
+    /// # Panics
+    /// If an invariant is broken, which is a fault of the program or of its disk.
+    pub fn step(&mut self, now: MonotonicTime, event: VoterEvent, actions: &mut Vec<VoterAction>) {
+        let before = (self.commit, self.hard.term);
+        match event {
+            VoterEvent::Tick => self.tick(now, actions),
+            VoterEvent::Received(message) => self.receive(now, message, actions),
+            VoterEvent::Saved(sequence) => self.note_saved(now, sequence, actions),
+            VoterEvent::Propose { ticket, command } => {
+                self.propose(ticket, LogPayload::Command(command), actions);
+            }
+            VoterEvent::ChangeMembers {
+                ticket,
+                change,
+                command,
+            } => self.propose_members(now, ticket, &change, command, actions),
+            VoterEvent::Confirm { ticket } => self.ask_confirm(now, ticket, actions),
+            VoterEvent::Compact { index, bytes } => self.compact(index, bytes, actions),
+            VoterEvent::Found(set) => self.found(set, actions),
+            VoterEvent::Flush => self.flush(now, actions),
+        }
+        assert!(self.commit >= before.0, "commit index fell");
+        assert!(self.hard.term >= before.1, "term fell");
+        assert!(
+            self.applied == self.commit,
+            "all that is committed is applied at once"
+        );
+    }
+
+    /// Its identity.
+    pub fn id(&self) -> &VoterId {
+        &self.id
+    }
+
+    /// The newest term that it saw.
+    pub fn term(&self) -> u64 {
+        self.hard.term
+    }
+
+    /// Last entry that is known to be committed.
+    pub fn commit(&self) -> u64 {
+        self.commit
+    }
+
+    /// Whether it leads its term.
+    pub fn is_leader(&self) -> bool {
+        matches!(self.role, VoterRole::Leader(_))
+    }
+
+    /// Whether it received any state; without, it can neither stand nor found.
+    pub fn is_initialised(&self) -> bool {
+        self.log.last_index() > 0
+    }
+
+    /// The leader of its term, if known.
+    pub fn leader(&self) -> Option<&VoterId> {
+        self.leader.as_ref()
+    }
+
+    /// Where operators connect to the leader, if known.
+    pub fn leader_operator(&self) -> Option<SocketAddr> {
+        self.leader_operator
+    }
+
+    /// The members, as of the last entry of its log.
+    pub fn voters(&self) -> &VoterSet {
+        // The set of the snapshot is always kept.
+        &self.voter_sets[self.voter_sets.len() - 1].1
+    }
+
+    /// Its log.
+    pub fn log(&self) -> &VoterLog {
+        &self.log
+    }
+
+    /// What it does, in one word.
+    pub fn role_name(&self) -> &'static str {
+        match &self.role {
+            VoterRole::Leader(_) => "leader",
+            VoterRole::Candidate(_) => "candidate",
+            VoterRole::PreCandidate(_) => "pre-candidate",
+            VoterRole::Follower if self.voters().has_voter(&self.id) => "follower",
+            VoterRole::Follower if self.voters().find_member(&self.id).is_some() => "learner",
+            VoterRole::Follower => "outside",
+        }
+    }
+
+    fn receive(
+        &mut self,
+        now: MonotonicTime,
+        message: VoterMessage,
+        actions: &mut Vec<VoterAction>,
+    ) {
+        if message.to != self.id || message.from == self.id {
+            return;
+        }
+        let VoterMessage {
+            from, term, body, ..
+        } = message;
+        match body {
+            VoterBody::PreVote(end) => self.answer_pre_vote(now, &from, term, end, actions),
+            VoterBody::PreVoteReply { granted } => {
+                self.take_pre_vote(now, from, term, granted, actions);
+            }
+            VoterBody::Vote(end) => self.answer_vote(now, &from, term, end, actions),
+            VoterBody::VoteReply { granted } => self.take_vote(now, from, term, granted, actions),
+            VoterBody::Append(ask) => self.follow_append(now, &from, term, ask, actions),
+            VoterBody::AppendReply(reply) => {
+                self.take_append_reply(now, &from, term, reply, actions);
+            }
+            VoterBody::SnapshotPart(part) => self.follow_snapshot(now, &from, term, &part, actions),
+            VoterBody::SnapshotReply {
+                index,
+                received,
+                round,
+            } => self.take_snapshot_reply(now, &from, term, index, received, round, actions),
+        }
+    }
+
+    fn tick(&mut self, now: MonotonicTime, actions: &mut Vec<VoterAction>) {
+        if self.is_leader() {
+            self.tick_leader(now, actions);
+        } else if now >= self.election_at {
+            self.stand_pre_vote(now, actions);
+        }
+    }
+
+    fn restart_election_timer(&mut self, now: MonotonicTime) {
+        let span_ms = u64::try_from(ELECTION_SPAN.as_millis()).unwrap_or(u64::MAX);
+        let wait_ms = self.rng.random_range(span_ms..2 * span_ms);
+        self.election_at = now + Duration::from_millis(wait_ms);
+    }
+
+    /// Moves to a newer term, or stays in the same one, as a follower.
+    fn become_follower(
+        &mut self,
+        now: MonotonicTime,
+        term: u64,
+        leader: Option<VoterId>,
+        actions: &mut Vec<VoterAction>,
+    ) {
+        assert!(term >= self.hard.term, "terms only grow");
+        self.stop_leading(actions);
+        if term > self.hard.term {
+            self.hard = HardState { term, vote: None };
+            self.hard_changed = true;
+            self.verified = 0;
+            self.incoming = None;
+            self.leader_operator = None;
+            self.leader_heard = None;
+        }
+        self.role = VoterRole::Follower;
+        self.leader = leader;
+        self.restart_election_timer(now);
+    }
+
+    /// Queues a message; it leaves at once, or after the save that it depends on.
+    fn send(&mut self, to: &VoterId, term: u64, body: VoterBody, actions: &mut Vec<VoterAction>) {
+        let message = VoterMessage {
+            from: self.id.clone(),
+            to: to.clone(),
+            term,
+            body,
+        };
+        let after = self.save_hard(actions);
+        if after <= self.saved_sequence {
+            actions.push(VoterAction::Send(message));
+        } else {
+            self.held.push_back((after, message));
+        }
+    }
+
+    /// Saves term and vote if they changed; returns the sequence that makes them durable.
+    fn save_hard(&mut self, actions: &mut Vec<VoterAction>) -> u64 {
+        if self.hard_changed {
+            self.save(Vec::new(), actions);
+            self.hard_sequence = self.sequence;
+        }
+        self.hard_sequence
+    }
+
+    fn save(&mut self, entries: Vec<LogEntry>, actions: &mut Vec<VoterAction>) {
+        self.sequence += 1;
+        let hard = self.hard_changed.then(|| self.hard.clone());
+        if hard.is_some() {
+            self.hard_sequence = self.sequence;
+        }
+        self.hard_changed = false;
+        let last = entries.last().map_or(0, |entry| entry.index);
+        self.saves.push_back((self.sequence, last));
+        actions.push(VoterAction::Save(SaveBatch {
+            sequence: self.sequence,
+            hard,
+            entries,
+        }));
+    }
+
+    /// Saves entries that the disk has not been handed yet.
+    fn save_entries(&mut self, actions: &mut Vec<VoterAction>) {
+        if self.save_sent < self.log.last_index() {
+            let entries = self.log.entries_after(self.save_sent, usize::MAX);
+            self.save_sent = self.log.last_index();
+            self.save(entries, actions);
+        }
+    }
+
+    fn note_saved(&mut self, now: MonotonicTime, sequence: u64, actions: &mut Vec<VoterAction>) {
+        assert!(sequence <= self.sequence, "a save that was never asked for");
+        self.saved_sequence = self.saved_sequence.max(sequence);
+        while let Some((_, last)) = self.saves.pop_front_if(|(saved, _)| *saved <= sequence) {
+            self.synced = self.synced.max(last);
+        }
+        while let Some((_, message)) = self.held.pop_front_if(|(after, _)| *after <= sequence) {
+            actions.push(VoterAction::Send(message));
+        }
+        self.finish_install();
+        if self.is_leader() {
+            self.advance_commit(actions);
+        } else {
+            self.report_synced(actions);
+            self.count_votes(now, actions);
+        }
+    }
+
+    fn flush(&mut self, now: MonotonicTime, actions: &mut Vec<VoterAction>) {
+        self.save_entries(actions);
+        self.save_hard(actions);
+        self.replicate_all(now, actions);
+    }
+
+    /// Forgets entries from `index` on, which another leader made void.
+    fn truncate_from(&mut self, index: u64) {
+        assert!(index > self.commit, "a committed entry would be lost");
+        self.log.truncate_from(index);
+        self.voter_sets.retain(|(at, _)| *at < index);
+        self.synced = self.synced.min(index - 1);
+        self.save_sent = self.save_sent.min(index - 1);
+        for (_, last) in &mut self.saves {
+            *last = (*last).min(index - 1);
+        }
+    }
+
+    fn push_entry(&mut self, entry: LogEntry) {
+        self.voter_sets.extend(find_voters(&entry));
+        self.log.push(entry);
+    }
+
+    fn commit_to(&mut self, index: u64, actions: &mut Vec<VoterAction>) {
+        let index = index.min(self.log.last_index());
+        while self.commit < index {
+            self.commit += 1;
+            let entry = self
+                .log
+                .entry_at(self.commit)
+                .expect("committed entries are held");
+            assert_eq!(entry.index, self.commit, "entries are applied in order");
+            actions.push(VoterAction::Apply(entry.clone()));
+            self.applied = self.commit;
+        }
+    }
+
+    fn compact(&mut self, index: u64, bytes: bytes::Bytes, actions: &mut Vec<VoterAction>) {
+        assert!(index <= self.commit, "only committed entries are compacted");
+        if index <= self.log.snapshot().index {
+            return;
+        }
+        let voters = self.voters_at(index).clone();
+        let term = self.log.term_at(index).expect("committed entries are held");
+        let snapshot = LogSnapshot {
+            index,
+            term,
+            voters,
+            bytes,
+        };
+        self.save_entries(actions);
+        self.log.compact(snapshot.clone());
+        while self.voter_sets.len() > 1 && self.voter_sets[1].0 <= index {
+            self.voter_sets.pop_front();
+        }
+        self.save_snapshot(snapshot, false, actions);
+    }
+
+    fn save_snapshot(
+        &mut self,
+        snapshot: LogSnapshot,
+        reset: bool,
+        actions: &mut Vec<VoterAction>,
+    ) {
+        self.sequence += 1;
+        self.saves.push_back((self.sequence, 0));
+        actions.push(VoterAction::SaveSnapshot {
+            sequence: self.sequence,
+            snapshot,
+            reset,
+        });
+    }
+
+    /// The members as of the entry at `index`.
+    fn voters_at(&self, index: u64) -> &VoterSet {
+        let set = self.voter_sets.iter().rev().find(|(at, _)| *at <= index);
+        &set.expect("the snapshot's set is kept").1
+    }
+
+    /// Index of the entry that made the present members.
+    fn voters_index(&self) -> u64 {
+        self.voter_sets.back().expect("never empty").0
+    }
+}
+
+fn find_voters(entry: &LogEntry) -> Option<(u64, VoterSet)> {
+    match &entry.payload {
+        LogPayload::Voters(set, _) => Some((entry.index, set.clone())),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/daisyhinge/src/control/voter/lead.rs
@@ -0,0 +1,359 @@
+//! Leading a term: proposals, confirmation by a quorum, commit and changes of members.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use bytes::Bytes;
+
+use super::{
+    HEARTBEAT_SPAN, STEP_DOWN_SPAN, UNCOMMITTED_MAX, VoterAction, VoterMachine, VoterRole,
+};
+use crate::control::log::{LogEntry, LogPayload, LogSnapshot};
+use crate::control::member::{MemberChange, VoterId};
+use crate::prelude::*;
+
+/// Rounds whose start is remembered.
+const ROUNDS_KEPT: usize = 256;
+/// A learner this many entries behind at most may vote.
+const PROMOTE_LAG_ENTRIES: u64 = 64;
+
+/// What a leader knows of another member.
+#[derive(Clone, Debug)]
+pub(super) struct PeerState {
+    /// First entry to send next.
+    pub next: u64,
+    /// Last entry that is synced there.
+    pub matched: u64,
+    /// Round of the message that is under way and when it was sent.
+    pub flight: Option<(u64, MonotonicTime)>,
+    /// Newest round that it answered.
+    pub echoed: u64,
+    /// When it was last heard of.
+    pub heard: MonotonicTime,
+    /// Snapshot that it is being sent, and how much of it has arrived.
+    pub snapshot: Option<(LogSnapshot, u64)>,
+}
+
+/// What a leader keeps besides a voter's state.
+#[derive(Clone, Debug)]
+pub(super) struct LeadState {
+    /// Index of its first entry; before that is committed it answers nothing.
+    pub term_start: u64,
+    /// The other members.
+    pub peers: BTreeMap<VoterId, PeerState>,
+    /// Newest round of confirmation.
+    pub round: u64,
+    /// When rounds started.
+    pub rounds: VecDeque<(u64, MonotonicTime)>,
+    /// Newest round that a quorum answered.
+    pub confirmed: u64,
+    /// When that round started.
+    pub confirmed_at: Option<MonotonicTime>,
+    /// Questions that wait for a round.
+    pub waiting: VecDeque<(u64, u64)>,
+    /// Whether a question waits for a round to start.
+    pub round_wanted: bool,
+    /// When the next heartbeat is due.
+    pub heartbeat_at: MonotonicTime,
+}
+
+impl VoterMachine {
+    pub(super) fn lead(&mut self) -> Option<&mut LeadState> {
+        match &mut self.role {
+            VoterRole::Leader(lead) => Some(lead),
+            _ => None,
+        }
+    }
+
+    fn lead_ref(&self) -> Option<&LeadState> {
+        match &self.role {
+            VoterRole::Leader(lead) => Some(lead),
+            _ => None,
+        }
+    }
+
+    /// When the newest question that a quorum answered was sent, if this voter leads and
+    /// everything that earlier leaders committed is applied here.
+    pub fn confirmed_at(&self) -> Option<MonotonicTime> {
+        let lead = self.lead_ref()?;
+        if self.commit < lead.term_start {
+            return None;
+        }
+        lead.confirmed_at
+    }
+
+    /// Last entry that is synced at a member, and when it was last heard of.
+    pub fn peer_progress(&self, id: &VoterId) -> Option<(u64, MonotonicTime)> {
+        let peer = self.lead_ref()?.peers.get(id)?;
+        Some((peer.matched, peer.heard))
+    }
+
+    pub(super) fn start_leading(&mut self, now: MonotonicTime, actions: &mut Vec<VoterAction>) {
+        let term = self.hard.term;
+        let last = self.log.last_index();
+        self.leader = Some(self.id.clone());
+        self.leader_operator = Some(self.operator_address);
+        self.role = VoterRole::Leader(Box::new(LeadState {
+            term_start: last + 1,
+            peers: BTreeMap::new(),
+            round: 0,
+            rounds: VecDeque::new(),
+            confirmed: 0,
+            confirmed_at: None,
+            waiting: VecDeque::new(),
+            round_wanted: true,
+            heartbeat_at: now + HEARTBEAT_SPAN,
+        }));
+        self.match_peers(now, last + 1);
+        self.push_entry(LogEntry {
+            index: last + 1,
+            term,
+            payload: LogPayload::Blank,
+        });
+        actions.push(VoterAction::Led { term });
+        self.flush(now, actions);
+    }
+
+    /// Keeps state of exactly the other members.
+    pub(super) fn match_peers(&mut self, now: MonotonicTime, next: u64) {
+        let members: Vec<VoterId> = self
+            .voters()
+            .members
+            .iter()
+            .map(|member| member.id.clone())
+            .filter(|id| *id != self.id)
+            .collect();
+        let Some(lead) = self.lead() else {
+            return;
+        };
+        lead.peers.retain(|id, _| members.contains(id));
+        for id in members {
+            lead.peers.entry(id).or_insert_with(|| PeerState {
+                next,
+                matched: 0,
+                flight: None,
+                echoed: 0,
+                heard: now,
+                snapshot: None,
+            });
+        }
+    }
+
+    pub(super) fn stop_leading(&mut self, actions: &mut Vec<VoterAction>) {
+        let term = self.hard.term;
+        let Some(lead) = self.lead() else {
+            return;
+        };
+        let code = ResultCode::NotLeader;
+        let refused = lead.waiting.drain(..);
+        actions.extend(refused.map(|(_, ticket)| VoterAction::Refused { ticket, code }));
+        actions.push(VoterAction::Unled { term });
+        self.role = VoterRole::Follower;
+        self.leader = None;
+    }
+
+    pub(super) fn propose(
+        &mut self,
+        ticket: u64,
+        payload: LogPayload,
+        actions: &mut Vec<VoterAction>,
+    ) {
+        let refusal = if !self.is_leader() {
+            Some(ResultCode::NotLeader)
+        } else if self.log.last_index() - self.commit >= UNCOMMITTED_MAX {
+            Some(ResultCode::Overloaded)
+        } else {
+            None
+        };
+        if let Some(code) = refusal {
+            actions.push(VoterAction::Refused { ticket, code });
+            return;
+        }
+        let index = self.log.last_index() + 1;
+        let term = self.hard.term;
+        self.push_entry(LogEntry {
+            index,
+            term,
+            payload,
+        });
+        actions.push(VoterAction::Proposed {
+            ticket,
+            index,
+            term,
+        });
+    }
+
+    pub(super) fn propose_members(
+        &mut self,
+        now: MonotonicTime,
+        ticket: u64,
+        change: &MemberChange,
+        command: Bytes,
+        actions: &mut Vec<VoterAction>,
+    ) {
+        let set = self
+            .check_members_free()
+            .and_then(|()| self.voters().apply_change(change));
+        match set {
+            Ok(set) => {
+                self.propose(ticket, LogPayload::Voters(set, command), actions);
+                let next = self.log.last_index() + 1;
+                self.match_peers(now, next);
+            }
+            Err(code) => actions.push(VoterAction::Refused { ticket, code }),
+        }
+    }
+
+    /// Whether members may change now: the last change and an entry of this term are committed.
+    fn check_members_free(&self) -> Result<(), ResultCode> {
+        let lead = self.lead_ref().ok_or(ResultCode::NotLeader)?;
+        if self.voters_index() > self.commit || lead.term_start > self.commit {
+            return Err(ResultCode::VoterChangeRunning);
+        }
+        Ok(())
+    }
+
+    pub(super) fn ask_confirm(
+        &mut self,
+        _now: MonotonicTime,
+        ticket: u64,
+        actions: &mut Vec<VoterAction>,
+    ) {
+        if let Some(lead) = self.lead() {
+            lead.waiting.push_back((lead.round + 1, ticket));
+            lead.round_wanted = true;
+        } else {
+            let code = ResultCode::NotLeader;
+            actions.push(VoterAction::Refused { ticket, code });
+        }
+    }
+
+    /// Starts a round; what a quorum answers to it proves leadership as of `now`.
+    pub(super) fn start_round(&mut self, now: MonotonicTime) -> u64 {
+        let Some(lead) = self.lead() else {
+            return 0;
+        };
+        lead.round += 1;
+        lead.rounds.push_back((lead.round, now));
+        if lead.rounds.len() > ROUNDS_KEPT {
+            lead.rounds.pop_front();
+        }
+        lead.round
+    }
+
+    /// Takes account of rounds that a quorum answered.
+    pub(super) fn advance_confirmed(&mut self, actions: &mut Vec<VoterAction>) {
+        let Some(lead) = self.lead_ref() else {
+            return;
+        };
+        let own = lead.round;
+        let confirmed = self.voters().quorum_value(|member| {
+            if member.id == self.id {
+                own
+            } else {
+                lead.peers.get(&member.id).map_or(0, |peer| peer.echoed)
+            }
+        });
+        let ready = self.commit >= lead.term_start;
+        let Some(lead) = self.lead() else {
+            return;
+        };
+        while let Some((round, started)) =
+            lead.rounds.pop_front_if(|(round, _)| *round <= confirmed)
+        {
+            lead.confirmed = round;
+            lead.confirmed_at = Some(started);
+        }
+        if ready {
+            let reached = lead.confirmed;
+            while let Some((_, ticket)) = lead.waiting.pop_front_if(|(need, _)| *need <= reached) {
+                actions.push(VoterAction::Confirmed { ticket });
+            }
+        }
+    }
+
+    pub(super) fn advance_commit(&mut self, actions: &mut Vec<VoterAction>) {
+        let Some(lead) = self.lead_ref() else {
+            return;
+        };
+        let reached = self.voters().quorum_value(|member| {
+            if member.id == self.id {
+                self.synced
+            } else {
+                lead.peers.get(&member.id).map_or(0, |peer| peer.matched)
+            }
+        });
+        // Only an entry of its own term shows that a quorum holds all before it for good.
+        if reached > self.commit && self.log.term_at(reached) == Some(self.hard.term) {
+            self.commit_to(reached, actions);
+            self.advance_confirmed(actions);
+        }
+    }
+
+    pub(super) fn tick_leader(&mut self, now: MonotonicTime, actions: &mut Vec<VoterAction>) {
+        if !self.is_heard_by_quorum(now) || self.is_removed() {
+            let term = self.hard.term;
+            self.become_follower(now, term, None, actions);
+            return;
+        }
+        let Some(lead) = self.lead() else {
+            return;
+        };
+        if now >= lead.heartbeat_at {
+            lead.heartbeat_at = now + HEARTBEAT_SPAN;
+            lead.round_wanted = true;
+        }
+        self.tend_members(now, actions);
+        self.flush(now, actions);
+    }
+
+    fn is_heard_by_quorum(&self, now: MonotonicTime) -> bool {
+        let Some(lead) = self.lead_ref() else {
+            return false;
+        };
+        // A leader outside the set only waits until its own removal is committed.
+        self.voters().has_quorum(|id| {
+            *id == self.id
+                || lead
+                    .peers
+                    .get(id)
+                    .is_some_and(|peer| now.since(peer.heard) < STEP_DOWN_SPAN)
+        })
+    }
+
+    fn is_removed(&self) -> bool {
+        self.voters_index() <= self.commit && !self.voters().has_voter(&self.id)
+    }
+
+    /// Lets learners vote that have caught up, and removes identities that were replaced.
+    fn tend_members(&mut self, now: MonotonicTime, actions: &mut Vec<VoterAction>) {
+        if self.check_members_free().is_err() {
+            return;
+        }
+        let set = self.voters();
+        let replaced = set.voters().find_map(|member| {
+            let id = VoterId {
+                vm: member.id.vm.clone(),
+                number: member.replaces?,
+            };
+            set.find_member(&id).map(|old| old.id.clone())
+        });
+        let ready = set
+            .members
+            .iter()
+            .find(|member| member.learner && self.has_caught_up(now, &member.id));
+        let change = replaced
+            .map(MemberChange::Remove)
+            .or_else(|| ready.map(|member| MemberChange::Promote(member.id.clone())));
+        if let Some(change) = change {
+            self.propose_members(now, 0, &change, Bytes::new(), actions);
+        }
+    }
+
+    fn has_caught_up(&self, now: MonotonicTime, id: &VoterId) -> bool {
+        self.peer_progress(id).is_some_and(|(matched, heard)| {
+            matched > 0
+                && matched + PROMOTE_LAG_ENTRIES >= self.log.last_index()
+                && now.since(heard) < STEP_DOWN_SPAN
+        })
+    }
+}
--- /dev/null
+++ b/daisyhinge/src/control/voter/replicate.rs
@@ -0,0 +1,250 @@
+//! Sending the log to other members, by appends or by a snapshot in parts.
+
+use std::time::Duration;
+
+use super::{APPEND_MAX_BYTES, SNAPSHOT_PART_BYTES, VoterAction, VoterMachine};
+use crate::control::member::VoterId;
+use crate::control::message::{AppendAsk, AppendReply, SnapshotPart, VoterBody};
+use crate::prelude::*;
+
+/// Time after which a message without an answer is sent again.
+const RESEND_SPAN: Duration = Duration::from_millis(300);
+
+impl VoterMachine {
+    /// Sends what each member lacks, and a heartbeat to all if a round is wanted.
+    pub(super) fn replicate_all(&mut self, now: MonotonicTime, actions: &mut Vec<VoterAction>) {
+        let last = self.log.last_index();
+        let Some(lead) = self.lead() else {
+            return;
+        };
+        let heartbeat = std::mem::take(&mut lead.round_wanted);
+        let mut due: Vec<VoterId> = Vec::new();
+        for (id, peer) in &mut lead.peers {
+            if peer
+                .flight
+                .is_some_and(|(_, sent)| now.since(sent) >= RESEND_SPAN)
+            {
+                peer.flight = None;
+                peer.next = peer.matched + 1;
+            }
+            let lacks = peer.next <= last || peer.snapshot.is_some();
+            if heartbeat || (peer.flight.is_none() && lacks) {
+                due.push(id.clone());
+            }
+        }
+        if heartbeat || !due.is_empty() {
+            let round = self.start_round(now);
+            for id in due {
+                self.send_peer(now, &id, round, actions);
+            }
+            self.advance_confirmed(actions);
+        }
+    }
+
+    fn send_peer(
+        &mut self,
+        now: MonotonicTime,
+        id: &VoterId,
+        round: u64,
+        actions: &mut Vec<VoterAction>,
+    ) {
+        let Some(peer) = self.lead().and_then(|lead| lead.peers.get(id)).cloned() else {
+            return;
+        };
+        if peer.flight.is_some() {
+            self.send_heartbeat(id, peer.matched, round, actions);
+        } else if peer.snapshot.is_some() || peer.next <= self.log.base_index() {
+            self.send_snapshot_part(now, id, round, actions);
+        } else {
+            self.send_append(now, id, peer.next, round, actions);
+        }
+    }
+
+    fn send_heartbeat(
+        &mut self,
+        id: &VoterId,
+        matched: u64,
+        round: u64,
+        actions: &mut Vec<VoterAction>,
+    ) {
+        // Index 0 agrees with any log.
+        let (prev_index, prev_term) = self
+            .log
+            .term_at(matched)
+            .map_or((0, 0), |term| (matched, term));
+        self.send_ask(id, prev_index, prev_term, round, Vec::new(), actions);
+    }
+
+    fn send_ask(
+        &mut self,
+        id: &VoterId,
+        prev_index: u64,
+        prev_term: u64,
+        round: u64,
+        entries: Vec<crate::control::log::LogEntry>,
+        actions: &mut Vec<VoterAction>,
+    ) {
+        let body = VoterBody::Append(AppendAsk {
+            prev_index,
+            prev_term,
+            commit: self.commit,
+            round,
+            operator_address: self.operator_address,
+            entries,
+        });
+        self.send(id, self.hard.term, body, actions);
+    }
+
+    fn send_append(
+        &mut self,
+        now: MonotonicTime,
+        id: &VoterId,
+        next: u64,
+        round: u64,
+        actions: &mut Vec<VoterAction>,
+    ) {
+        let prev_index = next - 1;
+        let prev_term = self.log.term_at(prev_index).expect("at or above the base");
+        let entries = self.log.entries_after(prev_index, APPEND_MAX_BYTES);
+        let after = next + entries.len() as u64;
+        self.set_flight(now, id, round, |peer| peer.next = after);
+        self.send_ask(id, prev_index, prev_term, round, entries, actions);
+    }
+
+    fn set_flight(
+        &mut self,
+        now: MonotonicTime,
+        id: &VoterId,
+        round: u64,
+        change: impl FnOnce(&mut super::lead::PeerState),
+    ) {
+        if let Some(peer) = self.lead().and_then(|lead| lead.peers.get_mut(id)) {
+            peer.flight = Some((round, now));
+            change(peer);
+        }
+    }
+
+    fn send_snapshot_part(
+        &mut self,
+        now: MonotonicTime,
+        id: &VoterId,
+        round: u64,
+        actions: &mut Vec<VoterAction>,
+    ) {
+        let newest = self.log.snapshot().clone();
+        let Some(peer) = self.lead().and_then(|lead| lead.peers.get_mut(id)) else {
+            return;
+        };
+        peer.flight = Some((round, now));
+        let (snapshot, offset) = peer.snapshot.get_or_insert((newest, 0));
+        let start = usize::try_from(*offset).unwrap_or(usize::MAX);
+        let start = start.min(snapshot.bytes.len());
+        let end = (start + SNAPSHOT_PART_BYTES).min(snapshot.bytes.len());
+        let part = SnapshotPart {
+            index: snapshot.index,
+            term: snapshot.term,
+            voters: snapshot.voters.clone(),
+            total: snapshot.bytes.len() as u64,
+            offset: start as u64,
+            round,
+            bytes: snapshot.bytes.slice(start..end),
+        };
+        self.send(id, self.hard.term, VoterBody::SnapshotPart(part), actions);
+    }
+
+    /// Notes that a member answered in this term. `false` if the answer is void.
+    fn note_heard(
+        &mut self,
+        now: MonotonicTime,
+        from: &VoterId,
+        term: u64,
+        round: u64,
+        actions: &mut Vec<VoterAction>,
+    ) -> bool {
+        if term > self.hard.term {
+            self.become_follower(now, term, None, actions);
+            return false;
+        }
+        if term < self.hard.term {
+            return false;
+        }
+        let Some(peer) = self.lead().and_then(|lead| lead.peers.get_mut(from)) else {
+            return false;
+        };
+        peer.heard = now;
+        peer.echoed = peer.echoed.max(round);
+        if peer.flight.is_some_and(|(sent, _)| sent <= round) {
+            peer.flight = None;
+        }
+        true
+    }
+
+    pub(super) fn take_append_reply(
+        &mut self,
+        now: MonotonicTime,
+        from: &VoterId,
+        term: u64,
+        reply: AppendReply,
+        actions: &mut Vec<VoterAction>,
+    ) {
+        if !self.note_heard(now, from, term, reply.round, actions) {
+            return;
+        }
+        let last = self.log.last_index();
+        if let Some(peer) = self.lead().and_then(|lead| lead.peers.get_mut(from)) {
+            if reply.accepted {
+                assert!(reply.matched <= last, "a member holds more than its leader");
+                peer.matched = peer.matched.max(reply.matched);
+                peer.next = peer.next.max(peer.matched + 1);
+            } else if peer.flight.is_none() {
+                peer.next = peer.next.min(reply.matched + 1).max(peer.matched + 1);
+            }
+        }
+        self.advance_commit(actions);
+        self.advance_confirmed(actions);
+        self.send_more(now, from, actions);
+    }
+
+    /// Sends the member what it lacks, if nothing is under way to it.
+    fn send_more(&mut self, now: MonotonicTime, id: &VoterId, actions: &mut Vec<VoterAction>) {
+        let last = self.log.last_index();
+        let due = self
+            .lead()
+            .and_then(|lead| lead.peers.get(id))
+            .is_some_and(|peer| {
+                peer.flight.is_none() && (peer.next <= last || peer.snapshot.is_some())
+            });
+        if due {
+            let round = self.start_round(now);
+            self.send_peer(now, id, round, actions);
+        }
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "the fields of one message")]
+    pub(super) fn take_snapshot_reply(
+        &mut self,
+        now: MonotonicTime,
+        from: &VoterId,
+        term: u64,
+        index: u64,
+        received: u64,
+        round: u64,
+        actions: &mut Vec<VoterAction>,
+    ) {
+        if !self.note_heard(now, from, term, round, actions) {
+            return;
+        }
+        if let Some(peer) = self.lead().and_then(|lead| lead.peers.get_mut(from))
+            && let Some((snapshot, offset)) = &mut peer.snapshot
+            && snapshot.index == index
+        {
+            *offset = received;
+            if received >= snapshot.bytes.len() as u64 {
+                peer.snapshot = None;
+                peer.next = index + 1;
+            }
+        }
+        self.advance_confirmed(actions);
+        self.send_more(now, from, actions);
+    }
+}
--- a/daisyhinge/src/lib.rs
+++ b/daisyhinge/src/lib.rs
@@ -5,6 +5,7 @@
 //! actions into bytes. Imports run one way: shells import decisions, decisions import
 //! [`vocabulary`], never back.
 
+pub mod control;
 pub mod prelude;
 pub mod vocabulary;
 
--- /dev/null
+++ b/daisyhinge/src/shell/control.rs
@@ -0,0 +1,286 @@
+//! The shell of a control process: sockets, disk and clock around [`ControlCore`].
+//!
+//! One task owns the core. A thread writes the data folder, with one sync for all that has
+//! gathered meanwhile. Asks reach the task through a channel and wait for their reply. No locks
+//! but those of the table of relay connections, which is held across no await.
+//!
+//! [`ControlCore`]: crate::control::core::ControlCore
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::JoinHandle;
+
+use crate::control::book::EnvironmentReading;
+use crate::control::core::{CoreAsk, CoreReply};
+use crate::control::member::VoterId;
+use crate::prelude::*;
+use crate::vocabulary::change::{ChangeAsk, ChangeDone, ChangeKind, ChangeRecord, ChangeRefusal};
+use crate::vocabulary::claim::{ClaimAsk, ClaimEnd, ClaimReply};
+use crate::vocabulary::control::ControlStatus;
+use crate::vocabulary::event::EventDraft;
+use crate::vocabulary::freshness::{FreshAsk, FreshReply};
+use crate::vocabulary::setting::ControlSettings;
+use crate::vocabulary::view::ControlView;
+
+pub mod codec;
+mod disk;
+mod driver;
+pub mod folder;
+mod found;
+pub mod link;
+mod peer;
+mod serve;
+
+use driver::{ControlDriver, DriverInput};
+use folder::DataFolder;
+
+/// Longest wait for a change, a read or a claim.
+const ASK_SPAN: Duration = Duration::from_secs(5);
+/// Inputs that may wait for the task.
+const INPUTS_MAX: usize = 16_384;
+
+/// Takes events of the time line.
+pub type EventSink = Arc<dyn Fn(EventDraft) + Send + Sync>;
+
+/// Why a control process can't start or go on.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ControlFault {
+    /// The code.
+    pub code: ResultCode,
+    /// What happened and what to do.
+    pub detail: String,
+}
+
+impl fmt::Display for ControlFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {}: {}", self.code.number(), self.code, self.detail)
+    }
+}
+
+impl std::error::Error for ControlFault {}
+
+/// A running control process; clones share it.
+#[derive(Clone, Debug)]
+pub struct ControlShell {
+    id: VoterId,
+    address: SocketAddr,
+    inputs: mpsc::Sender<DriverInput>,
+    failure: watch::Receiver<Option<ControlFault>>,
+    tasks: Arc<parking_lot::Mutex<Vec<JoinHandle<()>>>>,
+    driver: Arc<parking_lot::Mutex<Option<JoinHandle<()>>>>,
+}
+
+impl ControlShell {
+    /// Opens the data folder, binds the address and runs. Needs a tokio runtime.
+    ///
+    /// # Errors
+    /// [`ResultCode::FolderInUse`], [`ResultCode::FolderMismatch`],
+    /// [`ResultCode::RecordDamaged`], [`ResultCode::StorageFailed`] or
+    /// [`ResultCode::BindFailed`], each with what to do.
+    pub fn spawn(settings: ControlSettings, note: EventSink) -> Result<Self, ControlFault> {
+        let (folder, opened) =
+            DataFolder::open(&settings.data_folder, &settings.vm, rand::random())?;
+        let listener = bind_listener(settings.address)?;
+        let address = listener.local_addr().map_err(|error| bind_fault(&error))?;
+        let id = opened.id.clone();
+        let (inputs, receiver) = mpsc::channel(INPUTS_MAX);
+        let (failed, failure) = watch::channel(None);
+        let driver = ControlDriver::open(driver::DriverParts {
+            address,
+            operator_address: settings.operator_address,
+            folder,
+            opened,
+            rng: ChaCha8Rng::from_seed(rand::random()),
+            inputs: inputs.clone(),
+            failed,
+            note,
+        });
+        let shell = Self {
+            id,
+            address,
+            inputs,
+            failure,
+            tasks: Arc::default(),
+            driver: Arc::default(),
+        };
+        *shell.driver.lock() = Some(tokio::spawn(driver.run(receiver)));
+        let server = serve::ControlServer::new(shell.clone());
+        let peers = settings.voters;
+        let mut tasks = shell.tasks.lock();
+        tasks.push(tokio::spawn(server.run(listener)));
+        tasks.push(tokio::spawn(found::run_founding(shell.clone(), peers)));
+        drop(tasks);
+        Ok(shell)
+    }
+
+    /// Its identity.
+    pub fn id(&self) -> &VoterId {
+        &self.id
+    }
+
+    /// Where control VMs and entries connect to it.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    async fn ask(&self, ask: CoreAsk) -> Option<CoreReply> {
+        let (reply, replied) = oneshot::channel();
+        let input = DriverInput::Ask { ask, reply };
+        self.inputs.send(input).await.ok()?;
+        tokio::time::timeout(ASK_SPAN, replied).await.ok()?.ok()
+    }
+
+    /// Makes a change. It is accepted once a quorum has it on synced disks.
+    ///
+    /// # Errors
+    /// The refusal; with [`ResultCode::ChangeOutcomeUnknown`] it may yet come in force, and the
+    /// same change is to be sent again.
+    pub async fn change(&self, ask: ChangeAsk) -> Result<ChangeDone, ChangeRefusal> {
+        let id = match &ask.kind {
+            ChangeKind::AddVoter { address, .. } => peer::ask_identity(*address).await,
+            _ => None,
+        };
+        match self.ask(CoreAsk::Change(ask, id)).await {
+            Some(CoreReply::Change(reply)) => reply,
+            _ => Err(refuse(ResultCode::ChangeOutcomeUnknown)),
+        }
+    }
+
+    /// The newest view, confirmed by a quorum.
+    ///
+    /// # Errors
+    /// [`ResultCode::NotLeader`] or [`ResultCode::NoQuorum`].
+    pub async fn read_view(&self) -> Result<Arc<ControlView>, ChangeRefusal> {
+        match self.ask(CoreAsk::View).await {
+            Some(CoreReply::View(reply)) => reply,
+            _ => Err(refuse(ResultCode::NoQuorum)),
+        }
+    }
+
+    /// An environment's document and the version at which it last changed, confirmed by a quorum.
+    ///
+    /// # Errors
+    /// [`ResultCode::UnknownEnvironment`], [`ResultCode::NotLeader`] or [`ResultCode::NoQuorum`].
+    pub async fn read_environment(
+        &self,
+        name: &EnvironmentName,
+    ) -> Result<EnvironmentReading, ChangeRefusal> {
+        match self.ask(CoreAsk::Environment(name.clone())).await {
+            Some(CoreReply::Environment(reply)) => reply,
+            _ => Err(refuse(ResultCode::NoQuorum)),
+        }
+    }
+
+    /// Accepted changes of an environment, oldest first, confirmed by a quorum.
+    ///
+    /// # Errors
+    /// [`ResultCode::UnknownEnvironment`], [`ResultCode::NotLeader`] or [`ResultCode::NoQuorum`].
+    pub async fn history(
+        &self,
+        name: &EnvironmentName,
+    ) -> Result<Vec<ChangeRecord>, ChangeRefusal> {
+        match self.ask(CoreAsk::History(name.clone())).await {
+            Some(CoreReply::History(reply)) => reply,
+            _ => Err(refuse(ResultCode::NoQuorum)),
+        }
+    }
+
+    /// Proves freshness to an entry, if this VM leads.
+    ///
+    /// # Errors
+    /// Why there is no proof.
+    pub async fn fresh(&self, ask: FreshAsk) -> FreshReply {
+        match self.ask(CoreAsk::Fresh(ask)).await {
+            Some(CoreReply::Fresh(reply)) => reply,
+            _ => Err(ResultCode::NoQuorum),
+        }
+    }
+
+    /// Claims a request, if this VM leads.
+    pub async fn claim(&self, ask: ClaimAsk) -> ClaimReply {
+        match self.ask(CoreAsk::Claim(ask)).await {
+            Some(CoreReply::Claim(reply)) => reply,
+            _ => ClaimReply::Refused(ResultCode::NoQuorum),
+        }
+    }
+
+    /// Records how a claimed request ended, if this VM leads.
+    pub async fn end_claim(&self, end: ClaimEnd) -> bool {
+        matches!(
+            self.ask(CoreAsk::EndClaim(end)).await,
+            Some(CoreReply::EndClaim(true))
+        )
+    }
+
+    /// Its state; unset once it has stopped.
+    pub async fn status(&self) -> Option<ControlStatus> {
+        let (reply, replied) = oneshot::channel();
+        self.inputs.send(DriverInput::Status(reply)).await.ok()?;
+        replied.await.ok()
+    }
+
+    /// Where the leader is reached, if another VM leads.
+    async fn find_leader(&self) -> Option<SocketAddr> {
+        let (reply, replied) = oneshot::channel();
+        self.inputs.send(DriverInput::Leader(reply)).await.ok()?;
+        replied.await.ok()?
+    }
+
+    /// Waits until it fails for good; never returns if it is stopped.
+    pub async fn failed(&self) -> ControlFault {
+        let mut failure = self.failure.clone();
+        loop {
+            if let Some(fault) = failure.borrow_and_update().clone() {
+                return fault;
+            }
+            if failure.changed().await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        }
+    }
+
+    /// Stops it; what is under way is synced first.
+    pub async fn stop(&self) {
+        let sent = self.inputs.send(DriverInput::Stop).await;
+        let driver = self.driver.lock().take();
+        if let (Ok(()), Some(driver)) = (sent, driver) {
+            // An error would be a panic of the task, which has reported itself.
+            let _: Result<(), _> = driver.await;
+        }
+        for task in self.tasks.lock().drain(..) {
+            task.abort();
+        }
+    }
+}
+
+fn refuse(code: ResultCode) -> ChangeRefusal {
+    ChangeRefusal {
+        code,
+        current: VersionNumber(0),
+        winner: None,
+        leader: None,
+    }
+}
+
+fn bind_listener(address: SocketAddr) -> Result<TcpListener, ControlFault> {
+    std::net::TcpListener::bind(address)
+        .and_then(|listener| {
+            listener.set_nonblocking(true)?;
+            TcpListener::from_std(listener)
+        })
+        .map_err(|error| bind_fault(&error))
+}
+
+fn bind_fault(error: &std::io::Error) -> ControlFault {
+    ControlFault {
+        code: ResultCode::BindFailed,
+        detail: format!("{error}; check the setting `address`"),
+    }
+}
--- /dev/null
+++ b/daisyhinge/src/shell/control/link.rs
@@ -0,0 +1,38 @@
+//! The calls that control VMs make to one another.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::control::member::VoterId;
+use crate::control::message::VoterMessage;
+use crate::vocabulary::claim::{ClaimAsk, ClaimEnd, ClaimReply};
+use crate::vocabulary::freshness::{FreshAsk, FreshReply};
+
+/// First bytes of a connection between control VMs. Connections of entries begin with a frame's
+/// length, whose first byte is 0.
+pub const VOTER_PREFACE: [u8; 8] = *b"dhvoter1";
+
+/// Who answers at an address.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct HelloReply {
+    /// Its identity.
+    pub id: VoterId,
+    /// Whether it holds any state of the log.
+    pub initialised: bool,
+}
+
+/// Calls that a control VM takes from other control VMs.
+#[tarpc::service]
+pub trait VoterLink {
+    /// Says who answers.
+    async fn hello() -> HelloReply;
+    /// Takes messages of the log, sent by `from`, which is reached at `address`.
+    async fn deliver(from: VoterId, address: SocketAddr, messages: Vec<VoterMessage>);
+    /// Proves freshness to an entry that asked another control VM; the leader alone answers.
+    async fn relay_fresh(ask: FreshAsk) -> FreshReply;
+    /// Claims for an entry that asked another control VM; the leader alone answers.
+    async fn relay_claim(ask: ClaimAsk) -> ClaimReply;
+    /// Ends a claim for an entry that told another control VM; the leader alone answers.
+    async fn relay_end_claim(end: ClaimEnd) -> bool;
+}
--- /dev/null
+++ b/daisyhinge/src/shell/control/serve.rs
@@ -0,0 +1,225 @@
+//! Serving entries and other control VMs on one address.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use futures::StreamExt;
+use parking_lot::Mutex;
+use tarpc::context::Context;
+use tarpc::serde_transport::Transport;
+use tarpc::server::{BaseChannel, Channel};
+use tarpc::tokio_serde::formats::Bincode;
+use tokio::io::AsyncReadExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio::task::JoinSet;
+
+use super::ControlShell;
+use super::driver::DriverInput;
+use super::link::{HelloReply, VOTER_PREFACE, VoterLink, VoterLinkClient};
+use super::peer::{call_context, connect_voter};
+use crate::control::member::VoterId;
+use crate::control::message::VoterMessage;
+use crate::prelude::*;
+use crate::shell::link::ControlLink;
+use crate::vocabulary::claim::{ClaimAsk, ClaimEnd, ClaimReply};
+use crate::vocabulary::clock::span_to_micros;
+use crate::vocabulary::freshness::{FreshAsk, FreshReply};
+
+/// Connections at a time.
+const CONNECTIONS_MAX: usize = 8_192;
+/// Calls that run at a time on one connection.
+const CALLS_MAX: usize = 1_024;
+/// Longest wait for the first byte of a connection.
+const PREFACE_SPAN: Duration = Duration::from_secs(5);
+/// Longest wait for a relayed call.
+const RELAY_SPAN: Duration = Duration::from_secs(4);
+
+/// Serves one control process.
+#[derive(Clone, Debug)]
+pub(super) struct ControlServer {
+    shell: ControlShell,
+    relay: Arc<Mutex<Option<RelayLink>>>,
+}
+
+/// The connection to the leader over which calls are relayed.
+#[derive(Clone, Debug)]
+struct RelayLink {
+    address: SocketAddr,
+    client: VoterLinkClient,
+}
+
+impl ControlServer {
+    pub(super) fn new(shell: ControlShell) -> Self {
+        Self {
+            shell,
+            relay: Arc::default(),
+        }
+    }
+
+    pub(super) async fn run(self, listener: TcpListener) {
+        let room = Arc::new(Semaphore::new(CONNECTIONS_MAX));
+        let mut connections = JoinSet::new();
+        loop {
+            let Ok(permit) = Arc::clone(&room).acquire_owned().await else {
+                return;
+            };
+            let Ok((stream, _)) = listener.accept().await else {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+                continue;
+            };
+            while connections.try_join_next().is_some() {}
+            let server = self.clone();
+            connections.spawn(async move {
+                server.serve(stream).await;
+                drop(permit);
+            });
+        }
+    }
+
+    async fn serve(self, mut stream: TcpStream) -> Option<()> {
+        stream.set_nodelay(true).ok()?;
+        let mut first = [0];
+        let peeked = tokio::time::timeout(PREFACE_SPAN, stream.peek(&mut first)).await;
+        if peeked.ok()?.ok()? == 0 {
+            return None;
+        }
+        if first[0] == VOTER_PREFACE[0] {
+            let mut preface = [0; VOTER_PREFACE.len()];
+            stream.read_exact(&mut preface).await.ok()?;
+            if preface != VOTER_PREFACE {
+                return None;
+            }
+            let transport = Transport::from((stream, Bincode::default()));
+            let channel = BaseChannel::with_defaults(transport).max_concurrent_requests(CALLS_MAX);
+            run_calls(channel.execute(VoterLink::serve(self))).await;
+        } else {
+            let transport = Transport::from((stream, Bincode::default()));
+            let channel = BaseChannel::with_defaults(transport).max_concurrent_requests(CALLS_MAX);
+            run_calls(channel.execute(ControlLink::serve(self))).await;
+        }
+        Some(())
+    }
+
+    /// A connection to the leader, if another VM leads.
+    async fn open_relay(&self) -> Option<VoterLinkClient> {
+        let address = self.shell.find_leader().await?;
+        let held = self.relay.lock().clone();
+        if let Some(link) = held.filter(|link| link.address == address) {
+            return Some(link.client);
+        }
+        let client = connect_voter(address).await?;
+        *self.relay.lock() = Some(RelayLink {
+            address,
+            client: client.clone(),
+        });
+        Some(client)
+    }
+
+    fn drop_relay(&self) {
+        *self.relay.lock() = None;
+    }
+}
+
+/// Runs the calls of one connection side by side; they end with it.
+async fn run_calls<F: Future<Output = ()> + Send + 'static>(
+    calls: impl futures::Stream<Item = F> + Send,
+) {
+    let mut calls = std::pin::pin!(calls);
+    let mut running = JoinSet::new();
+    while let Some(call) = calls.next().await {
+        running.spawn(call);
+        while running.try_join_next().is_some() {}
+    }
+}
+
+impl ControlLink for ControlServer {
+    async fn fresh(self, _: Context, ask: FreshAsk) -> FreshReply {
+        let reply = self.shell.fresh(ask.clone()).await;
+        if reply != Err(ResultCode::NotLeader) {
+            return reply;
+        }
+        let Some(relay) = self.open_relay().await else {
+            return Err(ResultCode::NotLeader);
+        };
+        let sent = Instant::now();
+        let Ok(reply) = relay.relay_fresh(call_context(RELAY_SPAN), ask).await else {
+            self.drop_relay();
+            return Err(ResultCode::NotLeader);
+        };
+        // The proof was made after it was sent for; its age grows by at most this.
+        reply.map(|mut proof| {
+            proof.age_us = proof.age_us.saturating_add(span_to_micros(sent.elapsed()));
+            proof
+        })
+    }
+
+    async fn claim(self, _: Context, ask: ClaimAsk) -> ClaimReply {
+        let reply = self.shell.claim(ask.clone()).await;
+        if reply != ClaimReply::Refused(ResultCode::NotLeader) {
+            return reply;
+        }
+        let Some(relay) = self.open_relay().await else {
+            return reply;
+        };
+        let Ok(reply) = relay.relay_claim(call_context(RELAY_SPAN), ask).await else {
+            self.drop_relay();
+            return ClaimReply::Refused(ResultCode::NoQuorum);
+        };
+        reply
+    }
+
+    async fn end_claim(self, _: Context, end: ClaimEnd) -> bool {
+        if self.shell.end_claim(end.clone()).await {
+            return true;
+        }
+        let Some(relay) = self.open_relay().await else {
+            return false;
+        };
+        let Ok(recorded) = relay.relay_end_claim(call_context(RELAY_SPAN), end).await else {
+            self.drop_relay();
+            return false;
+        };
+        recorded
+    }
+}
+
+impl VoterLink for ControlServer {
+    async fn hello(self, _: Context) -> HelloReply {
+        let status = self.shell.status().await;
+        HelloReply {
+            id: self.shell.id().clone(),
+            // One that can't say must not be taken for empty.
+            initialised: status.is_none_or(|status| status.commit > 0),
+        }
+    }
+
+    async fn deliver(
+        self,
+        _: Context,
+        from: VoterId,
+        address: SocketAddr,
+        messages: Vec<VoterMessage>,
+    ) {
+        let input = DriverInput::Delivered {
+            from,
+            address,
+            messages,
+        };
+        // The task ends only with the shell.
+        let _: Result<(), _> = self.shell.inputs.send(input).await;
+    }
+
+    async fn relay_fresh(self, _: Context, ask: FreshAsk) -> FreshReply {
+        self.shell.fresh(ask).await
+    }
+
+    async fn relay_claim(self, _: Context, ask: ClaimAsk) -> ClaimReply {
+        self.shell.claim(ask).await
+    }
+
+    async fn relay_end_claim(self, _: Context, end: ClaimEnd) -> bool {
+        self.shell.end_claim(end).await
+    }
+}
--- a/daisyhinge/src/vocabulary.rs
+++ b/daisyhinge/src/vocabulary.rs
@@ -6,6 +6,7 @@
 pub mod claim;
 pub mod clock;
 pub mod code;
+pub mod control;
 pub mod environment;
 pub mod event;
 pub mod freshness;
--- a/daisyhinge/src/vocabulary/environment.rs
+++ b/daisyhinge/src/vocabulary/environment.rs
@@ -30,7 +30,7 @@
     #[serde(default)]
     pub state: CentreState,
     /// Sub-requests that may run there at a time under the site's power cap; unset: no cap.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(default)]
     pub power_cap: Option<u32>,
 }
 
--- a/daisyhinge/src/vocabulary/freshness.rs
+++ b/daisyhinge/src/vocabulary/freshness.rs
@@ -1,12 +1,19 @@
 //! Messages by which control proves to entries that a version is the newest.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use crate::prelude::*;
 use crate::vocabulary::view::{ControlView, EntryRecord};
 
+/// How long an entry may act on a version after the moment that a proof speaks of.
+pub const LEASE_SPAN: Duration = Duration::from_secs(4);
+/// What whoever waits for another's lease to end adds, since monotonic clocks run at slightly
+/// different rates.
+pub const LEASE_DRIFT_SPAN: Duration = Duration::from_millis(200);
+
 /// An entry asks for a proof of freshness. Asking also keeps it a member.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct FreshAsk {
