Free the address of a control process before stop returns

Cause: a process restarted at once found its address in use, since the task that listens was aborted but not awaited (seen once in the test of one voter). Ruled out: a port taken by an outgoing connection; tests now choose ports below those. Conclusion: stop awaits its tasks.

--- a/daisyhinge/src/shell/control.rs
+++ b/daisyhinge/src/shell/control.rs
@@ -254,8 +254,11 @@
             // An error would be a panic of the task, which has reported itself.
             let _: Result<(), _> = driver.await;
         }
-        for task in self.tasks.lock().drain(..) {
-            task.abort();
+        let tasks: Vec<JoinHandle<()>> = self.tasks.lock().drain(..).collect();
+        tasks.iter().for_each(JoinHandle::abort);
+        for task in tasks {
+            // Awaited so that the address is free again; that it was aborted is no news.
+            let _: Result<(), _> = task.await;
         }
     }
 }
--- a/daisyhinge/tests/control_shell.rs
+++ b/daisyhinge/tests/control_shell.rs
@@ -3,6 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::Path;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 use daisyhinge::prelude::*;
@@ -23,9 +24,18 @@
 /// Longest wait for anything; only a broken run takes that long.
 const WAIT_MAX: Duration = Duration::from_mins(1);
 
+/// A free address below the ports that outgoing connections use, so that none takes it while
+/// the process that listens there is down.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
-    listener.local_addr().unwrap()
+    static TAKEN: AtomicU16 = AtomicU16::new(0);
+    let start = std::process::id() % 10_000;
+    loop {
+        let step = u32::from(TAKEN.fetch_add(1, Ordering::Relaxed));
+        let port = u16::try_from(20_000 + (start * 7 + step) % 12_000).unwrap();
+        if let Ok(listener) = TcpListener::bind((Ipv4Addr::LOCALHOST, port)) {
+            return listener.local_addr().unwrap();
+        }
+    }
 }
 
 fn make_settings(folder: &Path, vm: &str, voters: &[VoterPeer]) -> ControlSettings {
