--- a/daisyhinge/src/lib.rs
+++ b/daisyhinge/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod keeper;
 pub mod lease;
 pub mod metric;
+pub mod control;
 pub mod prelude;
 pub mod rendezvous;
 pub mod search;
