--- a/daisyhinge/src/keeper/ramp.rs
+++ b/daisyhinge/src/keeper/ramp.rs
@@ -59,7 +59,7 @@
             service_us: 0,
         };
         ramp.announce(now, announcement);
-        ramp.take_bad_sign(now);
+        ramp.limit = ramp.bottom();
         ramp.finish_raise();
         ramp
     }
--- /dev/null
+++ b/daisyhinge/tests/keeper/support.rs
@@ -0,0 +1,195 @@
+//! Announcements, tickets and views for the keeper's tests.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use daisyhinge::keeper::gate::KeeperGate;
+use daisyhinge::keeper::ticket::SubTicket;
+use daisyhinge::keeper::{KeeperAction, KeeperEvent, ReplicaKeeper};
+use daisyhinge::prelude::*;
+use daisyhinge::vocabulary::announcement::{HeldSnapshot, ReplicaAnnouncement, ServerState};
+use daisyhinge::vocabulary::environment::{
+    CentreEntry, CentreState, EnvironmentDocument, RegionEntry,
+};
+use daisyhinge::vocabulary::view::{ControlView, DepartedEntry, EntryRecord, EntryState};
+
+pub const CENTRE: &str = "lagos-1";
+pub const ENVIRONMENT: &str = "production";
+
+pub fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+pub fn at(count_ms: u64) -> MonotonicTime {
+    MonotonicTime(count_ms * 1_000)
+}
+
+pub fn held(snapshot: u64, shard: u32) -> HeldSnapshot {
+    HeldSnapshot {
+        snapshot: SnapshotNumber(snapshot),
+        generation: 1,
+        shard: ShardNumber(shard),
+        shards: 4,
+        weight: 10,
+        whole_weight: 40,
+    }
+}
+
+/// A ready replica of shard 0 with 2 slots and 25 connections.
+pub fn announce(replica: &str, sequence: u64) -> ReplicaAnnouncement {
+    ReplicaAnnouncement {
+        replica: replica.into(),
+        service: "label-desk".into(),
+        data_centre: CENTRE.into(),
+        address: "127.0.0.1:9000".parse().expect("an address"),
+        slots: 2,
+        connections: 25,
+        state: ServerState::Ready,
+        incarnation: IncarnationNumber(1),
+        sequence,
+        cold_allowance: 0,
+        snapshots: Arc::from([held(7, 0)]),
+    }
+}
+
+pub fn ticket(number: u64, expires: MonotonicTime) -> SubTicket {
+    SubTicket {
+        attempt: AttemptId {
+            origin: 1,
+            sequence: number,
+        },
+        digest: RequestDigest(number),
+        snapshot: SnapshotNumber(7),
+        shard: ShardNumber(0),
+        expires,
+        repeatable: true,
+        hedge: false,
+    }
+}
+
+pub fn open_gate() -> KeeperGate {
+    KeeperGate {
+        lease_ends: at(1_000_000_000),
+        opens: at(0),
+        centre_in: true,
+        is_keeper: true,
+    }
+}
+
+/// A keeper with its gate, that announces itself by need.
+pub struct KeeperBench {
+    pub keeper: ReplicaKeeper,
+    pub gate: KeeperGate,
+    sequence: u64,
+}
+
+impl KeeperBench {
+    pub fn new(announcement: ReplicaAnnouncement, now: MonotonicTime) -> Self {
+        Self {
+            sequence: announcement.sequence,
+            keeper: ReplicaKeeper::new(announcement, now),
+            gate: open_gate(),
+        }
+    }
+
+    pub fn step(&mut self, now: MonotonicTime, event: KeeperEvent) -> Vec<KeeperAction> {
+        let mut actions = Vec::new();
+        self.keeper.step(now, event, &self.gate, &mut actions);
+        actions
+    }
+
+    pub fn ask(&mut self, now: MonotonicTime, ticket: SubTicket) -> Vec<KeeperAction> {
+        self.step(now, KeeperEvent::Asked(ticket))
+    }
+
+    /// Announces again what was announced, changed by `change`.
+    pub fn announce(
+        &mut self,
+        now: MonotonicTime,
+        change: impl FnOnce(&mut ReplicaAnnouncement),
+    ) -> Vec<KeeperAction> {
+        self.sequence += 1;
+        let mut next = self.keeper.announcement().clone();
+        next.sequence = self.sequence;
+        change(&mut next);
+        self.step(now, KeeperEvent::Announced(next))
+    }
+
+    /// Lets time pass with announcements and without work until the replica is warm.
+    pub fn warm_up(&mut self, now: MonotonicTime) -> MonotonicTime {
+        let mut now = now;
+        for _ in 0..100 {
+            if self.keeper.load().limit == self.keeper.announcement().slots {
+                break;
+            }
+            now = now + ms(500);
+            self.announce(now, |_| {});
+        }
+        now
+    }
+}
+
+pub fn sent(actions: &[KeeperAction]) -> Vec<u64> {
+    let sends = actions.iter().filter_map(|action| match action {
+        KeeperAction::Send(attempt) => Some(attempt.sequence),
+        _ => None,
+    });
+    sends.collect()
+}
+
+pub fn cancelled(actions: &[KeeperAction]) -> Vec<u64> {
+    let cancels = actions.iter().filter_map(|action| match action {
+        KeeperAction::SendCancel(attempt) => Some(attempt.sequence),
+        _ => None,
+    });
+    cancels.collect()
+}
+
+pub fn refused(actions: &[KeeperAction]) -> Vec<ResultCode> {
+    let refusals = actions.iter().filter_map(|action| match action {
+        KeeperAction::Refuse { refusal, .. } => {
+            assert_eq!(refusal.run, RunState::NotRun);
+            Some(refusal.code)
+        }
+        _ => None,
+    });
+    refusals.collect()
+}
+
+pub fn entry(vm: &str, incarnation: u64) -> EntryRecord {
+    EntryRecord {
+        vm: vm.into(),
+        environment: ENVIRONMENT.into(),
+        data_centre: CENTRE.into(),
+        incarnation: IncarnationNumber(incarnation),
+        caller_address: "127.0.0.1:1".parse().expect("an address"),
+        peer_address: "127.0.0.1:2".parse().expect("an address"),
+        state: EntryState::Live,
+    }
+}
+
+pub fn view(
+    version: u64,
+    entries: &[EntryRecord],
+    departed: &[DepartedEntry],
+    power_cap: Option<u32>,
+) -> Arc<ControlView> {
+    let document = EnvironmentDocument {
+        regions: vec![RegionEntry {
+            name: "lagos".into(),
+            data_centres: vec![CentreEntry {
+                name: CENTRE.into(),
+                state: CentreState::In,
+                power_cap,
+            }],
+        }],
+        ..EnvironmentDocument::default()
+    };
+    Arc::new(ControlView {
+        version: VersionNumber(version),
+        environments: BTreeMap::from([(ENVIRONMENT.into(), Arc::new(document))]),
+        entries: entries.to_vec(),
+        departed: departed.to_vec(),
+    })
+}
--- /dev/null
+++ b/daisyhinge/tests/keeper_check.rs
@@ -0,0 +1,149 @@
+//! Announcements that contradict themselves or each other.
+
+#[path = "keeper/support.rs"]
+#[expect(dead_code, reason = "shared by several test files")]
+mod support;
+
+use std::sync::Arc;
+
+use daisyhinge::keeper::check::check_announcement;
+use daisyhinge::keeper::partition::PartitionBook;
+use daisyhinge::prelude::*;
+use daisyhinge::vocabulary::announcement::{HeldSnapshot, ReplicaAnnouncement};
+use proptest::prelude::*;
+use support::*;
+
+type Change = fn(&mut ReplicaAnnouncement);
+
+fn change_snapshot(announcement: &mut ReplicaAnnouncement, change: impl FnOnce(&mut HeldSnapshot)) {
+    let mut snapshots = announcement.snapshots.to_vec();
+    change(&mut snapshots[0]);
+    announcement.snapshots = snapshots.into();
+}
+
+#[test]
+fn each_contradiction_has_its_number() {
+    let range = ResultCode::AnnouncementRange;
+    let partition = ResultCode::BadPartition;
+    let contradicts = ResultCode::AnnouncementContradicts;
+    let cases: [(Change, ResultCode); 19] = [
+        (|_| {}, ResultCode::Ok),
+        (|next| next.snapshots = Arc::from([]), ResultCode::Ok),
+        (|next| next.replica = "".into(), ResultCode::BadName),
+        (|next| next.service = "a b".into(), ResultCode::BadName),
+        (|next| next.slots = 0, range),
+        (|next| next.slots = u32::MAX, range),
+        (|next| next.connections = 0, range),
+        (|next| next.address.set_port(0), range),
+        (|next| next.address = ([0, 0, 0, 0], 80).into(), range),
+        (
+            |next| next.snapshots = (0..100).rev().map(|at| held(at, 0)).collect(),
+            range,
+        ),
+        (
+            |next| change_snapshot(next, |held| held.shard = ShardNumber(4)),
+            partition,
+        ),
+        (
+            |next| change_snapshot(next, |held| held.shards = 0),
+            partition,
+        ),
+        (
+            |next| change_snapshot(next, |held| held.shards = u32::MAX),
+            partition,
+        ),
+        (
+            |next| change_snapshot(next, |held| held.weight = 41),
+            partition,
+        ),
+        (
+            |next| change_snapshot(next, |held| held.whole_weight = 0),
+            partition,
+        ),
+        (
+            |next| change_snapshot(next, |held| held.shards = 1),
+            partition,
+        ),
+        (|next| next.cold_allowance = 3, contradicts),
+        (
+            |next| next.snapshots = Arc::from([held(7, 0), held(7, 1)]),
+            contradicts,
+        ),
+        (
+            |next| next.snapshots = Arc::from([held(7, 0), held(8, 0)]),
+            contradicts,
+        ),
+    ];
+    for (index, (change, code)) in cases.into_iter().enumerate() {
+        let mut next = announce("r1", 1);
+        change(&mut next);
+        assert_eq!(check_announcement(&next), code, "case {index}");
+    }
+    let mut next = announce("r1", 1);
+    next.snapshots = Arc::from([
+        held(8, 0),
+        HeldSnapshot {
+            shards: 5,
+            ..held(7, 0)
+        },
+    ]);
+    assert_eq!(check_announcement(&next), contradicts);
+}
+
+#[test]
+fn the_established_partition_stays() {
+    let mut book = PartitionBook::default();
+    let first = announce("r1", 1);
+    book.add(&first);
+    let mut second = announce("r2", 1);
+    change_snapshot(&mut second, |held| held.whole_weight = 41);
+    assert!(!book.agrees(None, &second));
+    change_snapshot(&mut second, |held| held.generation = 2);
+    assert!(book.agrees(None, &second));
+    // The only holder may change its mind; one of two may not.
+    let mut next = announce("r1", 2);
+    change_snapshot(&mut next, |held| held.whole_weight = 50);
+    assert!(book.agrees(Some(&first), &next));
+    book.add(&announce("r3", 1));
+    assert!(!book.agrees(Some(&first), &next));
+    book.remove(&first);
+    book.remove(&first);
+    assert!(book.is_empty());
+    assert!(book.agrees(None, &next));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 512, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn what_passes_is_possible(
+        slots in 0_u32..4,
+        connections in 0_u32..4,
+        allowance in 0_u32..4,
+        rows in prop::collection::vec((0_u64..4, 0_u64..2, 0_u32..4, 0_u32..4, 0_u64..4, 0_u64..4), 0..3),
+    ) {
+        let snapshots: Vec<_> = rows.into_iter().map(|row| HeldSnapshot {
+            snapshot: SnapshotNumber(row.0),
+            generation: row.1,
+            shard: ShardNumber(row.2),
+            shards: row.3,
+            weight: row.4,
+            whole_weight: row.5,
+        }).collect();
+        let next = ReplicaAnnouncement {
+            slots, connections, cold_allowance: allowance, snapshots: snapshots.clone().into(),
+            ..announce("r1", 1)
+        };
+        let possible = slots > 0 && connections > 0 && allowance <= slots
+            && snapshots.iter().all(|held| {
+                held.shard.0 < held.shards && held.weight <= held.whole_weight
+                    && held.whole_weight > 0
+                    && (held.shards > 1 || held.weight == held.whole_weight)
+            })
+            && (1..snapshots.len()).all(|at| snapshots[at].snapshot < snapshots[at - 1].snapshot)
+            && snapshots.iter().all(|one| snapshots.iter().all(|other| {
+                one.generation != other.generation || one.shards == other.shards
+            }));
+        prop_assert_eq!(check_announcement(&next) == ResultCode::Ok, possible);
+    }
+}
