--- a/daisyhinge/src/lib.rs
+++ b/daisyhinge/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod check;
 pub mod environment;
+pub mod address;
 pub mod keeper;
 pub mod lease;
 pub mod metric;
