--- a/daisyhinge/src/lib.rs
+++ b/daisyhinge/src/lib.rs
@@ -7,9 +7,11 @@
 
 pub mod check;
 pub mod environment;
+pub mod address;
 pub mod keeper;
 pub mod lease;
 pub mod metric;
+pub mod control;
 pub mod prelude;
 pub mod rendezvous;
 pub mod search;
--- a/daisyhinge/src/shell.rs
+++ b/daisyhinge/src/shell.rs
@@ -8,6 +8,7 @@
 pub mod entry;
 pub mod header;
 pub mod http_port;
+pub mod control;
 pub mod link;
 pub mod log;
 pub mod metric;
