--- /dev/null
+++ b/daisyhinge/tests/setting_docs.rs
@@ -0,0 +1,110 @@
+//! The pages for operators agree with the program.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::path::PathBuf;
+
+use daisyhinge::environment::check_document;
+use daisyhinge::prelude::*;
+use daisyhinge::setting::{check_control_settings, check_entry_settings};
+
+fn read_page(name: &str) -> String {
+    let path = PathBuf::from(env!("CARGO_MANIFEST_DIR"))
+        .join("../docs")
+        .join(name);
+    fs::read_to_string(path).unwrap()
+}
+
+/// One row of the table of result codes.
+#[derive(Debug, Eq, PartialEq)]
+struct CodeRow {
+    name: String,
+    status: String,
+    meaning: String,
+}
+
+fn read_rows(page: &str) -> BTreeMap<u16, CodeRow> {
+    let mut rows = BTreeMap::new();
+    for line in page.lines().filter(|line| line.starts_with("| ")) {
+        let cells: Vec<_> = line.trim_matches('|').split('|').map(str::trim).collect();
+        let Ok(number) = cells[0].parse() else {
+            continue;
+        };
+        assert_eq!(cells.len(), 5, "{line}");
+        assert!(!cells[4].is_empty(), "nothing to do is said in: {line}");
+        let row = CodeRow {
+            name: cells[1].to_owned(),
+            status: cells[2].to_owned(),
+            meaning: cells[3].to_owned(),
+        };
+        assert!(rows.insert(number, row).is_none(), "twice: {line}");
+    }
+    rows
+}
+
+#[test]
+fn table_of_result_codes_is_the_program_s() {
+    let expected: BTreeMap<_, _> = ResultCode::ALL
+        .iter()
+        .map(|code| {
+            let row = CodeRow {
+                name: code.name().to_owned(),
+                status: code.http_status().to_string(),
+                meaning: code.to_string(),
+            };
+            (code.number(), row)
+        })
+        .collect();
+    let found = read_rows(&read_page("ERRORS.md"));
+    let missing: Vec<_> = expected
+        .keys()
+        .filter(|key| !found.contains_key(key))
+        .collect();
+    assert!(missing.is_empty(), "not in docs/ERRORS.md: {missing:?}");
+    assert_eq!(found, expected);
+}
+
+/// Texts of the fenced blocks of `page` whose first line is `label`.
+fn read_blocks(page: &str, label: &str) -> Vec<String> {
+    let opening = format!("```{label}\n");
+    page.split(&opening)
+        .skip(1)
+        .map(|rest| rest.split("```").next().unwrap().to_owned())
+        .collect()
+}
+
+#[test]
+fn examples_of_settings_are_taken() {
+    let page = read_page("SETTINGS.md");
+    let blocks = read_blocks(&page, "json");
+    assert_eq!(blocks.len(), 3, "an entry, a control VM, a document");
+    check_entry_settings(blocks[0].as_bytes()).unwrap();
+    check_control_settings(blocks[1].as_bytes()).unwrap();
+    check_document(blocks[2].as_bytes()).unwrap();
+}
+
+#[test]
+fn every_field_of_the_examples_is_explained() {
+    let page = read_page("SETTINGS.md");
+    for block in read_blocks(&page, "json") {
+        let value: serde_json::Value = serde_json::from_str(&block).unwrap();
+        let mut names = Vec::new();
+        list_fields(&value, &mut names);
+        for name in names {
+            assert!(page.contains(&format!("| `{name}` |")), "{name} has no row");
+        }
+    }
+}
+
+fn list_fields(value: &serde_json::Value, names: &mut Vec<String>) {
+    match value {
+        serde_json::Value::Object(fields) => {
+            for (name, value) in fields {
+                names.push(name.clone());
+                list_fields(value, names);
+            }
+        }
+        serde_json::Value::Array(items) => items.iter().for_each(|item| list_fields(item, names)),
+        _ => {}
+    }
+}
