--- a/daisyhinge/src/control/core/fresh.rs
+++ b/daisyhinge/src/control/core/fresh.rs
@@ -36,8 +36,9 @@
             self.refuse_ask(ticket, ResultCode::EntryReplaced, actions);
             return;
         }
-        self.watch.note_ask(now, ask, self.book.state());
-        let joins = self.book.state().would_join(entry) && self.watch.may_join(now, entry);
+        self.watch.note_ask(now, ask);
+        let joins =
+            !ask.released && self.book.state().would_join(entry) && self.watch.may_join(now, entry);
         if joins && self.voter.confirmed_at().is_some() {
             self.propose(now, ticket, BookKind::Join(entry.clone()), actions);
         } else {
--- a/daisyhinge/src/control/core/watch.rs
+++ b/daisyhinge/src/control/core/watch.rs
@@ -6,7 +6,7 @@
 use crate::control::book::{BookKind, BookState};
 use crate::prelude::*;
 use crate::vocabulary::clock::span_to_millis;
-use crate::vocabulary::freshness::{FreshAsk, LEASE_DRIFT_SPAN, LEASE_SPAN};
+use crate::vocabulary::freshness::{FreshAsk, LEASE_WAIT_SPAN};
 use crate::vocabulary::view::{EntryRecord, EntryState};
 
 /// Silence after which an entry is lost.
@@ -25,7 +25,7 @@
 const REPEAT_SPAN: Duration = Duration::from_secs(1);
 
 const _: () = assert!(
-    DEPARTED_KEPT_SPAN.as_millis() > 2 * (LEASE_SPAN.as_millis() + LEASE_DRIFT_SPAN.as_millis()),
+    DEPARTED_KEPT_SPAN.as_millis() > 2 * LEASE_WAIT_SPAN.as_millis(),
     "a departed entry is listed for longer than its lease can run"
 );
 
@@ -38,7 +38,7 @@
     pub asked: MonotonicTime,
     /// Version that it held then.
     pub holds: Option<VersionNumber>,
-    /// Whether it held a version that lists it as leaving: it keeps no replica any more.
+    /// Whether it left in order: it keeps no replica, and nothing that it dispatched runs.
     pub released: bool,
     /// When its loss was last proposed.
     losing: Option<MonotonicTime>,
@@ -73,14 +73,14 @@
     }
 
     /// Notes an ask.
-    pub fn note_ask(&mut self, now: MonotonicTime, ask: &FreshAsk, state: &BookState) {
+    pub fn note_ask(&mut self, now: MonotonicTime, ask: &FreshAsk) {
         let entry = &ask.entry;
-        let listed = state.entries.live.get(&entry.vm) == Some(entry);
-        let leaves = listed && entry.state == EntryState::Leaving && ask.holds == state.version;
         let former = self.records.get(&entry.vm);
         let former = former.filter(|record| record.incarnation == entry.incarnation);
+        // The entry says so once nothing that it dispatched runs any more.
         let released = entry.state == EntryState::Leaving
-            && (leaves || former.is_some_and(|record| record.released));
+            && (ask.released || former.is_some_and(|record| record.released));
+        let losing = former.and_then(|record| record.losing);
         self.records.insert(
             entry.vm.clone(),
             WatchRecord {
@@ -88,7 +88,7 @@
                 asked: now,
                 holds: Some(ask.holds),
                 released,
-                losing: None,
+                losing: losing.filter(|_| released),
             },
         );
     }
@@ -155,9 +155,9 @@
             // A newer process asks and waits to be listed; the listed one is gone.
             return None;
         }
-        let silent = now.since(record.asked) >= ENTRY_LOST_SPAN;
+        let gone = record.released || now.since(record.asked) >= ENTRY_LOST_SPAN;
         let proposed = record.losing.is_some_and(|at| now.since(at) < REPEAT_SPAN);
-        if !silent || proposed {
+        if !gone || proposed {
             return None;
         }
         record.losing = Some(now);
--- a/daisyhinge/src/keeper/history.rs
+++ b/daisyhinge/src/keeper/history.rs
@@ -6,7 +6,7 @@
 use crate::keeper::slots::TRANSIT_ALLOWANCE;
 use crate::prelude::*;
 use crate::rendezvous::{find_keeper, list_keepers};
-use crate::vocabulary::freshness::lease_wait_span;
+use crate::vocabulary::freshness::LEASE_WAIT_SPAN;
 use crate::vocabulary::name::RegionName;
 use crate::vocabulary::view::{ControlView, EntryRecord, EntryState};
 
@@ -16,7 +16,7 @@
 /// How long a new keeper waits after the view that named it: until the former one's lease has
 /// certainly ended, and what it sent before has expired at the backend server.
 pub fn handover_span() -> Duration {
-    lease_wait_span() + TRANSIT_ALLOWANCE
+    LEASE_WAIT_SPAN + TRANSIT_ALLOWANCE
 }
 
 /// The entry that looks at the views.
--- a/daisyhinge/src/lib.rs
+++ b/daisyhinge/src/lib.rs
@@ -5,13 +5,13 @@
 //! actions into bytes. Imports run one way: shells import decisions, decisions import
 //! [`vocabulary`], never back.
 
+pub mod address;
 pub mod check;
+pub mod control;
 pub mod environment;
-pub mod address;
 pub mod keeper;
 pub mod lease;
 pub mod metric;
-pub mod control;
 pub mod prelude;
 pub mod rendezvous;
 pub mod search;
--- a/daisyhinge/src/shell.rs
+++ b/daisyhinge/src/shell.rs
@@ -5,10 +5,10 @@
 
 pub mod backend;
 pub mod clock;
+pub mod control;
 pub mod entry;
 pub mod header;
 pub mod http_port;
-pub mod control;
 pub mod link;
 pub mod log;
 pub mod metric;
--- a/daisyhinge/src/vocabulary/freshness.rs
+++ b/daisyhinge/src/vocabulary/freshness.rs
@@ -10,9 +10,23 @@
 
 /// How long an entry may act on a version after the moment that a proof speaks of.
 pub const LEASE_SPAN: Duration = Duration::from_secs(4);
-/// What whoever waits for another's lease to end adds, since monotonic clocks run at slightly
-/// different rates.
-pub const LEASE_DRIFT_SPAN: Duration = Duration::from_millis(200);
+
+/// Allowance for clocks that run at different speeds, in parts per million of a span.
+pub const DRIFT_PPM: u32 = 1_000;
+
+/// A keeper's dispatch expires at the latest this long after the end of the lease it is sent
+/// under, so that a new keeper can tell when the slots of the former one are free.
+pub const RUN_TAIL: Duration = Duration::from_millis(1_500);
+
+/// How long after a newer view was seen nothing dispatched under an older one still runs.
+pub const LEASE_WAIT_SPAN: Duration = {
+    let span = LEASE_SPAN.saturating_add(RUN_TAIL);
+    let drift = span.saturating_mul(DRIFT_PPM * 2);
+    match drift.checked_div(1_000_000) {
+        Some(drift) => span.saturating_add(drift),
+        None => span,
+    }
+};
 
 /// An entry asks for a proof of freshness. Asking also keeps it a member.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -39,19 +53,3 @@
 
 /// Control's reply to [`FreshAsk`]; the error says whom to ask instead or why there is no proof.
 pub type FreshReply = Result<FreshProof, ResultCode>;
-
-/// How long an entry acts on a version after a quorum confirmed it as newest.
-pub const LEASE_SPAN: Duration = Duration::from_secs(4);
-
-/// Allowance for clocks that run at different speeds, in parts per million of a span.
-pub const DRIFT_PPM: u32 = 1_000;
-
-/// A keeper's dispatch expires at the latest this long after the end of the lease it is sent
-/// under, so that a new keeper can tell when the slots of the former one are free.
-pub const RUN_TAIL: Duration = Duration::from_millis(1_500);
-
-/// How long after a newer view was seen nothing dispatched under an older one still runs.
-pub fn lease_wait_span() -> Duration {
-    let span = LEASE_SPAN + RUN_TAIL;
-    span + span * DRIFT_PPM * 2 / 1_000_000
-}
--- a/daisyhinge/tests/control_shell.rs
+++ b/daisyhinge/tests/control_shell.rs
@@ -150,6 +150,7 @@
     let ask = FreshAsk {
         entry: make_entry(1),
         holds: VersionNumber(0),
+        released: false,
     };
     let proof = link
         .fresh(context::current(), ask.clone())
@@ -235,6 +236,7 @@
         let ask = FreshAsk {
             entry: make_entry(1),
             holds: VersionNumber(0),
+            released: false,
         };
         let begun = Instant::now();
         while link
--- a/daisyhinge/tests/lease.rs
+++ b/daisyhinge/tests/lease.rs
@@ -4,7 +4,7 @@
 
 use daisyhinge::lease::FreshnessLease;
 use daisyhinge::prelude::*;
-use daisyhinge::vocabulary::freshness::{LEASE_SPAN, lease_wait_span};
+use daisyhinge::vocabulary::freshness::{LEASE_SPAN, LEASE_WAIT_SPAN};
 use proptest::prelude::*;
 
 fn at(count_ms: u64) -> MonotonicTime {
@@ -42,7 +42,7 @@
 #[test]
 fn a_new_keeper_waits_longer_than_any_clock_makes_the_lease() {
     let slow = LEASE_SPAN + LEASE_SPAN / 1_000;
-    let fast_wait = lease_wait_span() - lease_wait_span() / 1_000;
+    let fast_wait = LEASE_WAIT_SPAN.saturating_sub(LEASE_WAIT_SPAN / 1_000);
     assert!(fast_wait >= slow);
 }
 
