--- a/daisyhinge-cli/src/main.rs
+++ b/daisyhinge-cli/src/main.rs
@@ -23,13 +23,11 @@
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
 
-fn main() -> ExitCode {
+#[tokio::main]
+async fn main() -> ExitCode {
     let arguments = Arguments::parse();
-    if let Command::Demo = arguments.command {
-        return demo::run();
-    }
     let output = Output::new(arguments.json);
-    match run_command(&arguments, output) {
+    match run_command(&arguments, output).await {
         Ok(code) => code,
         Err(fault) => {
             output.show_fault(&fault);
@@ -38,7 +36,6 @@
     }
 }
 
-#[tokio::main(flavor = "current_thread")]
 async fn run_command(arguments: &Arguments, output: Output) -> Result<ExitCode, CommandFault> {
     let group = &arguments.group;
     match &arguments.command {
@@ -47,6 +44,6 @@
         Command::Control(command) => control::run(command, group, output).await,
         Command::Entries(filter) => entries::run(filter, group, output).await,
         Command::Timeline(query) => timeline::run(query, output).await,
-        Command::Demo => Ok(ExitCode::SUCCESS),
+        Command::Demo => Ok(demo::run().await),
     }
 }
