Join the operators' port, metrics and time line to control

Cause: the control process had no port for operators, and its status has types of its own. Ruled out: a second set of status types (removed again); reading version and document by two calls (an environment is now read at one moment); taking the leader's own word that it leads, since one that is cut off goes on believing it: its confirmation by a quorum must be younger than a lease. A resend of a promotion now has to name its base, as a newly read base would make it another change.

--- a/daisyhinge-cli/src/connection.rs
+++ b/daisyhinge-cli/src/connection.rs
@@ -5,10 +5,11 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use daisyhinge::control::book::EnvironmentReading;
 use daisyhinge::environment::{DOCUMENT_MAX_BYTES, check_document};
 use daisyhinge::prelude::*;
 use daisyhinge::shell::operator::client::{ClientFault, draw_change_id};
-use daisyhinge::shell::operator::{OperatorClient, OperatorRefusal, OperatorToken};
+use daisyhinge::shell::operator::{OperatorClient, OperatorToken};
 use daisyhinge::shell::setting::read_bounded;
 use daisyhinge::vocabulary::change::{ChangeAsk, ChangeDone, ChangeKind};
 use daisyhinge::vocabulary::clock::span_to_millis;
@@ -25,18 +26,6 @@
 /// Who made a change where neither `--operator` nor `USER` tells.
 const OPERATOR_UNKNOWN: &str = "unknown";
 
-/// Tries to read a document and its version at one moment.
-const SHOW_TRIES: u32 = 5;
-
-/// A document in force.
-#[derive(Clone, Debug)]
-pub struct DocumentInForce {
-    /// Version at which the environment last changed.
-    pub version: VersionNumber,
-    /// Its document.
-    pub document: Arc<EnvironmentDocument>,
-}
-
 /// Operators' addresses of the control VMs.
 pub fn read_operators(group: &GroupArguments) -> Result<Vec<SocketAddr>, CommandFault> {
     if !group.operators.is_empty() {
@@ -138,23 +127,9 @@
 pub async fn read_in_force(
     client: &OperatorClient,
     environment: &EnvironmentName,
-) -> Result<DocumentInForce, CommandFault> {
-    let mut version = read_version(client, environment).await?;
-    for _ in 0..SHOW_TRIES {
-        let view = client.view().await.map_err(CommandFault::from_read)?;
-        let after = read_version(client, environment).await?;
-        if version != after {
-            // It changed in between, so the document may be of either version.
-            version = after;
-            continue;
-        }
-        let document = view.environments.get(environment).map(Arc::clone);
-        return match document {
-            Some(document) => Ok(DocumentInForce { version, document }),
-            None => Err(refuse_unknown()),
-        };
-    }
-    Err(CommandFault::Unreachable)
+) -> Result<EnvironmentReading, CommandFault> {
+    let reading = client.environment(environment).await;
+    reading.map_err(CommandFault::from_read)
 }
 
 /// Version at which an environment last changed; 0 if it is new.
@@ -162,10 +137,8 @@
     client: &OperatorClient,
     environment: &EnvironmentName,
 ) -> Result<VersionNumber, CommandFault> {
-    match client.history(environment).await {
-        Ok(records) => Ok(records
-            .last()
-            .map_or(VersionNumber(0), |record| record.version)),
+    match client.environment(environment).await {
+        Ok(reading) => Ok(reading.version),
         Err(ClientFault::Refused(refusal)) if refusal.code == ResultCode::UnknownEnvironment => {
             Ok(VersionNumber(0))
         }
@@ -173,11 +146,6 @@
     }
 }
 
-fn refuse_unknown() -> CommandFault {
-    let refusal = OperatorRefusal::new(ResultCode::UnknownEnvironment);
-    CommandFault::Refused(Box::new(refusal))
-}
-
 fn read_operator(arguments: &ChangeArguments) -> Result<Arc<str>, CommandFault> {
     if let Some(text) = &arguments.operator {
         return read_name::<VmName>("--operator", text).map(|name| name.0);
--- a/daisyhinge-cli/src/control.rs
+++ b/daisyhinge-cli/src/control.rs
@@ -7,7 +7,7 @@
 use daisyhinge::prelude::*;
 use daisyhinge::shell::operator::client::ClientFault;
 use daisyhinge::vocabulary::change::ChangeKind;
-use daisyhinge::vocabulary::status::{ControlStatus, VoterRole, VoterStatus};
+use daisyhinge::vocabulary::control::{ControlRole, ControlStatus, VoterStatus};
 use serde::Serialize;
 
 use crate::arguments::{ChangeArguments, ControlCommand, GroupArguments};
@@ -97,29 +97,45 @@
     let leader = status.leader.as_ref().map_or("-", VmName::as_str);
     let _ = writeln!(
         text,
-        "operator_address={address} vm={} leading={} leader={leader} term={} version={} \
-         committed={}",
-        status.vm, status.leading, status.term, status.version, status.committed
+        "operator_address={address} vm={} role={} leader={leader} confirmed_ms={} term={} \
+         version={} committed={} claims={}",
+        status.vm,
+        name_role(status.role),
+        show_number(status.confirmed_ms),
+        status.term,
+        status.version,
+        status.commit,
+        status.claims
     );
-    if status.leading {
-        status
-            .voters
-            .iter()
-            .for_each(|voter| write_voter(voter, text));
+    if status.role == ControlRole::Leader {
+        for voter in &status.voters {
+            write_voter(voter, text);
+        }
+    }
+}
+
+fn name_role(role: ControlRole) -> &'static str {
+    match role {
+        ControlRole::Leader => "leader",
+        ControlRole::Follower => "follower",
+        ControlRole::Candidate => "candidate",
+        ControlRole::Learner => "learner",
+        ControlRole::Outside => "outside",
     }
 }
 
+fn show_number(number: Option<u64>) -> String {
+    number.map_or("-".to_owned(), |number| number.to_string())
+}
+
 fn write_voter(voter: &VoterStatus, text: &mut String) {
-    let role = match voter.role {
-        VoterRole::Learner => "learner",
-        VoterRole::Voter => "voter",
-    };
-    let heard = voter
-        .heard_ms
-        .map_or("-".to_owned(), |heard| heard.to_string());
     let _ = writeln!(
         text,
-        "  vm={} address={} role={role} matched={} heard_ms={heard}",
-        voter.vm, voter.address, voter.matched
+        "  vm={} address={} votes={} matched={} heard_ms={}",
+        voter.vm,
+        voter.address,
+        if voter.learner { "not-yet" } else { "yes" },
+        show_number(voter.matched),
+        show_number(voter.heard_ms)
     );
 }
--- a/daisyhinge-cli/src/entries.rs
+++ b/daisyhinge-cli/src/entries.rs
@@ -4,14 +4,25 @@
 use std::process::ExitCode;
 
 use daisyhinge::prelude::*;
-use daisyhinge::vocabulary::status::EntryStatus;
-use daisyhinge::vocabulary::view::EntryState;
+use daisyhinge::vocabulary::control::EntryStatus;
+use daisyhinge::vocabulary::view::{EntryRecord, EntryState};
+use serde::Serialize;
 
 use crate::arguments::{EntryFilter, GroupArguments};
 use crate::connection::{open_client, read_name};
 use crate::exit::CommandFault;
 use crate::output::Output;
 
+/// One entry, as it is listed and as the leader heard of it.
+#[derive(Debug, Serialize)]
+struct EntryReport {
+    entry: EntryRecord,
+    /// Version that it held when it last asked; unset if the leader has not heard of it.
+    holds: Option<VersionNumber>,
+    /// Time since it last asked, in milliseconds.
+    asked_ms: Option<u64>,
+}
+
 /// Lists the entries as the leader of the control VMs sees them.
 pub async fn run(
     filter: &EntryFilter,
@@ -23,34 +34,54 @@
         .as_deref()
         .map(|text| read_name("ENVIRONMENT", text))
         .transpose()?;
-    let status = open_client(group)?.leader_status().await;
-    let mut entries = status.map_err(CommandFault::from_read)?.entries;
-    entries.retain(|entry| {
-        wanted
-            .as_ref()
-            .is_none_or(|wanted| entry.environment == *wanted)
-    });
-    output.show(&entries, |text| {
-        for entry in &entries {
-            write_entry(entry, text);
+    let client = open_client(group)?;
+    let view = client.view().await.map_err(CommandFault::from_read)?;
+    let status = client.leader_status().await;
+    let statuses = status.map_err(CommandFault::from_read)?.entries;
+    let reports: Vec<_> = view
+        .entries
+        .into_iter()
+        .filter(|entry| {
+            wanted
+                .as_ref()
+                .is_none_or(|name| entry.environment == *name)
+        })
+        .map(|entry| make_report(entry, &statuses))
+        .collect();
+    output.show(&reports, |text| {
+        for report in &reports {
+            write_report(report, text);
         }
     });
     Ok(ExitCode::SUCCESS)
 }
 
-fn write_entry(entry: &EntryStatus, text: &mut String) {
+fn make_report(entry: EntryRecord, statuses: &[EntryStatus]) -> EntryReport {
+    let status = statuses
+        .iter()
+        .find(|status| status.vm == entry.vm && status.incarnation == entry.incarnation);
+    EntryReport {
+        entry,
+        holds: status.and_then(|status| status.holds),
+        asked_ms: status.and_then(|status| status.asked_ms),
+    }
+}
+
+fn write_report(report: &EntryReport, text: &mut String) {
+    let entry = &report.entry;
     let state = match entry.state {
         EntryState::Live => "live",
         EntryState::Leaving => "leaving",
     };
+    let show = |number: Option<u64>| number.map_or("-".to_owned(), |number| number.to_string());
     let _ = writeln!(
         text,
-        "vm={} environment={} data_centre={} caller_address={} state={state} holds={} heard_ms={}",
+        "vm={} environment={} data_centre={} caller_address={} state={state} holds={} asked_ms={}",
         entry.vm,
         entry.environment,
         entry.data_centre,
         entry.caller_address,
-        entry.holds,
-        entry.heard_ms
+        show(report.holds.map(|holds| holds.0)),
+        show(report.asked_ms)
     );
 }
--- a/daisyhinge-cli/src/env.rs
+++ b/daisyhinge-cli/src/env.rs
@@ -149,8 +149,17 @@
     let client = open_client(group)?;
     let base = match arguments.base {
         Some(base) => VersionNumber(base),
+        None if arguments.change.change_id.is_some() => {
+            let detail = "sending a change again takes the --base that was noted with its id";
+            return Err(CommandFault::argument(
+                "--base",
+                ResultCode::MissingField,
+                detail,
+            ));
+        }
         None => read_version(&client, &to).await?,
     };
+    output.note(&format!("base {base}"));
     let kind = ChangeKind::Promote {
         from,
         trusted: VersionNumber(arguments.trusted),
--- a/daisyhinge-cli/src/exit.rs
+++ b/daisyhinge-cli/src/exit.rs
@@ -101,7 +101,7 @@
             Self::Unknown(change) => write!(
                 f,
                 "the reply was lost and the outcome is not known; run the same command again \
-                 with --change-id {change}, which never applies it twice"
+                 with --change-id {change} (and the noted --base), which never applies it twice"
             ),
         }
     }
--- a/daisyhinge-cli/src/wait.rs
+++ b/daisyhinge-cli/src/wait.rs
@@ -8,8 +8,8 @@
 use daisyhinge::shell::operator::OperatorClient;
 use daisyhinge::vocabulary::change::ChangeDone;
 use daisyhinge::vocabulary::clock::span_to_millis;
+use daisyhinge::vocabulary::control::EntryStatus;
 use daisyhinge::vocabulary::freshness::LEASE_SPAN;
-use daisyhinge::vocabulary::status::EntryStatus;
 use serde::Serialize;
 
 use crate::arguments::ChangeArguments;
@@ -71,7 +71,7 @@
         // While no leader answers, the entries that lacked it last are still the best answer.
         if let Ok(status) = client.leader_status().await {
             let lacking = status.entries.into_iter().filter(|entry| {
-                entry.holds < report.version
+                entry.holds.is_none_or(|holds| holds < report.version)
                     && environment.is_none_or(|environment| entry.environment == *environment)
             });
             (report.silent, report.lacking) = lacking.partition(is_silent);
@@ -89,7 +89,9 @@
 
 /// Whether the lease of an entry has ended, so that it takes no work on an older version.
 fn is_silent(entry: &EntryStatus) -> bool {
-    entry.heard_ms > span_to_millis(LEASE_SPAN + LEASE_MARGIN)
+    let ended_ms = span_to_millis(LEASE_SPAN + LEASE_MARGIN);
+    // A leader that has not heard of an entry yet cannot tell.
+    entry.asked_ms.is_some_and(|asked_ms| asked_ms > ended_ms)
 }
 
 fn write_report(report: &ChangeReport, text: &mut String) {
@@ -101,13 +103,16 @@
         None => {}
     }
     for entry in &report.lacking {
-        let _ = writeln!(text, "lacks it: {} holds version {}", entry.vm, entry.holds);
+        let holds = entry
+            .holds
+            .map_or("not known".to_owned(), |holds| holds.to_string());
+        let _ = writeln!(text, "lacks it: {}, version held: {holds}", entry.vm);
     }
     for entry in &report.silent {
-        let (vm, heard_ms) = (&entry.vm, entry.heard_ms);
+        let vm = &entry.vm;
         let _ = writeln!(
             text,
-            "not heard of: {vm}, for {heard_ms} ms; its lease has ended, so it takes no work"
+            "not heard of: {vm}; its lease has ended, so it takes no work"
         );
     }
 }
--- a/daisyhinge-cli/tests/command.rs
+++ b/daisyhinge-cli/tests/command.rs
@@ -104,6 +104,9 @@
         "{}",
         text(&wrong.stderr)
     );
+    // A resend must name the base of the first time, or it would be another change.
+    let unclear = group.run("env promote trial production --trusted 2 --change-id c-8");
+    expect_exit(&unclear, 2);
     expect_exit(&group.run("env promote trial production --trusted 2"), 0);
     expect_exit(&group.run("env diff trial --with production"), 0);
 }
--- a/daisyhinge-cli/tests/support/fake_group.rs
+++ b/daisyhinge-cli/tests/support/fake_group.rs
@@ -7,14 +7,15 @@
 use std::process::{Command, Output};
 use std::sync::{Arc, Mutex};
 
+use daisyhinge::control::book::EnvironmentReading;
 use daisyhinge::prelude::*;
 use daisyhinge::shell::operator::{OperatorCalls, OperatorPort, OperatorToken};
 use daisyhinge::vocabulary::change::{
     ChangeAsk, ChangeDone, ChangeKind, ChangeRecord, ChangeRefusal,
 };
+use daisyhinge::vocabulary::control::{ControlRole, ControlStatus, EntryStatus};
 use daisyhinge::vocabulary::environment::EnvironmentDocument;
-use daisyhinge::vocabulary::status::{ControlStatus, EntryStatus};
-use daisyhinge::vocabulary::view::{ControlView, EntryState};
+use daisyhinge::vocabulary::view::{ControlView, EntryRecord, EntryState};
 use tempfile::TempDir;
 
 pub const TOKEN: &str = "0123456789abcdef-test";
@@ -116,11 +117,20 @@
     fn status(&self, leading: bool) -> ControlStatus {
         ControlStatus {
             vm: VmName::from("control-1"),
-            leading,
-            leader: None,
+            number: 1,
+            role: if leading {
+                ControlRole::Leader
+            } else {
+                ControlRole::Follower
+            },
             term: 1,
+            leader: None,
+            leader_operator: None,
+            commit: 0,
+            snapshot: 0,
             version: self.view.version,
-            committed: 0,
+            claims: 0,
+            confirmed_ms: leading.then_some(5),
             voters: Vec::new(),
             entries: self.entries.clone(),
         }
@@ -174,17 +184,26 @@
         run_program(&self.folder, arguments, &operators)
     }
 
-    pub fn add_entry(&self, vm: &str, holds: u64, heard_ms: u64) {
-        let entry = EntryStatus {
+    pub fn add_entry(&self, vm: &str, holds: u64, asked_ms: u64) {
+        let entry = EntryRecord {
             vm: VmName::from(vm),
             environment: EnvironmentName::from("production"),
             data_centre: CentreName::from("lagos-1"),
+            incarnation: IncarnationNumber(7),
             caller_address: "127.0.0.1:7000".parse().unwrap(),
+            peer_address: "127.0.0.1:7001".parse().unwrap(),
             state: EntryState::Live,
-            holds: VersionNumber(holds),
-            heard_ms,
         };
-        self.state.lock().unwrap().entries.push(entry);
+        let status = EntryStatus {
+            vm: entry.vm.clone(),
+            environment: entry.environment.clone(),
+            incarnation: entry.incarnation,
+            holds: Some(VersionNumber(holds)),
+            asked_ms: Some(asked_ms),
+        };
+        let mut state = self.state.lock().unwrap();
+        state.view.entries.push(entry);
+        state.entries.push(status);
     }
 }
 
@@ -217,7 +236,7 @@
 }
 
 fn lead(state: &Arc<Mutex<GroupState>>) -> OperatorCalls {
-    let [change, view, history, status] = [0; 4].map(|_| Arc::clone(state));
+    let [change, view, environment, history, status] = [0; 5].map(|_| Arc::clone(state));
     OperatorCalls {
         change: Arc::new(move |ask| {
             let reply = change.lock().unwrap().change(&ask);
@@ -227,6 +246,16 @@
             let view = view.lock().unwrap().view.clone();
             Box::pin(std::future::ready(Ok(Arc::new(view))))
         }),
+        environment: Arc::new(move |name| {
+            let state = environment.lock().unwrap();
+            let found = state.view.environments.get(&name);
+            let reading = found.map(|document| EnvironmentReading {
+                version: state.version_of(&name),
+                document: Arc::clone(document),
+            });
+            let unknown = refuse(ResultCode::UnknownEnvironment, VersionNumber(0), None);
+            Box::pin(std::future::ready(reading.ok_or(unknown)))
+        }),
         history: Arc::new(move |environment| {
             let found = history.lock().unwrap().histories.get(&environment).cloned();
             let unknown = refuse(ResultCode::UnknownEnvironment, VersionNumber(0), None);
@@ -244,10 +273,11 @@
         leader: Some(leader),
         ..refuse(ResultCode::NotLeader, VersionNumber(0), None)
     };
-    let [change, view, history] = [0; 3].map(|_| refusal.clone());
+    let [change, view, environment, history] = [0; 4].map(|_| refusal.clone());
     OperatorCalls {
         change: Arc::new(move |_| Box::pin(std::future::ready(Err(change.clone())))),
         view: Arc::new(move |()| Box::pin(std::future::ready(Err(view.clone())))),
+        environment: Arc::new(move |_| Box::pin(std::future::ready(Err(environment.clone())))),
         history: Arc::new(move |_| Box::pin(std::future::ready(Err(history.clone())))),
         status: Arc::new(|()| {
             let status = GroupState::default().status(false);
--- a/daisyhinge/src/shell/operator.rs
+++ b/daisyhinge/src/shell/operator.rs
@@ -5,6 +5,7 @@
 
 pub mod calls;
 pub mod client;
+pub mod ports;
 pub mod refusal;
 pub mod token;
 
@@ -25,6 +26,7 @@
 use crate::vocabulary::name::check_name;
 pub use calls::OperatorCalls;
 pub use client::OperatorClient;
+pub use ports::ControlPorts;
 pub use refusal::OperatorRefusal;
 pub use token::OperatorToken;
 
@@ -82,7 +84,7 @@
 async fn answer_request(request: Request<Incoming>, calls: OperatorCalls) -> Response<ReplyBody> {
     let method = match request.uri().path() {
         "/v1/change" => Method::POST,
-        "/v1/history" | "/v1/status" | "/v1/view" => Method::GET,
+        "/v1/environment" | "/v1/history" | "/v1/status" | "/v1/view" => Method::GET,
         _ => return refuse(OperatorRefusal::new(ResultCode::UnknownPath)),
     };
     if request.method() != method {
@@ -90,7 +92,14 @@
     }
     match request.uri().path() {
         "/v1/change" => answer_change(request, &calls).await,
-        "/v1/history" => answer_history(&request, &calls).await,
+        "/v1/environment" => match read_environment_name(&request) {
+            Ok(name) => reply_result((calls.environment)(name).await),
+            Err(fault) => refuse_faults(vec![fault]),
+        },
+        "/v1/history" => match read_environment_name(&request) {
+            Ok(name) => reply_result((calls.history)(name).await),
+            Err(fault) => refuse_faults(vec![fault]),
+        },
         "/v1/status" => reply_result((calls.status)(()).await),
         _ => reply_result((calls.view)(()).await),
     }
@@ -107,18 +116,16 @@
     }
 }
 
-async fn answer_history(request: &Request<Incoming>, calls: &OperatorCalls) -> Response<ReplyBody> {
+fn read_environment_name(request: &Request<Incoming>) -> Result<EnvironmentName, FieldFault> {
     let query = request.uri().query().unwrap_or("");
-    match query.strip_prefix("environment=") {
-        Some(name) if check_name(name) => {
-            reply_result((calls.history)(EnvironmentName::from(name)).await)
-        }
-        _ => {
+    query
+        .strip_prefix("environment=")
+        .filter(|name| check_name(name))
+        .map(EnvironmentName::from)
+        .ok_or_else(|| {
             let detail = "the query must be environment=NAME";
-            let fault = FieldFault::new("environment", ResultCode::BadName, detail);
-            refuse_faults(vec![fault])
-        }
-    }
+            FieldFault::new("environment", ResultCode::BadName, detail)
+        })
 }
 
 fn reply_result<T: Serialize>(result: Result<T, ChangeRefusal>) -> Response<ReplyBody> {
--- a/daisyhinge/src/shell/operator/calls.rs
+++ b/daisyhinge/src/shell/operator/calls.rs
@@ -5,9 +5,12 @@
 
 use futures::future::BoxFuture;
 
+use crate::control::book::EnvironmentReading;
+use crate::metric::ControlMetrics;
 use crate::prelude::*;
+use crate::shell::control::ControlShell;
 use crate::vocabulary::change::{ChangeAsk, ChangeDone, ChangeRecord, ChangeRefusal};
-use crate::vocabulary::status::ControlStatus;
+use crate::vocabulary::control::ControlStatus;
 use crate::vocabulary::view::ControlView;
 
 /// A call that may be refused.
@@ -21,12 +24,68 @@
     pub change: OperatorCall<ChangeAsk, ChangeDone>,
     /// The newest view, confirmed by a quorum.
     pub view: OperatorCall<(), Arc<ControlView>>,
+    /// The document of an environment with its version, confirmed by a quorum.
+    pub environment: OperatorCall<EnvironmentName, EnvironmentReading>,
     /// The accepted changes of an environment, oldest first, confirmed by a quorum.
     pub history: OperatorCall<EnvironmentName, Vec<ChangeRecord>>,
     /// The state of this control VM as it sees it itself; answered by every control VM.
     pub status: OperatorCall<(), ControlStatus>,
 }
 
+impl OperatorCalls {
+    /// The calls of a running control process. Changes are counted by their outcome.
+    pub fn new(shell: &ControlShell, metrics: &ControlMetrics) -> Self {
+        let [change, view, environment, history, status] = [shell; 5].map(ControlShell::clone);
+        let metrics = metrics.clone();
+        Self {
+            change: Arc::new(move |ask| {
+                let (shell, metrics) = (change.clone(), metrics.clone());
+                Box::pin(async move { change_counted(&shell, &metrics, ask).await })
+            }),
+            view: Arc::new(move |()| {
+                let shell = view.clone();
+                Box::pin(async move { shell.read_view().await })
+            }),
+            environment: Arc::new(move |name| {
+                let shell = environment.clone();
+                Box::pin(async move { shell.read_environment(&name).await })
+            }),
+            history: Arc::new(move |name| {
+                let shell = history.clone();
+                Box::pin(async move { shell.history(&name).await })
+            }),
+            status: Arc::new(move |()| {
+                let shell = status.clone();
+                Box::pin(async move { shell.status().await.ok_or_else(refuse_stopped) })
+            }),
+        }
+    }
+}
+
+async fn change_counted(
+    shell: &ControlShell,
+    metrics: &ControlMetrics,
+    ask: ChangeAsk,
+) -> Result<ChangeDone, ChangeRefusal> {
+    let reply = shell.change(ask).await;
+    metrics.record_change(
+        reply
+            .as_ref()
+            .err()
+            .map_or(ResultCode::Ok, |refusal| refusal.code),
+    );
+    reply
+}
+
+fn refuse_stopped() -> ChangeRefusal {
+    ChangeRefusal {
+        code: ResultCode::ShuttingDown,
+        current: VersionNumber(0),
+        winner: None,
+        leader: None,
+    }
+}
+
 impl fmt::Debug for OperatorCalls {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("OperatorCalls").finish_non_exhaustive()
--- a/daisyhinge/src/shell/operator/client.rs
+++ b/daisyhinge/src/shell/operator/client.rs
@@ -7,12 +7,15 @@
 use hyper::Method;
 use serde::de::DeserializeOwned;
 
+use crate::control::book::EnvironmentReading;
 use crate::prelude::*;
 use crate::shell::http_port::fetch::{FetchFault, PortAsk, PortReply, fetch};
 use crate::shell::operator::refusal::OperatorRefusal;
 use crate::shell::operator::token::OperatorToken;
 use crate::vocabulary::change::{ChangeAsk, ChangeDone, ChangeRecord};
-use crate::vocabulary::status::ControlStatus;
+use crate::vocabulary::clock::span_to_millis;
+use crate::vocabulary::control::{ControlRole, ControlStatus};
+use crate::vocabulary::freshness::LEASE_SPAN;
 use crate::vocabulary::view::ControlView;
 
 /// Time that one try may take.
@@ -71,6 +74,19 @@
         self.call(Method::GET, "/v1/view", Bytes::new()).await
     }
 
+    /// The document of an environment with its version.
+    ///
+    /// # Errors
+    ///
+    /// [`ClientFault`].
+    pub async fn environment(
+        &self,
+        environment: &EnvironmentName,
+    ) -> Result<EnvironmentReading, ClientFault> {
+        let target = format!("/v1/environment?environment={environment}");
+        self.call(Method::GET, &target, Bytes::new()).await
+    }
+
     /// The accepted changes of an environment.
     ///
     /// # Errors
@@ -107,7 +123,7 @@
         loop {
             for address in &self.addresses {
                 match self.status(*address).await {
-                    Ok(status) if status.leading => return Ok(status),
+                    Ok(status) if is_leading(&status) => return Ok(status),
                     Err(ClientFault::Refused(refusal)) => {
                         return Err(ClientFault::Refused(refusal));
                     }
@@ -188,6 +204,14 @@
     }
 }
 
+/// Whether the VM leads and a quorum confirmed it a short while ago; one that is cut off goes on
+/// believing that it leads.
+pub fn is_leading(status: &ControlStatus) -> bool {
+    let confirmed = status.confirmed_ms;
+    status.role == ControlRole::Leader
+        && confirmed.is_some_and(|age| age < span_to_millis(LEASE_SPAN))
+}
+
 /// How one try ended.
 #[derive(Debug)]
 enum TryOutcome<R> {
--- a/daisyhinge/src/vocabulary.rs
+++ b/daisyhinge/src/vocabulary.rs
@@ -16,6 +16,5 @@
 pub mod replica;
 pub mod run;
 pub mod setting;
-pub mod status;
 pub mod subrequest;
 pub mod view;
--- a/daisyhinge/tests/operator.rs
+++ b/daisyhinge/tests/operator.rs
@@ -12,8 +12,8 @@
     OperatorCalls, OperatorClient, OperatorPort, OperatorRefusal, OperatorToken,
 };
 use daisyhinge::vocabulary::change::{ChangeAsk, ChangeDone, ChangeKind, ChangeRefusal};
+use daisyhinge::vocabulary::control::{ControlRole, ControlStatus};
 use daisyhinge::vocabulary::environment::CentreState;
-use daisyhinge::vocabulary::status::ControlStatus;
 use daisyhinge::vocabulary::view::ControlView;
 use parking_lot::Mutex;
 use proptest::prelude::*;
@@ -45,15 +45,24 @@
                 Box::pin(std::future::ready(reply))
             }),
             view: Arc::new(|()| Box::pin(std::future::ready(Ok(Arc::new(ControlView::default()))))),
+            environment: Arc::new(|_environment| {
+                let unknown = refusal(ResultCode::UnknownEnvironment, None);
+                Box::pin(std::future::ready(Err(unknown)))
+            }),
             history: Arc::new(|_environment| Box::pin(std::future::ready(Ok(Vec::new())))),
             status: Arc::new(|()| {
                 let status = ControlStatus {
                     vm: VmName::from("control-1"),
-                    leading: true,
-                    leader: None,
+                    number: 1,
+                    role: ControlRole::Leader,
                     term: 1,
+                    leader: None,
+                    leader_operator: None,
+                    commit: 7,
+                    snapshot: 0,
                     version: VersionNumber(3),
-                    committed: 7,
+                    claims: 0,
+                    confirmed_ms: Some(5),
                     voters: Vec::new(),
                     entries: Vec::new(),
                 };
