Add the load tool, its scenarios, a TCP relay and a stand-in for control

Cause: none of the targets of the policy could be measured.

Conclusion: load::run takes a scenario and a SystemHandle; load, report, compare and pipe are subcommands. Without addresses, load starts entries and an in-memory control in its own process.

--- a/daisyhinge-fakes/src/lib.rs
+++ b/daisyhinge-fakes/src/lib.rs
@@ -1,4 +1,9 @@
 //! Stand-ins for what surrounds the system: a backend server, a slow link, callers under load.
 
+pub mod compare;
+pub mod control;
 pub mod http;
+pub mod load;
+pub mod pipe;
+pub mod report;
 pub mod server;
--- /dev/null
+++ b/daisyhinge-fakes/src/load/gather.rs
@@ -0,0 +1,83 @@
+//! Puts the result of a run together.
+
+use daisyhinge::vocabulary::clock::span_to_micros;
+
+use crate::load::fleet::FleetServer;
+use crate::load::oracle::RunOracle;
+use crate::load::result::{LoadResult, ServerResult};
+use crate::load::run::LoadRun;
+use crate::load::tally::tally_service;
+use crate::server::FakeRecord;
+
+/// Puts the result of a run together.
+pub(crate) fn gather_result(run: &LoadRun) -> LoadResult {
+    let scenario = &run.scenario;
+    let records = run
+        .fleet
+        .servers
+        .iter()
+        .map(|server| server.server.record())
+        .collect::<Vec<_>>();
+    let outcomes = run.outcomes.lock();
+    let services = (0..scenario.services.len())
+        .map(|service| {
+            let own = run
+                .fleet
+                .servers
+                .iter()
+                .zip(&records)
+                .filter(|(server, _record)| server.service == service)
+                .map(|(_server, record)| record)
+                .collect::<Vec<_>>();
+            tally_service(scenario, service, &outcomes, &own)
+        })
+        .collect();
+    LoadResult {
+        scenario: scenario.name.clone(),
+        system: String::from(if run.naive.is_some() {
+            "naive"
+        } else {
+            "daisyhinge"
+        }),
+        label: String::new(),
+        seed: scenario.seed,
+        duration_ms: scenario.duration_ms,
+        tool_late_us: span_to_micros(run.tool_late()),
+        services,
+        servers: run
+            .fleet
+            .servers
+            .iter()
+            .zip(&records)
+            .map(|(server, record)| build_server(server, record))
+            .collect(),
+        faults: run.notes.lock().clone(),
+        marked_servers_max: RunOracle::gather(records.iter()).max_marked_servers(),
+    }
+}
+
+fn build_server(server: &FleetServer, record: &FakeRecord) -> ServerResult {
+    let settings = server.server.settings();
+    ServerResult {
+        replica: settings.replica.to_string(),
+        data_centre: settings.data_centre.to_string(),
+        slots: settings.slots,
+        connections: settings.connections,
+        received: record.received,
+        cancelled: record.cancelled,
+        shed: record.shed,
+        peak_in_hand: record.peak_in_hand,
+        slots_exceeded: record.slots_exceeded,
+        peak_connections: record.peak_connections,
+        connections_exceeded: record.connections_exceeded,
+        collapses: record.collapses,
+        collapses_after_sign: record.collapses_after_sign,
+        cold_exceeded: record.cold_exceeded,
+        cold_exceeded_after_sign: record.cold_exceeded_after_sign,
+        warm_up_ms: record.warm_at_us.saturating_sub(record.cold_at_us) / 1_000,
+        cold_still: record.cold_at_us > 0 && record.warm_at_us == 0,
+        crashes: record.crashes,
+        after_mark: record.after_mark,
+        last_after_mark_ms: record.last_after_mark_us / 1_000,
+    }
+}
