--- a/daisyhinge-fakes/src/lib.rs
+++ b/daisyhinge-fakes/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod http;
 pub mod load;
 pub mod pipe;
+pub mod process;
 pub mod report;
 pub mod server;
--- a/daisyhinge/src/keeper/table.rs
+++ b/daisyhinge/src/keeper/table.rs
@@ -40,14 +40,16 @@
         }
     }
 
-    /// Publishes a record if it differs in more than its load.
+    /// Publishes a record if it differs in more than its load; of the load, only the limit counts.
     pub fn publish(&mut self, record: ReplicaRecord) {
         let same = self.records.get(&record.replica).is_some_and(|row| {
             let load = row.record.load;
-            ReplicaRecord {
-                load,
-                ..record.clone()
-            } == row.record
+            let same_limit = load.limit == record.load.limit;
+            same_limit
+                && ReplicaRecord {
+                    load,
+                    ..record.clone()
+                } == row.record
         });
         if same {
             return;
@@ -74,7 +76,7 @@
         }
     }
 
-    /// What changed since the asker's cursor.
+    /// What changed since the asker's cursor, without crash records.
     pub fn delta(&self, ask: TableAsk) -> TableDelta {
         let oldest_gone = self.gone.first().map_or(0, |row| row.changed);
         let whole = ask.table != self.table || (oldest_gone > 1 && ask.cursor + 1 < oldest_gone);
--- a/daisyhinge/src/shell/entry/state.rs
+++ b/daisyhinge/src/shell/entry/state.rs
@@ -3,26 +3,26 @@
 //! Lock order: none of these locks is taken while another is held, but for `keeping`, under
 //! which `view` and `lease` may be read.
 
-use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::Semaphore;
 
-use crate::keeper::gate::KeeperGate;
 use crate::lease::FreshnessLease;
+use crate::metric::EntryMetrics;
 use crate::prelude::*;
+use crate::search::admission::{AdmissionBounds, AdmissionGate, AdmissionRefusal};
 use crate::search::plan::SEQUENCE_STRIDE;
 use crate::search::route::RouteTable;
 use crate::shell::clock::{ProcessClock, wall_micros};
 use crate::shell::entry::following::ControlPool;
 use crate::shell::entry::keeping::KeepingTable;
 use crate::shell::entry::peering::PeerPool;
-use crate::vocabulary::environment::{CentreState, EnvironmentDocument};
+use crate::vocabulary::environment::{EnvironmentDocument, ServiceEntry};
 use crate::vocabulary::event::EventDraft;
 use crate::vocabulary::setting::EntrySettings;
 use crate::vocabulary::view::{ControlView, EntryRecord, EntryState as MemberState};
@@ -52,6 +52,8 @@
     pub origin: u64,
     /// Connections from callers and backend servers that may still be accepted.
     pub connections: Arc<Semaphore>,
+    /// Its metrics.
+    pub metrics: EntryMetrics,
     /// Set when the process stops.
     pub stopped: AtomicBool,
     pub(super) routes: Mutex<RouteTable>,
@@ -61,10 +63,10 @@
     incarnation: IncarnationNumber,
     view: RwLock<Arc<ControlView>>,
     lease: Mutex<FreshnessLease>,
-    members_changed: Mutex<MonotonicTime>,
     phase: AtomicU8,
     released: AtomicBool,
-    running: Mutex<HashMap<ServiceName, u32>>,
+    admission: Mutex<AdmissionGate>,
+    recording: AtomicU32,
     sequence: AtomicU64,
     note: NoteSink,
 }
@@ -78,24 +80,26 @@
 }
 
 impl EntryState {
-    pub(super) fn new(settings: EntrySettings, note: NoteSink) -> Self {
+    pub(super) fn new(settings: EntrySettings, metrics: EntryMetrics, note: NoteSink) -> Self {
         let origin = rand::random();
+        let incarnation = IncarnationNumber(wall_micros());
         Self {
             connections: Arc::new(Semaphore::new(settings.limits.connections_max as usize)),
             clock: ProcessClock::open(),
             origin,
             stopped: AtomicBool::new(false),
-            routes: Mutex::default(),
-            keeping: Mutex::new(KeepingTable::new(origin)),
+            routes: Mutex::new(RouteTable::seeded(origin)),
+            keeping: Mutex::new(KeepingTable::new(&settings, incarnation, origin)),
             peers: PeerPool::default(),
             control: ControlPool::default(),
-            members_changed: Mutex::default(),
-            incarnation: IncarnationNumber(wall_micros()),
+            incarnation,
             view: RwLock::default(),
             lease: Mutex::default(),
             phase: AtomicU8::new(EntryPhase::Serving as u8),
             released: AtomicBool::new(false),
-            running: Mutex::default(),
+            admission: Mutex::default(),
+            recording: AtomicU32::new(0),
+            metrics,
             sequence: AtomicU64::new(0),
             note,
             settings,
@@ -146,17 +150,9 @@
             view.version >= current.version,
             "an accepted configuration never reverts"
         );
-        if view.entries != current.entries {
-            *self.members_changed.lock() = self.now();
-        }
         *current = view;
     }
 
-    /// When the list of entries last changed in the view in force here.
-    pub(super) fn members_changed(&self) -> MonotonicTime {
-        *self.members_changed.lock()
-    }
-
     /// How far this entry is in its life.
     pub fn phase(&self) -> EntryPhase {
         match self.phase.load(Ordering::Acquire) {
@@ -218,43 +214,49 @@
         others.iter().map(|entry| entry.caller_address).collect()
     }
 
-    /// What must hold before a replica of `centre` gets anything.
-    pub(super) fn gate(&self, centre: &CentreName, opens: MonotonicTime) -> KeeperGate {
-        let centre_in = self.document().is_some_and(|document| {
-            document
-                .find_centre(centre)
-                .is_some_and(|entry| entry.state == CentreState::In)
-        });
-        KeeperGate {
-            lease_ends: self.lease().ends(),
-            opens,
-            centre_in,
-            is_keeper: true,
-        }
-    }
-
     /// Numbers for the attempts of one request.
     pub(super) fn next_sequence_base(&self) -> u64 {
         self.sequence.fetch_add(SEQUENCE_STRIDE, Ordering::Relaxed)
     }
 
-    /// Counts a request in; the guard counts it out.
-    pub(super) fn begin_request(self: &Arc<Self>, service: &ServiceName) -> RunningGuard {
-        *self.running.lock().entry(service.clone()).or_default() += 1;
-        RunningGuard {
+    /// Admits a caller's request; the guard counts it out.
+    ///
+    /// # Errors
+    ///
+    /// [`AdmissionRefusal`] if too much runs.
+    pub(super) fn admit_request(
+        self: &Arc<Self>,
+        service: &ServiceEntry,
+        deadline: Option<Duration>,
+    ) -> Result<RunningGuard, AdmissionRefusal> {
+        let started = self.now();
+        let total_max = self.settings.limits.running_max;
+        let bounds = AdmissionBounds {
+            running_max: service.running_max,
+            total_max,
+        };
+        let allowed = deadline.unwrap_or(Duration::from_millis(service.deadline_ms));
+        self.admission
+            .lock()
+            .admit(started, &service.name, bounds, allowed)?;
+        Ok(RunningGuard {
             state: Arc::clone(self),
-            service: service.clone(),
-        }
+            service: service.name.clone(),
+            started,
+        })
     }
 
-    /// Requests of callers that run here.
-    pub fn running_count(&self) -> u32 {
-        self.running.lock().values().sum()
+    /// Counts a claim's outcome that is being recorded; the guard counts it out.
+    pub(super) fn begin_recording(self: &Arc<Self>) -> RecordingGuard {
+        self.recording.fetch_add(1, Ordering::AcqRel);
+        RecordingGuard {
+            state: Arc::clone(self),
+        }
     }
 
-    /// Requests of callers that run here, of one service.
-    pub fn running_of(&self, service: &ServiceName) -> u32 {
-        self.running.lock().get(service).copied().unwrap_or(0)
+    /// Requests of callers that run here and outcomes that are being recorded.
+    pub fn running_count(&self) -> u32 {
+        self.admission.lock().running() + self.recording.load(Ordering::Acquire)
     }
 
     /// Waits until all connections of callers ended, at most `longest`.
@@ -270,13 +272,27 @@
 pub struct RunningGuard {
     state: Arc<EntryState>,
     service: ServiceName,
+    started: MonotonicTime,
 }
 
 impl Drop for RunningGuard {
     fn drop(&mut self) {
-        let mut running = self.state.running.lock();
-        if let Some(count) = running.get_mut(&self.service) {
-            *count = count.saturating_sub(1);
-        }
+        let now = self.state.now();
+        self.state
+            .admission
+            .lock()
+            .leave(now, &self.service, now.since(self.started));
+    }
+}
+
+/// Counts a recording out when dropped.
+#[derive(Debug)]
+pub struct RecordingGuard {
+    state: Arc<EntryState>,
+}
+
+impl Drop for RecordingGuard {
+    fn drop(&mut self) {
+        self.state.recording.fetch_sub(1, Ordering::AcqRel);
     }
 }
