Prove the log, its store and the book by seeded schedules against a plain map

Cause: the replicated log had only been seen to work, not to survive faults. Ruled out: a harness over real processes for this (thousands of schedules a minute run over the machines themselves).

--- a/daisyhinge/src/control.rs
+++ b/daisyhinge/src/control.rs
@@ -2,6 +2,7 @@
 
 pub mod book;
 pub mod core;
+pub mod limits;
 pub mod log;
 pub mod member;
 pub mod message;
--- a/daisyhinge/src/control/core.rs
+++ b/daisyhinge/src/control/core.rs
@@ -28,10 +28,6 @@
 
 use watch::EntryWatch;
 
-/// Applied entries after which a snapshot is taken.
-pub const COMPACT_ENTRIES: u64 = 8_192;
-/// Bytes of applied commands after which a snapshot is taken.
-pub const COMPACT_BYTES: usize = 16 << 20;
 /// Asks that may wait at a time.
 pub const ASKS_MAX: usize = 65_536;
 /// Largest command, in bytes.
@@ -285,7 +281,9 @@
     fn compact(&mut self, now: MonotonicTime, actions: &mut Vec<CoreAction>) {
         let index = self.voter.commit();
         let behind = index - self.voter.log().snapshot().index;
-        if behind >= COMPACT_ENTRIES || (behind > 0 && self.applied_bytes >= COMPACT_BYTES) {
+        let limits = self.voter.limits();
+        let large = behind > 0 && self.applied_bytes >= limits.compact_bytes;
+        if large || behind >= limits.compact_entries {
             self.applied_bytes = 0;
             let bytes = (self.codec.encode_state)(self.book.state());
             self.step_voter(now, VoterEvent::Compact { index, bytes }, actions);
--- a/daisyhinge/src/control/log.rs
+++ b/daisyhinge/src/control/log.rs
@@ -7,9 +7,6 @@
 
 use crate::control::member::VoterSet;
 
-/// Entries kept in memory below the snapshot, so that a voter slightly behind needs no snapshot.
-pub const LOG_TAIL_KEPT: u64 = 1_024;
-
 /// What an entry of the log carries.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum LogPayload {
@@ -189,8 +186,8 @@
             .truncate(usize::try_from(keep).unwrap_or(usize::MAX));
     }
 
-    /// Takes a snapshot of this log's own entries and forgets most of those before it.
-    pub(crate) fn compact(&mut self, snapshot: LogSnapshot) {
+    /// Takes a snapshot of this log's own entries and forgets those before it, but for a tail.
+    pub(crate) fn compact(&mut self, snapshot: LogSnapshot, tail_entries: u64) {
         assert!(
             snapshot.index >= self.snapshot.index,
             "snapshots only advance"
@@ -200,7 +197,7 @@
             Some(snapshot.term),
             "a snapshot of this log"
         );
-        while self.before.0 + LOG_TAIL_KEPT < snapshot.index {
+        while self.before.0 + tail_entries < snapshot.index {
             let Some(entry) = self.entries.pop_front() else {
                 break;
             };
--- a/daisyhinge/src/control/store.rs
+++ b/daisyhinge/src/control/store.rs
@@ -15,8 +15,6 @@
 pub use disk::{DiskOp, StoreFault, StoredFile};
 pub use recover::{OpenedStore, open_store};
 
-/// Size at which a new segment is begun, in bytes.
-pub const SEGMENT_BYTES: u64 = 8 << 20;
 /// Part of a snapshot in one record, in bytes.
 const SNAPSHOT_RECORD_BYTES: usize = 1 << 20;
 const SNAPSHOT_TEMPORARY: &str = "snapshot.tmp";
@@ -55,6 +53,8 @@
     batch: u64,
     segments: Vec<LogSegment>,
     snapshot_index: u64,
+    /// Size at which a new segment is begun, in bytes.
+    segment_bytes: u64,
 }
 
 impl StoreWriter {
@@ -67,7 +67,7 @@
         let roll = self
             .segments
             .last()
-            .is_none_or(|segment| segment.bytes >= SEGMENT_BYTES);
+            .is_none_or(|segment| segment.bytes >= self.segment_bytes);
         if roll {
             self.begin_segment();
         }
@@ -146,6 +146,14 @@
     }
 
     fn begin_segment(&mut self) {
+        // A segment whose first batch was torn is there already, empty and under that name.
+        if self
+            .segments
+            .last()
+            .is_some_and(|last| last.first_batch == self.batch)
+        {
+            return;
+        }
         self.segments.push(LogSegment {
             first_batch: self.batch,
             bytes: 0,
@@ -203,7 +211,11 @@
 
 /// Plans a new folder: the first segment before the identity, whose presence says that the
 /// folder is complete.
-fn plan_folder(id: &VoterId, stale: &[StoredFile]) -> (StoreWriter, Vec<DiskOp>) {
+fn plan_folder(
+    id: &VoterId,
+    segment_bytes: u64,
+    stale: &[StoredFile],
+) -> (StoreWriter, Vec<DiskOp>) {
     let mut ops: Vec<DiskOp> = stale
         .iter()
         .map(|file| DiskOp::Remove(file.name.clone()))
@@ -214,6 +226,7 @@
         batch: 1,
         segments: Vec::new(),
         snapshot_index: 0,
+        segment_bytes,
     };
     ops.extend(writer.plan_saves(&[]));
     let mut bytes = Vec::new();
--- a/daisyhinge/src/control/store/recover.rs
+++ b/daisyhinge/src/control/store/recover.rs
@@ -54,6 +54,7 @@
 }
 
 /// Opens the folder of `vm` from its files; an empty one gets the identity number `number`.
+/// Segments grow to about `segment_bytes`.
 ///
 /// # Errors
 /// [`ResultCode::RecordDamaged`] where something that was synced is damaged, and
@@ -61,10 +62,11 @@
 pub fn open_store(
     vm: &VmName,
     number: u64,
+    segment_bytes: u64,
     files: &[StoredFile],
 ) -> Result<OpenedStore, StoreFault> {
     let Some(identity) = find_file(files, IDENTITY_FILE) else {
-        return make_store(vm, number, files);
+        return make_store(vm, number, segment_bytes, files);
     };
     let id = read_identity(vm, identity)?;
     let snapshot = read_newest_snapshot(files)?;
@@ -89,6 +91,7 @@
         batch: reading.batch,
         segments: reading.segments,
         snapshot_index: snapshot.index,
+        segment_bytes,
     };
     let any = !reading.entries.is_empty();
     let selected = select_entries(reading.entries, &snapshot);
@@ -109,7 +112,12 @@
     })
 }
 
-fn make_store(vm: &VmName, number: u64, files: &[StoredFile]) -> Result<OpenedStore, StoreFault> {
+fn make_store(
+    vm: &VmName,
+    number: u64,
+    segment_bytes: u64,
+    files: &[StoredFile],
+) -> Result<OpenedStore, StoreFault> {
     // A crash while the folder was made leaves at most the first segment and a temporary file.
     let first = segment_file(1);
     let foreign = files
@@ -122,7 +130,7 @@
         vm: vm.clone(),
         number,
     };
-    let (writer, ops) = plan_folder(&id, files);
+    let (writer, ops) = plan_folder(&id, segment_bytes, files);
     Ok(OpenedStore {
         id,
         stored: StoredLog::default(),
@@ -318,7 +326,9 @@
         let segment = self.segments.last_mut()?;
         segment.last_index = segment.last_index.max(entry.index);
         if let Some(first) = self.entries.first() {
-            let keep = entry.index.checked_sub(first.index)?;
+            // Entries before the first one here may have stood in segments that a later
+            // snapshot made needless; one that replaces them replaces all that follow.
+            let keep = entry.index.saturating_sub(first.index);
             let keep = usize::try_from(keep).ok()?;
             if keep > self.entries.len() {
                 return None;
--- a/daisyhinge/src/control/voter.rs
+++ b/daisyhinge/src/control/voter.rs
@@ -12,6 +12,7 @@
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 
+use crate::control::limits::LogLimits;
 use crate::control::log::{HardState, LogEntry, LogPayload, LogSnapshot, StoredLog, VoterLog};
 use crate::control::member::{VoterId, VoterSet};
 use crate::control::message::{VoterBody, VoterMessage};
@@ -32,10 +33,6 @@
 pub const ELECTION_SPAN: Duration = Duration::from_millis(500);
 /// Silence of a quorum after which a leader steps down.
 pub const STEP_DOWN_SPAN: Duration = Duration::from_millis(900);
-/// Entries of one append, in bytes, unless a single one is larger.
-pub const APPEND_MAX_BYTES: usize = 512 << 10;
-/// Part of a snapshot in one message, in bytes.
-pub const SNAPSHOT_PART_BYTES: usize = 256 << 10;
 /// Largest snapshot that is accepted, in bytes.
 pub const SNAPSHOT_MAX_BYTES: u64 = 64 << 20;
 /// Entries that may wait for commit before a leader refuses more.
@@ -67,6 +64,7 @@
 pub struct VoterMachine {
     id: VoterId,
     operator_address: SocketAddr,
+    limits: LogLimits,
     hard: HardState,
     log: VoterLog,
     /// Member sets of entries that are not yet covered by the snapshot, with their index.
@@ -104,6 +102,7 @@
         now: MonotonicTime,
         id: VoterId,
         operator_address: SocketAddr,
+        limits: LogLimits,
         stored: StoredLog,
         rng: ChaCha8Rng,
         actions: &mut Vec<VoterAction>,
@@ -119,6 +118,7 @@
         let mut machine = Self {
             id,
             operator_address,
+            limits,
             hard: stored.hard,
             log,
             voter_sets,
@@ -177,6 +177,11 @@
         );
     }
 
+    /// The sizes that bound its log.
+    pub fn limits(&self) -> &LogLimits {
+        &self.limits
+    }
+
     /// Its identity.
     pub fn id(&self) -> &VoterId {
         &self.id
@@ -423,7 +428,7 @@
             bytes,
         };
         self.save_entries(actions);
-        self.log.compact(snapshot.clone());
+        self.log.compact(snapshot.clone(), self.limits.tail_entries);
         while self.voter_sets.len() > 1 && self.voter_sets[1].0 <= index {
             self.voter_sets.pop_front();
         }
--- a/daisyhinge/src/control/voter/election.rs
+++ b/daisyhinge/src/control/voter/election.rs
@@ -25,7 +25,7 @@
 
     pub(super) fn stand_pre_vote(&mut self, now: MonotonicTime, actions: &mut Vec<VoterAction>) {
         self.restart_election_timer(now);
-        if !self.voters().has_voter(&self.id) {
+        if !self.may_stand() {
             return;
         }
         self.leader = None;
@@ -35,6 +35,18 @@
         self.count_pre_votes(now, actions);
     }
 
+    /// Whether it votes, or did until a change that may not be committed yet: where the others
+    /// lack that change, none of them can win against this longer log.
+    fn may_stand(&self) -> bool {
+        let running = self.voters_index() > self.commit;
+        self.voters().has_voter(&self.id)
+            || (running
+                && self
+                    .voter_sets
+                    .iter()
+                    .any(|(_, set)| set.has_voter(&self.id)))
+    }
+
     fn send_voters(&mut self, term: u64, body: &VoterBody, actions: &mut Vec<VoterAction>) {
         let others: Vec<VoterId> = self
             .voters()
--- a/daisyhinge/src/control/voter/lead.rs
+++ b/daisyhinge/src/control/voter/lead.rs
@@ -1,6 +1,7 @@
 //! Leading a term: proposals, confirmation by a quorum, commit and changes of members.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
 
 use bytes::Bytes;
 
@@ -8,11 +9,13 @@
     HEARTBEAT_SPAN, STEP_DOWN_SPAN, UNCOMMITTED_MAX, VoterAction, VoterMachine, VoterRole,
 };
 use crate::control::log::{LogEntry, LogPayload, LogSnapshot};
-use crate::control::member::{MemberChange, VoterId};
+use crate::control::member::{MemberChange, VoterId, VoterSet};
 use crate::prelude::*;
 
 /// Rounds whose start is remembered.
 const ROUNDS_KEPT: usize = 256;
+/// Least time between two of them; together they reach back beyond [`STEP_DOWN_SPAN`].
+const ROUNDS_APART: Duration = Duration::from_millis(5);
 /// A learner this many entries behind at most may vote.
 const PROMOTE_LAG_ENTRIES: u64 = 64;
 
@@ -27,7 +30,7 @@
     pub flight: Option<(u64, MonotonicTime)>,
     /// Newest round that it answered.
     pub echoed: u64,
-    /// When it was last heard of.
+    /// It answered a question that was sent then.
     pub heard: MonotonicTime,
     /// Snapshot that it is being sent, and how much of it has arrived.
     pub snapshot: Option<(LogSnapshot, u64)>,
@@ -56,6 +59,14 @@
     pub heartbeat_at: MonotonicTime,
 }
 
+impl LeadState {
+    /// When `round`, or one shortly before it, started; unset if that is long ago.
+    pub(super) fn find_start(&self, round: u64) -> Option<MonotonicTime> {
+        let known = self.rounds.iter().rev().find(|(known, _)| *known <= round);
+        known.map(|(_, started)| *started)
+    }
+}
+
 impl VoterMachine {
     pub(super) fn lead(&mut self) -> Option<&mut LeadState> {
         match &mut self.role {
@@ -192,7 +203,8 @@
     ) {
         let set = self
             .check_members_free()
-            .and_then(|()| self.voters().apply_change(change));
+            .and_then(|()| self.voters().apply_change(change))
+            .and_then(|set| self.check_reachable(now, set));
         match set {
             Ok(set) => {
                 self.propose(ticket, LogPayload::Voters(set, command), actions);
@@ -212,6 +224,22 @@
         Ok(())
     }
 
+    /// A set of which no quorum answers at present could never be left again.
+    fn check_reachable(&self, now: MonotonicTime, set: VoterSet) -> Result<VoterSet, ResultCode> {
+        // What a new leader has not heard of counts as heard when it began; an entry that is
+        // synced there was acknowledged since.
+        let answers = |id: &VoterId| {
+            let matched = self
+                .peer_progress(id)
+                .is_some_and(|(matched, _)| matched > 0);
+            (matched || *id == self.id) && self.is_heard(now, id)
+        };
+        if set.has_quorum(answers) {
+            return Ok(set);
+        }
+        Err(ResultCode::NoQuorum)
+    }
+
     pub(super) fn ask_confirm(
         &mut self,
         _now: MonotonicTime,
@@ -233,7 +261,10 @@
             return 0;
         };
         lead.round += 1;
-        lead.rounds.push_back((lead.round, now));
+        let last = lead.rounds.back();
+        if last.is_none_or(|(_, started)| now.since(*started) >= ROUNDS_APART) {
+            lead.rounds.push_back((lead.round, now));
+        }
         if lead.rounds.len() > ROUNDS_KEPT {
             lead.rounds.pop_front();
         }
@@ -257,11 +288,9 @@
         let Some(lead) = self.lead() else {
             return;
         };
-        while let Some((round, started)) =
-            lead.rounds.pop_front_if(|(round, _)| *round <= confirmed)
-        {
-            lead.confirmed = round;
-            lead.confirmed_at = Some(started);
+        if confirmed > lead.confirmed {
+            lead.confirmed = confirmed;
+            lead.confirmed_at = lead.find_start(confirmed).or(lead.confirmed_at);
         }
         if ready {
             let reached = lead.confirmed;
@@ -307,17 +336,14 @@
     }
 
     fn is_heard_by_quorum(&self, now: MonotonicTime) -> bool {
-        let Some(lead) = self.lead_ref() else {
-            return false;
-        };
-        // A leader outside the set only waits until its own removal is committed.
-        self.voters().has_quorum(|id| {
-            *id == self.id
-                || lead
-                    .peers
-                    .get(id)
-                    .is_some_and(|peer| now.since(peer.heard) < STEP_DOWN_SPAN)
-        })
+        self.voters().has_quorum(|id| self.is_heard(now, id))
+    }
+
+    fn is_heard(&self, now: MonotonicTime, id: &VoterId) -> bool {
+        *id == self.id
+            || self
+                .peer_progress(id)
+                .is_some_and(|(_, heard)| now.since(heard) < STEP_DOWN_SPAN)
     }
 
     fn is_removed(&self) -> bool {
--- a/daisyhinge/src/control/voter/replicate.rs
+++ b/daisyhinge/src/control/voter/replicate.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{APPEND_MAX_BYTES, SNAPSHOT_PART_BYTES, VoterAction, VoterMachine};
+use super::{VoterAction, VoterMachine};
 use crate::control::member::VoterId;
 use crate::control::message::{AppendAsk, AppendReply, SnapshotPart, VoterBody};
 use crate::prelude::*;
@@ -105,7 +105,7 @@
     ) {
         let prev_index = next - 1;
         let prev_term = self.log.term_at(prev_index).expect("at or above the base");
-        let entries = self.log.entries_after(prev_index, APPEND_MAX_BYTES);
+        let entries = self.log.entries_after(prev_index, self.limits.append_bytes);
         let after = next + entries.len() as u64;
         self.set_flight(now, id, round, |peer| peer.next = after);
         self.send_ask(id, prev_index, prev_term, round, entries, actions);
@@ -132,6 +132,7 @@
         actions: &mut Vec<VoterAction>,
     ) {
         let newest = self.log.snapshot().clone();
+        let part_bytes = self.limits.part_bytes;
         let Some(peer) = self.lead().and_then(|lead| lead.peers.get_mut(id)) else {
             return;
         };
@@ -139,7 +140,7 @@
         let (snapshot, offset) = peer.snapshot.get_or_insert((newest, 0));
         let start = usize::try_from(*offset).unwrap_or(usize::MAX);
         let start = start.min(snapshot.bytes.len());
-        let end = (start + SNAPSHOT_PART_BYTES).min(snapshot.bytes.len());
+        let end = (start + part_bytes).min(snapshot.bytes.len());
         let part = SnapshotPart {
             index: snapshot.index,
             term: snapshot.term,
@@ -168,10 +169,15 @@
         if term < self.hard.term {
             return false;
         }
-        let Some(peer) = self.lead().and_then(|lead| lead.peers.get_mut(from)) else {
+        let Some(lead) = self.lead() else {
+            return false;
+        };
+        // An answer that waited long says nothing of the present: the question's time counts.
+        let asked = lead.find_start(round);
+        let Some(peer) = lead.peers.get_mut(from) else {
             return false;
         };
-        peer.heard = now;
+        peer.heard = asked.map_or(peer.heard, |asked| peer.heard.max(asked));
         peer.echoed = peer.echoed.max(round);
         if peer.flight.is_some_and(|(sent, _)| sent <= round) {
             peer.flight = None;
--- a/daisyhinge/src/shell/control.rs
+++ b/daisyhinge/src/shell/control.rs
@@ -19,6 +19,7 @@
 
 use crate::control::book::EnvironmentReading;
 use crate::control::core::{CoreAsk, CoreReply};
+use crate::control::limits::LogLimits;
 use crate::control::member::VoterId;
 use crate::prelude::*;
 use crate::vocabulary::change::{ChangeAsk, ChangeDone, ChangeKind, ChangeRecord, ChangeRefusal};
@@ -85,8 +86,13 @@
     /// [`ResultCode::RecordDamaged`], [`ResultCode::StorageFailed`] or
     /// [`ResultCode::BindFailed`], each with what to do.
     pub fn spawn(settings: ControlSettings, note: EventSink) -> Result<Self, ControlFault> {
-        let (folder, opened) =
-            DataFolder::open(&settings.data_folder, &settings.vm, rand::random())?;
+        let limits = LogLimits::default();
+        let (folder, opened) = DataFolder::open(
+            &settings.data_folder,
+            &settings.vm,
+            rand::random(),
+            limits.segment_bytes,
+        )?;
         let listener = bind_listener(settings.address)?;
         let address = listener.local_addr().map_err(|error| bind_fault(&error))?;
         let id = opened.id.clone();
@@ -95,6 +101,7 @@
         let driver = ControlDriver::open(driver::DriverParts {
             address,
             operator_address: settings.operator_address,
+            limits,
             folder,
             opened,
             rng: ChaCha8Rng::from_seed(rand::random()),
--- a/daisyhinge/src/shell/control/driver.rs
+++ b/daisyhinge/src/shell/control/driver.rs
@@ -14,6 +14,7 @@
 use super::peer::{PEER_QUEUE_MAX, PeerSender};
 use super::{ControlFault, EventSink};
 use crate::control::core::{ControlCore, CoreAction, CoreAsk, CoreEvent, CoreReply};
+use crate::control::limits::LogLimits;
 use crate::control::member::{VoterId, VoterSet};
 use crate::control::message::VoterMessage;
 use crate::control::store::OpenedStore;
@@ -63,6 +64,7 @@
 pub(super) struct DriverParts {
     pub address: SocketAddr,
     pub operator_address: SocketAddr,
+    pub limits: LogLimits,
     pub folder: DataFolder,
     pub opened: OpenedStore,
     pub rng: ChaCha8Rng,
@@ -103,6 +105,7 @@
             now,
             parts.opened.id,
             parts.operator_address,
+            parts.limits,
             parts.opened.stored,
             parts.rng,
             &mut opened,
--- a/daisyhinge/src/shell/control/folder.rs
+++ b/daisyhinge/src/shell/control/folder.rs
@@ -22,7 +22,7 @@
 
 impl DataFolder {
     /// Opens the folder of `vm`, makes it if it is missing, and reads what it holds. A new one
-    /// gets the identity number `number`.
+    /// gets the identity number `number`. Segments grow to about `segment_bytes`.
     ///
     /// # Errors
     /// [`ResultCode::FolderInUse`], [`ResultCode::FolderMismatch`],
@@ -31,6 +31,7 @@
         path: &Path,
         vm: &VmName,
         number: u64,
+        segment_bytes: u64,
     ) -> Result<(Self, OpenedStore), ControlFault> {
         make_folder(path).map_err(|error| storage_fault(path, &error))?;
         let lock = lock_folder(path)?;
@@ -40,15 +41,16 @@
             appended: None,
         };
         let files = folder.read().map_err(|error| storage_fault(path, &error))?;
-        let opened = open_store(vm, number, &files).map_err(|fault| ControlFault {
-            code: fault.code,
-            detail: format!(
-                "{}, byte {}: {}",
-                path.join(&fault.file).display(),
-                fault.offset,
-                fault.advice
-            ),
-        })?;
+        let opened =
+            open_store(vm, number, segment_bytes, &files).map_err(|fault| ControlFault {
+                code: fault.code,
+                detail: format!(
+                    "{}, byte {}: {}",
+                    path.join(&fault.file).display(),
+                    fault.offset,
+                    fault.advice
+                ),
+            })?;
         folder.run_all(&opened.ops)?;
         Ok((folder, opened))
     }
--- /dev/null
+++ b/daisyhinge/tests/control_schedules.rs
@@ -0,0 +1,296 @@
+//! Seeded schedules of control VMs against a plain map: crashes at any byte of a write, cuts,
+//! frozen VMs, lost, repeated and reordered messages, lost disks and changes of members.
+//!
+//! `DAISYHINGE_SCHEDULES` sets how many run, `DAISYHINGE_SEED` the first seed.
+
+#[path = "control_schedules/cluster.rs"]
+mod cluster;
+#[path = "control_schedules/disk.rs"]
+mod disk;
+#[path = "control_schedules/oracle.rs"]
+mod oracle;
+
+use std::sync::Arc;
+
+use cluster::{SimCluster, VMS, address_of};
+use daisyhinge::control::core::CoreAsk;
+use daisyhinge::prelude::*;
+use daisyhinge::vocabulary::change::{ChangeAsk, ChangeKind};
+use daisyhinge::vocabulary::claim::{ClaimAsk, ClaimEnd, ClaimEnding};
+use daisyhinge::vocabulary::environment::{AddressPolicy, EnvironmentDocument};
+use daisyhinge::vocabulary::freshness::FreshAsk;
+use daisyhinge::vocabulary::view::{EntryRecord, EntryState};
+use rand::RngExt;
+
+/// Schedules in CI.
+const SCHEDULES: u64 = 60;
+/// Steps of the part with faults.
+const STEPS: u32 = 1_500;
+/// No voter is removed for this long after a disk was lost, in microseconds.
+const REMOVE_PAUSE_US: u64 = 1_500_000;
+/// Steps within which all must be well again once the faults end.
+const CALM_STEPS: u32 = 4_000;
+
+fn read_number(name: &str, default: u64) -> u64 {
+    let text = std::env::var(name).ok();
+    text.map_or(default, |text| text.parse().expect("a number"))
+}
+
+#[test]
+fn schedules_agree_with_a_plain_map() {
+    let first = read_number("DAISYHINGE_SEED", 1);
+    let count = read_number("DAISYHINGE_SCHEDULES", SCHEDULES);
+    let mut accepted = 0;
+    let mut won = 0;
+    for seed in first..first + count {
+        let run = std::panic::catch_unwind(|| run_schedule(seed));
+        let cluster = run.unwrap_or_else(|_| panic!("schedule {seed} failed"));
+        accepted += cluster.oracle.accepted_count();
+        won += cluster.oracle.won_count();
+    }
+    println!("schedules={count} accepted={accepted} claims_won={won}");
+    assert!(
+        accepted as u64 > count,
+        "too little was accepted to show anything"
+    );
+    assert!(
+        won as u64 > count,
+        "too little was claimed to show anything"
+    );
+}
+
+fn run_schedule(seed: u64) -> SimCluster {
+    let mut cluster = SimCluster::new(seed);
+    for _ in 0..STEPS {
+        cluster.advance();
+        if cluster.rng.random_bool(0.3) {
+            ask_something(&mut cluster);
+        }
+        if cluster.rng.random_bool(0.02) {
+            break_something(&mut cluster);
+        }
+    }
+    settle(&mut cluster);
+    cluster
+}
+
+fn ask_something(cluster: &mut SimCluster) {
+    let place = match cluster.leader() {
+        Some(leader) if cluster.rng.random_bool(0.8) => leader,
+        _ => cluster.rng.random_range(0..VMS),
+    };
+    let ask = match cluster.rng.random_range(0..20) {
+        0..8 => make_change(cluster),
+        8..11 => CoreAsk::View,
+        11..13 => make_fresh(cluster),
+        13..17 => make_claim(cluster),
+        17..19 => make_end(cluster),
+        _ => make_member_change(cluster),
+    };
+    cluster.ask(place, ask);
+}
+
+/// A change; few identifiers and bases are in use, so that many are sent again or race.
+fn make_change(cluster: &mut SimCluster) -> CoreAsk {
+    let environment =
+        EnvironmentName::from(["trial", "production"][cluster.rng.random_range(0..2)]);
+    let base = cluster.versions.get(&environment).copied().unwrap_or(0);
+    let number = cluster.rng.random_range(1..4);
+    // The same identifier always stands for the same change, but for one in twenty.
+    let content = if cluster.rng.random_bool(0.05) {
+        9
+    } else {
+        number
+    };
+    let document = EnvironmentDocument {
+        addresses: AddressPolicy {
+            keep_ms: 1,
+            count: content,
+        },
+        ..EnvironmentDocument::default()
+    };
+    let ask = ChangeAsk {
+        change: ChangeId::from(format!("{environment}-{base}-{number}")),
+        base: Some(VersionNumber(base)),
+        operator: Arc::from("ada"),
+        made_ms: 0,
+        kind: ChangeKind::Apply {
+            environment,
+            document: Arc::new(document),
+        },
+    };
+    CoreAsk::Change(ask, None)
+}
+
+fn make_member_change(cluster: &mut SimCluster) -> CoreAsk {
+    let place = cluster.rng.random_range(0..VMS);
+    let id = cluster.id_of(place);
+    let vm = id.vm.clone();
+    // Who removes a voter in the moment in which another loses its disk loses two of three.
+    let lost = cluster.now < cluster.disk_lost + REMOVE_PAUSE_US;
+    let kind = if lost || cluster.rng.random_bool(0.6) {
+        ChangeKind::AddVoter {
+            vm,
+            address: address_of(place),
+        }
+    } else {
+        ChangeKind::RemoveVoter { vm }
+    };
+    let ask = ChangeAsk {
+        change: ChangeId::from(format!("member-{}", cluster.rng.random::<u32>())),
+        base: None,
+        operator: Arc::from("ada"),
+        made_ms: 0,
+        kind,
+    };
+    CoreAsk::Change(ask, Some(id))
+}
+
+fn make_fresh(cluster: &mut SimCluster) -> CoreAsk {
+    let place = cluster.rng.random_range(0..3);
+    CoreAsk::Fresh(FreshAsk {
+        entry: EntryRecord {
+            vm: VmName::from(format!("entry-{place}")),
+            environment: EnvironmentName::from("trial"),
+            data_centre: CentreName::from("lagos-1"),
+            incarnation: IncarnationNumber(cluster.now / 4_000_000),
+            caller_address: address_of(200),
+            peer_address: address_of(201),
+            state: EntryState::Live,
+        },
+        holds: VersionNumber(0),
+    })
+}
+
+fn make_attempt(cluster: &mut SimCluster) -> (RequestId, AttemptId) {
+    let request = cluster.rng.random_range(0..40_u32);
+    let attempt = AttemptId {
+        origin: cluster.rng.random_range(0..3),
+        sequence: u64::from(request),
+    };
+    (RequestId::from(format!("request-{request}")), attempt)
+}
+
+fn make_claim(cluster: &mut SimCluster) -> CoreAsk {
+    let (request, attempt) = make_attempt(cluster);
+    CoreAsk::Claim(ClaimAsk {
+        service: ServiceName::from("print"),
+        request,
+        digest: RequestDigest(1),
+        attempt,
+        age_ms: 0,
+    })
+}
+
+fn make_end(cluster: &mut SimCluster) -> CoreAsk {
+    let (request, attempt) = make_attempt(cluster);
+    CoreAsk::EndClaim(ClaimEnd {
+        service: ServiceName::from("print"),
+        request,
+        attempt,
+        end: ClaimEnding::NotRun,
+    })
+}
+
+fn break_something(cluster: &mut SimCluster) {
+    let place = cluster.rng.random_range(0..VMS);
+    match cluster.rng.random_range(0..12) {
+        0..3 if cluster.vms[place].core.is_some() => cluster.crash(place),
+        0..5 if cluster.vms[place].core.is_none() => cluster.start(place),
+        3..5 => {
+            cluster.vms[place].frozen_until = cluster.now + cluster.rng.random_range(0..3_000_000);
+        }
+        5..7 => {
+            let other = cluster.rng.random_range(0..VMS);
+            cluster.cuts.insert((place, other));
+            if cluster.rng.random_bool(0.7) {
+                cluster.cuts.insert((other, place));
+            }
+        }
+        7 => cut_off(cluster, place),
+        8..10 => cluster.cuts.clear(),
+        // A disk is lost only where the others hold all that is committed.
+        10 if cluster.is_whole() => cluster.lose_disk(place),
+        _ => {}
+    }
+}
+
+fn cut_off(cluster: &mut SimCluster, place: usize) {
+    for other in 0..VMS {
+        cluster.cuts.insert((place, other));
+        cluster.cuts.insert((other, place));
+    }
+}
+
+/// Ends all faults; a change must then be accepted, and every member must hold it.
+fn settle(cluster: &mut SimCluster) {
+    cluster.calm = true;
+    cluster.cuts.clear();
+    for place in 0..VMS {
+        cluster.vms[place].frozen_until = 0;
+        if cluster.vms[place].core.is_none() {
+            cluster.start(place);
+        }
+    }
+    let before = cluster.oracle.accepted_count();
+    for _ in 0..CALM_STEPS {
+        cluster.advance();
+        if cluster.rng.random_bool(0.1)
+            && let Some(leader) = cluster.leader()
+        {
+            let ask = make_change(cluster);
+            cluster.ask(leader, ask);
+        }
+        if cluster.oracle.accepted_count() > before && is_settled(cluster) {
+            return;
+        }
+    }
+    panic!(
+        "no change is accepted though all faults have ended: {}",
+        describe(cluster)
+    );
+}
+
+fn is_settled(cluster: &SimCluster) -> bool {
+    let Some(leader) = cluster
+        .leader()
+        .and_then(|place| cluster.vms[place].core.as_ref())
+    else {
+        return false;
+    };
+    let members = &leader.voter().voters().members;
+    let mut books = (0..VMS)
+        .filter(|place| {
+            members
+                .iter()
+                .any(|member| member.id == cluster.id_of(*place))
+        })
+        .filter_map(|place| cluster.vms[place].core.as_ref());
+    leader.voter().commit() == cluster.oracle.applied()
+        && books.all(|core| core.book().state() == leader.book().state())
+}
+
+fn describe(cluster: &SimCluster) -> String {
+    let voters = cluster
+        .vms
+        .iter()
+        .filter_map(|vm| vm.core.as_ref())
+        .map(|core| {
+            let voter = core.voter();
+            format!(
+                "{} {} term={} commit={} last={} members={:?}; ",
+                voter.id(),
+                voter.role_name(),
+                voter.term(),
+                voter.commit(),
+                voter.log().last_index(),
+                voter
+                    .voters()
+                    .members
+                    .iter()
+                    .map(|member| &member.id)
+                    .collect::<Vec<_>>(),
+            )
+        });
+    voters.collect()
+}
--- /dev/null
+++ b/daisyhinge/tests/control_schedules/disk.rs
@@ -0,0 +1,111 @@
+//! A disk that keeps only what was synced, and tears the rest.
+
+use std::collections::BTreeMap;
+
+use daisyhinge::control::store::{DiskOp, StoredFile};
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+
+#[derive(Clone, Debug, Default)]
+struct FakeFile {
+    synced: Vec<u8>,
+    present: Vec<u8>,
+}
+
+/// A disk that keeps only what was synced: contents by file, names by folder.
+#[derive(Clone, Debug, Default)]
+pub struct FakeDisk {
+    files: Vec<FakeFile>,
+    synced_names: BTreeMap<String, usize>,
+    names: BTreeMap<String, usize>,
+}
+
+impl FakeDisk {
+    pub fn run(&mut self, op: &DiskOp) {
+        match op {
+            DiskOp::Append { file, bytes } => {
+                let place = self.open(file);
+                self.files[place].present.extend_from_slice(bytes);
+            }
+            DiskOp::Cut { file, length } => {
+                let place = self.open(file);
+                self.files[place]
+                    .present
+                    .truncate(usize::try_from(*length).unwrap());
+            }
+            DiskOp::SyncFile(file) => {
+                let place = self.open(file);
+                self.files[place].synced = self.files[place].present.clone();
+            }
+            DiskOp::SyncFolder => self.synced_names = self.names.clone(),
+            DiskOp::Rename { from, to } => {
+                let place = self
+                    .names
+                    .remove(from)
+                    .expect("a file is renamed once it is there");
+                self.names.insert(to.clone(), place);
+            }
+            DiskOp::Remove(file) => drop(self.names.remove(file)),
+        }
+    }
+
+    fn open(&mut self, file: &str) -> usize {
+        if let Some(place) = self.names.get(file) {
+            return *place;
+        }
+        self.files.push(FakeFile::default());
+        self.names.insert(file.to_owned(), self.files.len() - 1);
+        self.files.len() - 1
+    }
+
+    /// Loses power: of what was not synced, any part may be there or not.
+    pub fn crash(&mut self, rng: &mut ChaCha8Rng) {
+        let all: Vec<String> = self
+            .names
+            .keys()
+            .chain(self.synced_names.keys())
+            .cloned()
+            .collect();
+        for name in all {
+            if rng.random_bool(0.5) {
+                continue;
+            }
+            match self.synced_names.get(&name) {
+                Some(place) => drop(self.names.insert(name, *place)),
+                None => drop(self.names.remove(&name)),
+            }
+        }
+        for file in &mut self.files {
+            tear(file, rng);
+            file.synced = file.present.clone();
+        }
+        self.synced_names = self.names.clone();
+    }
+
+    pub fn files(&self) -> Vec<StoredFile> {
+        let files = self.names.iter().map(|(name, place)| StoredFile {
+            name: name.clone(),
+            bytes: self.files[*place].present.clone().into(),
+        });
+        files.collect()
+    }
+}
+
+fn tear(file: &mut FakeFile, rng: &mut ChaCha8Rng) {
+    if !file.present.starts_with(&file.synced) {
+        // It was cut; the cut lasted or not.
+        if rng.random_bool(0.5) {
+            file.present = file.synced.clone();
+        }
+        return;
+    }
+    let start = file.synced.len();
+    let end = rng.random_range(start..=file.present.len());
+    file.present.truncate(end);
+    if end > start && rng.random_bool(0.3) {
+        // A later page lasted, an earlier one did not.
+        let from = rng.random_range(start..end);
+        let to = rng.random_range(from..end);
+        file.present[from..to].fill(0);
+    }
+}
--- /dev/null
+++ b/daisyhinge/tests/control_schedules/oracle.rs
@@ -0,0 +1,196 @@
+//! What the log must bring, by a plain map, and what was seen of it.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use daisyhinge::control::book::{BookCommand, BookKind, ChangeReply};
+use daisyhinge::control::log::LogEntry;
+use daisyhinge::control::member::VoterId;
+use daisyhinge::prelude::*;
+use daisyhinge::shell::control::codec::{BOOK_CODEC, decode};
+use daisyhinge::vocabulary::change::{ChangeAsk, ChangeKind};
+use daisyhinge::vocabulary::claim::{ClaimAsk, ClaimEnding, ClaimReply};
+use daisyhinge::vocabulary::view::ControlView;
+
+/// Documents are told apart by this number alone.
+pub fn document_number(kind: &ChangeKind) -> Option<u32> {
+    match kind {
+        ChangeKind::Apply { document, .. } => Some(document.addresses.count),
+        _ => None,
+    }
+}
+
+/// A plain map beside the log.
+#[derive(Debug, Default)]
+pub struct PlainOracle {
+    entries: BTreeMap<u64, LogEntry>,
+    /// Document and version of each environment.
+    environments: BTreeMap<EnvironmentName, (u32, u64)>,
+    changes: BTreeMap<ChangeId, (ChangeAsk, Result<u64, ResultCode>)>,
+    claims: BTreeMap<RequestId, AttemptId>,
+    given_back: BTreeSet<(RequestId, AttemptId)>,
+    won: BTreeMap<RequestId, BTreeSet<AttemptId>>,
+    leaders: BTreeMap<u64, VoterId>,
+    /// When which version was told to an operator, oldest first.
+    accepted: Vec<(u64, u64)>,
+    applied: u64,
+}
+
+impl PlainOracle {
+    pub fn applied(&self) -> u64 {
+        self.applied
+    }
+
+    pub fn accepted_count(&self) -> usize {
+        self.accepted.len()
+    }
+
+    pub fn won_count(&self) -> usize {
+        self.won.len()
+    }
+
+    /// A voter says that this entry is committed.
+    pub fn note_committed(&mut self, entry: &LogEntry) {
+        if let Some(known) = self.entries.get(&entry.index) {
+            assert_eq!(known, entry, "a committed entry changed");
+            return;
+        }
+        self.entries.insert(entry.index, entry.clone());
+        while let Some(entry) = self.entries.get(&(self.applied.max(1) + 1)) {
+            self.applied = entry.index;
+            let command = entry.payload.command().clone();
+            if !command.is_empty() {
+                self.apply(&(BOOK_CODEC.decode_command)(&command).unwrap());
+            }
+        }
+    }
+
+    fn apply(&mut self, command: &BookCommand) {
+        match &command.kind {
+            BookKind::Change(ask) if !self.changes.contains_key(&ask.change) => {
+                let reply = self.change(ask);
+                self.changes
+                    .insert(ask.change.clone(), (ask.clone(), reply));
+            }
+            BookKind::Claim(ask) => {
+                self.claims
+                    .entry(ask.request.clone())
+                    .or_insert(ask.attempt);
+            }
+            BookKind::EndClaim(end)
+                if end.end == ClaimEnding::NotRun
+                    && self.claims.get(&end.request) == Some(&end.attempt) =>
+            {
+                self.claims.remove(&end.request);
+                self.given_back.insert((end.request.clone(), end.attempt));
+            }
+            _ => {}
+        }
+    }
+
+    /// The version of an accepted change is checked where it is told, not computed here, since
+    /// entries raise it too.
+    fn change(&mut self, ask: &ChangeAsk) -> Result<u64, ResultCode> {
+        let ChangeKind::Apply { environment, .. } = &ask.kind else {
+            return Ok(0);
+        };
+        let number = document_number(&ask.kind).unwrap();
+        let present = self.environments.get(environment);
+        let (document, version) = present.copied().unwrap_or((u32::MAX, 0));
+        if ask.base != Some(VersionNumber(version)) {
+            return Err(ResultCode::VersionConflict);
+        }
+        if document == number {
+            return Err(ResultCode::NothingChanged);
+        }
+        // A base names the version before; the next one is learned from the reply.
+        self.environments
+            .insert(environment.clone(), (number, u64::MAX));
+        Ok(0)
+    }
+
+    /// An entry's view or a voter's book at a version tells which version a change got.
+    pub fn note_version(&mut self, environment: &EnvironmentName, document: u32, version: u64) {
+        if let Some(known) = self.environments.get_mut(environment)
+            && known.0 == document
+            && known.1 == u64::MAX
+        {
+            known.1 = version;
+        }
+    }
+
+    pub fn note_change_reply(&mut self, now: u64, ask: &ChangeAsk, reply: &ChangeReply) {
+        let known = self.changes.get(&ask.change);
+        match reply {
+            Ok(done) => {
+                let (first, result) = known.expect("accepted means committed");
+                assert_eq!(
+                    first.kind, ask.kind,
+                    "accepted under another change's identifier"
+                );
+                assert!(
+                    result.is_ok(),
+                    "accepted though the map refuses: {result:?}"
+                );
+                self.accepted.push((now, done.version.0));
+            }
+            Err(refusal) => match refusal.code {
+                ResultCode::ChangeIdReused => {
+                    assert_ne!(known.expect("known").0.kind, ask.kind, "the same change");
+                }
+                ResultCode::VersionConflict | ResultCode::NothingChanged => {
+                    let (_, result) = known.expect("decided means committed");
+                    assert_eq!(*result, Err(refusal.code), "the map decides otherwise");
+                }
+                _ => {}
+            },
+        }
+    }
+
+    /// A version that was shown at `now` and confirmed no longer ago than `age`.
+    pub fn note_shown(&self, now: u64, age: u64, version: VersionNumber) {
+        let before = now.saturating_sub(age);
+        for (at, accepted) in self.accepted.iter().rev() {
+            if *at <= before {
+                assert!(
+                    version.0 >= *accepted,
+                    "a version that was accepted is not shown"
+                );
+            }
+        }
+    }
+
+    pub fn note_view(&self, view: &ControlView) {
+        for (name, document) in &view.environments {
+            assert!(
+                self.environments.contains_key(name),
+                "{document:?} was never accepted"
+            );
+        }
+    }
+
+    pub fn note_claim_reply(&mut self, ask: &ClaimAsk, reply: &ClaimReply) {
+        if *reply != ClaimReply::Won {
+            return;
+        }
+        let won = self.won.entry(ask.request.clone()).or_default();
+        won.insert(ask.attempt);
+        let held = won
+            .iter()
+            .filter(|attempt| !self.given_back.contains(&(ask.request.clone(), **attempt)));
+        assert!(held.count() <= 1, "two attempts won {}", ask.request);
+    }
+
+    pub fn note_leader(&mut self, term: u64, id: &VoterId) {
+        let leader = self.leaders.entry(term).or_insert_with(|| id.clone());
+        assert_eq!(leader, id, "two leaders in term {term}");
+    }
+
+    /// Checks a snapshot's encoding; every voter must be able to read it.
+    pub fn note_snapshot(bytes: &bytes::Bytes) {
+        let state: Option<daisyhinge::control::book::BookState> = decode(bytes);
+        assert!(
+            bytes.is_empty() || state.is_some(),
+            "a snapshot can't be read"
+        );
+    }
+}
