--- a/daisyhinge/tests/control_book.rs
+++ b/daisyhinge/tests/control_book.rs
@@ -10,7 +10,7 @@
 use daisyhinge::control::core::watch::{ENTRY_LOST_SPAN, EntryWatch};
 use daisyhinge::prelude::*;
 use daisyhinge::shell::control::codec::BOOK_CODEC;
-use daisyhinge::vocabulary::change::{ChangeAsk, ChangeDone, ChangeKind};
+use daisyhinge::vocabulary::change::{ChangeAsk, ChangeKind};
 use daisyhinge::vocabulary::claim::{ClaimAsk, ClaimEnd, ClaimEnding, ClaimOutcome, ClaimReply};
 use daisyhinge::vocabulary::environment::{
     CentreEntry, CentreState, EnvironmentDocument, RegionEntry,
@@ -104,10 +104,8 @@
     }
 }
 
-fn done(version: u64) -> ChangeReply {
-    Ok(ChangeDone {
-        version: VersionNumber(version),
-    })
+fn version_of(reply: ChangeReply) -> u64 {
+    reply.unwrap().version.0
 }
 
 fn code(reply: &ChangeReply) -> ResultCode {
@@ -117,10 +115,19 @@
 #[test]
 fn the_same_change_is_applied_once_and_one_of_two_from_equal_bases_wins() {
     let mut book = TestBook::default();
-    assert_eq!(book.change("a", Some(0), apply("trial", "x")), done(1));
-    assert_eq!(book.change("b", Some(1), apply("trial", "y")), done(2));
+    assert_eq!(
+        version_of(book.change("a", Some(0), apply("trial", "x"))),
+        1
+    );
+    assert_eq!(
+        version_of(book.change("b", Some(1), apply("trial", "y"))),
+        2
+    );
     // Sent again, each brings its first reply, though the version has moved on.
-    assert_eq!(book.change("a", Some(0), apply("trial", "x")), done(1));
+    assert_eq!(
+        version_of(book.change("a", Some(0), apply("trial", "x"))),
+        1
+    );
     let late = book.change("c", Some(1), apply("trial", "z"));
     let refusal = late.clone().unwrap_err();
     assert_eq!(refusal.code, ResultCode::VersionConflict);
@@ -149,7 +156,7 @@
         data_centre: "x".into(),
         state: CentreState::Out,
     };
-    assert_eq!(book.change("b", None, out.clone()), done(2));
+    assert_eq!(version_of(book.change("b", None, out.clone())), 2);
     assert_eq!(
         code(&book.change("b2", None, out)),
         ResultCode::NothingChanged
@@ -160,7 +167,7 @@
         environment: "trial".into(),
         document: Arc::new(trial),
     };
-    assert_eq!(book.change("c", Some(0), trial), done(3));
+    assert_eq!(version_of(book.change("c", Some(0), trial)), 3);
     let promote = |trusted: u64| ChangeKind::Promote {
         from: "trial".into(),
         trusted: VersionNumber(trusted),
@@ -170,7 +177,7 @@
     assert_eq!(code(&wrong), ResultCode::PromoteMismatch);
     let stale = book.change("e", Some(1), promote(3));
     assert_eq!(code(&stale), ResultCode::VersionConflict);
-    assert_eq!(book.change("f", Some(2), promote(3)), done(4));
+    assert_eq!(version_of(book.change("f", Some(2), promote(3))), 4);
     let production = book.keeper.find_environment(&"production".into()).unwrap();
     assert_eq!(production.version, VersionNumber(4));
     assert_eq!(production.document.addresses.count, 9);
--- a/daisyhinge/tests/control_store.rs
+++ b/daisyhinge/tests/control_store.rs
@@ -104,7 +104,7 @@
         _ => {
             wanted.term += 1;
             // Every third save replaces the last entries.
-            let back = if kind % 3 == 0 {
+            let back = if kind.is_multiple_of(3) {
                 count.min(last - synced.snapshot)
             } else {
                 0
--- a/daisyhinge/tests/control_voter.rs
+++ b/daisyhinge/tests/control_voter.rs
@@ -283,7 +283,7 @@
     actions.clear();
     voter.step(now, VoterEvent::Saved(saves[0]), &mut actions);
     assert!(matches!(
-        &actions[..],
+        &*actions,
         [VoterAction::Send(VoterMessage {
             body: VoterBody::VoteReply { granted: true },
             ..
