--- a/daisyhinge-cli/src/arguments/env.rs
+++ b/daisyhinge-cli/src/arguments/env.rs
@@ -24,6 +24,9 @@
     Show {
         /// The environment.
         environment: String,
+        /// Print its version alone, for scripts.
+        #[arg(long)]
+        version_only: bool,
     },
     /// Compare the document in force with a file or another environment. Exit code 1 if they
     /// differ.
--- a/daisyhinge-cli/src/env.rs
+++ b/daisyhinge-cli/src/env.rs
@@ -45,7 +45,10 @@
     match command {
         EnvCommand::Check { file } => check_file(file, output),
         EnvCommand::Apply(arguments) => apply(arguments, group, output).await,
-        EnvCommand::Show { environment } => show(environment, group, output).await,
+        EnvCommand::Show {
+            environment,
+            version_only,
+        } => show(environment, *version_only, group, output).await,
         EnvCommand::Diff(arguments) => diff(arguments, group, output).await,
         EnvCommand::Promote(arguments) => promote(arguments, group, output).await,
         EnvCommand::History { environment } => history(environment, group, output).await,
@@ -88,11 +91,18 @@
 
 async fn show(
     environment: &str,
+    version_only: bool,
     group: &GroupArguments,
     output: Output,
 ) -> Result<ExitCode, CommandFault> {
     let environment: EnvironmentName = read_name("ENVIRONMENT", environment)?;
     let in_force = read_in_force(&open_client(group)?, &environment).await?;
+    if version_only {
+        output.show(&in_force.version, |text| {
+            let _ = writeln!(text, "{}", in_force.version);
+        });
+        return Ok(ExitCode::SUCCESS);
+    }
     let shown = ShownDocument {
         environment: &environment,
         version: in_force.version,
--- a/daisyhinge/tests/setting_docs.rs
+++ b/daisyhinge/tests/setting_docs.rs
@@ -1,12 +1,24 @@
-//! The pages for operators agree with the program.
+//! The pages for operators and callers agree with the program.
 
 use std::collections::BTreeMap;
 use std::fs;
 use std::path::PathBuf;
 
-use daisyhinge::environment::check_document;
+use bytes::Bytes;
+use daisyhinge::environment::{check_change, check_document};
 use daisyhinge::prelude::*;
 use daisyhinge::setting::{check_control_settings, check_entry_settings};
+use daisyhinge::shell::entry::answering::{write_answer, write_refusal};
+use daisyhinge::shell::operator::OperatorRefusal;
+use daisyhinge::timeline::EventPage;
+use daisyhinge::vocabulary::announcement::{AnnounceReply, ReplicaAnnouncement, ReplicaLeave};
+use daisyhinge::vocabulary::answer::{
+    AddressAnswer, AnswerPart, MissingShard, QueryAnswer, QueryRefusal,
+};
+use daisyhinge::vocabulary::change::ChangeDone;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
 
 fn read_page(name: &str) -> String {
     let path = PathBuf::from(env!("CARGO_MANIFEST_DIR"))
@@ -87,7 +99,7 @@
 fn every_field_of_the_examples_is_explained() {
     let page = read_page("SETTINGS.md");
     for block in read_blocks(&page, "json") {
-        let value: serde_json::Value = serde_json::from_str(&block).unwrap();
+        let value: Value = serde_json::from_str(&block).unwrap();
         let mut names = Vec::new();
         list_fields(&value, &mut names);
         for name in names {
@@ -96,15 +108,75 @@
     }
 }
 
-fn list_fields(value: &serde_json::Value, names: &mut Vec<String>) {
+fn list_fields(value: &Value, names: &mut Vec<String>) {
     match value {
-        serde_json::Value::Object(fields) => {
+        Value::Object(fields) => {
             for (name, value) in fields {
                 names.push(name.clone());
                 list_fields(value, names);
             }
         }
-        serde_json::Value::Array(items) => items.iter().for_each(|item| list_fields(item, names)),
+        Value::Array(items) => items.iter().for_each(|item| list_fields(item, names)),
         _ => {}
     }
 }
+
+/// Reads an example as its type and checks that the type says the same.
+fn check_example<T: DeserializeOwned + Serialize>(text: &str) -> T {
+    let value: T = serde_json::from_str(text).unwrap_or_else(|error| panic!("{error}: {text}"));
+    let found = serde_json::to_value(&value).unwrap();
+    assert_eq!(found, serde_json::from_str::<Value>(text).unwrap());
+    value
+}
+
+#[test]
+fn examples_of_messages_have_the_shape_of_their_types() {
+    let page = read_page("INTERFACE.md");
+    let blocks = read_blocks(&page, "json");
+    assert_eq!(blocks.len(), 10);
+    check_example::<AddressAnswer>(&blocks[0]);
+    let announcement: ReplicaAnnouncement = check_example(&blocks[3]);
+    let code = daisyhinge::keeper::check::check_announcement(&announcement);
+    assert_eq!(code, ResultCode::Ok);
+    check_example::<AnnounceReply>(&blocks[4]);
+    check_example::<ReplicaLeave>(&blocks[5]);
+    check_change(blocks[6].as_bytes()).unwrap();
+    check_example::<ChangeDone>(&blocks[7]);
+    check_example::<OperatorRefusal>(&blocks[8]);
+    check_example::<EventPage>(&blocks[9]);
+}
+
+#[test]
+fn examples_of_answers_are_what_an_entry_writes() {
+    let page = read_page("INTERFACE.md");
+    let blocks = read_blocks(&page, "json");
+    let answer = QueryAnswer {
+        request: RequestId::from("r-81"),
+        snapshot: SnapshotNumber(4_711),
+        answered_weight: 900,
+        whole_weight: 1_000,
+        missing: vec![MissingShard {
+            shard: ShardNumber(7),
+            code: ResultCode::ShardLate,
+        }],
+        parts: vec![AnswerPart {
+            shard: ShardNumber(0),
+            body: Bytes::from_static(b"{\"found\": 3}"),
+        }],
+        resent: false,
+    };
+    assert_same_json(&write_answer(&answer).unwrap(), &blocks[1]);
+    let refusal = QueryRefusal {
+        request: RequestId::from("r-81"),
+        code: ResultCode::Overloaded,
+        run: RunState::NotRun,
+        retry_ms: Some(250),
+        addresses: vec!["10.0.0.3:7000".parse().unwrap()],
+    };
+    assert_same_json(&write_refusal(&refusal).unwrap(), &blocks[2]);
+}
+
+fn assert_same_json(written: &[u8], example: &str) {
+    let written: Value = serde_json::from_slice(written).unwrap();
+    assert_eq!(written, serde_json::from_str::<Value>(example).unwrap());
+}
