Feed the metrics of an entry and note where requests begin and end

Cause: the families were registered but only announcements were counted, and the time line had no event for a request's arrival, answer or refusal. Ruled out: counting from events alone (they name no service); looking the families up for each call (ten locks a request), so a service's handle is kept; labels from what callers send. Before and after: with counting of sub-request notes, the rule that only known services make labels, or the decrease of running requests taken away, the new test over the whole path fails; with them it passes: a partial answer shows its missing shard, reason and coverage in metrics and time line. Families that nothing feeds (crashes of servers, power, sub-request latency) are gone. Conclusion: three calls in the entry shell (serving, driving, spawn) join it; all else is in metering.rs.

--- a/daisyhinge/src/metric/entry.rs
+++ b/daisyhinge/src/metric/entry.rs
@@ -1,5 +1,6 @@
 //! Metrics of an entry process.
 
+use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
@@ -8,7 +9,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 
-use crate::metric::label::{CentreLabel, CodeLabel, ReplicaLabel};
+use crate::metric::label::{CodeLabel, ReplicaLabel};
 use crate::metric::replica::{ReplicaFamilies, ReplicaMetrics};
 use crate::metric::service::{ServiceFamilies, ServiceMetrics};
 use crate::prelude::*;
@@ -25,13 +26,10 @@
     pub server_connections: Gauge,
     /// Requests not run any more since they crashed backend servers.
     pub poisoned_requests: Counter,
-    /// Crashes of backend servers that followed a request.
-    pub server_crashes: Counter,
     services: ServiceFamilies,
     replicas: ReplicaFamilies,
     front_refusals: Family<CodeLabel, Counter>,
     announcements: Family<CodeLabel, Counter>,
-    power_running: Family<CentreLabel, Gauge>,
     lease_held: Gauge,
     lease_age: Gauge<f64, AtomicU64>,
     version: Gauge<u64, AtomicU64>,
@@ -45,12 +43,10 @@
             kept_replicas: Gauge::default(),
             server_connections: Gauge::default(),
             poisoned_requests: Counter::default(),
-            server_crashes: Counter::default(),
             services: ServiceFamilies::register(registry),
             replicas: ReplicaFamilies::register(registry),
             front_refusals: Family::default(),
             announcements: Family::default(),
-            power_running: Family::default(),
             lease_held: Gauge::default(),
             lease_age: Gauge::default(),
             version: Gauge::default(),
@@ -67,12 +63,8 @@
         registry.register("server_connections", help, self.server_connections.clone());
         let help = "Requests not run any more since they crashed backend servers";
         registry.register("poisoned_requests", help, self.poisoned_requests.clone());
-        let help = "Crashes of backend servers that followed a request";
-        registry.register("server_crashes", help, self.server_crashes.clone());
         let help = "Announcements and leaves taken, by outcome";
         registry.register("announcements", help, self.announcements.clone());
-        let help = "Sub-requests that count against a data centre's power cap";
-        registry.register("power_running", help, self.power_running.clone());
     }
 
     fn register_lease(&self, registry: &mut Registry) {
@@ -87,7 +79,7 @@
     }
 
     /// The members of a service that the environment's document names.
-    pub fn open_service(&self, service: &ServiceName) -> ServiceMetrics {
+    pub fn open_service(&self, service: &ServiceName) -> Arc<ServiceMetrics> {
         self.services.open_service(service)
     }
 
@@ -115,16 +107,6 @@
             .inc();
     }
 
-    /// Shows how many sub-requests count against a data centre's power cap.
-    pub fn show_power(&self, data_centre: &CentreName, running: u32) {
-        let label = CentreLabel {
-            data_centre: data_centre.clone(),
-        };
-        self.power_running
-            .get_or_create(&label)
-            .set(i64::from(running));
-    }
-
     /// Shows the freshness lease.
     pub fn show_lease(&self, held: bool, age: Duration, version: VersionNumber) {
         self.lease_held.set(i64::from(held));
--- a/daisyhinge/src/metric/label.rs
+++ b/daisyhinge/src/metric/label.rs
@@ -71,10 +71,3 @@
     /// Its data centre.
     pub data_centre: CentreName,
 }
-
-/// Label of what is shown per data centre.
-#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
-pub struct CentreLabel {
-    /// The data centre.
-    pub data_centre: CentreName,
-}
--- a/daisyhinge/src/metric/service.rs
+++ b/daisyhinge/src/metric/service.rs
@@ -1,7 +1,10 @@
 //! Metrics of one service at one entry.
 
+use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
+use parking_lot::RwLock;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
@@ -19,6 +22,8 @@
 type LatencyFamily = Family<ServiceLabel, Histogram, fn() -> Histogram>;
 
 /// Families by service, registered once per process.
+///
+/// The lock of the handles is held only to look one up or to add one.
 #[derive(Clone, Debug)]
 pub struct ServiceFamilies {
     requests: Family<ServiceLabel, Counter>,
@@ -35,7 +40,7 @@
     sub_failures: Family<OutcomeLabel, Counter>,
     running: Family<ServiceLabel, Gauge>,
     latency: LatencyFamily,
-    sub_latency: LatencyFamily,
+    handles: Arc<RwLock<HashMap<ServiceName, Arc<ServiceMetrics>>>>,
 }
 
 /// Handle on one service's members; clones share them.
@@ -60,8 +65,9 @@
     partial: Counter,
     resent: Counter,
     latency: Histogram,
-    sub_latency: Histogram,
-    families: ServiceFamilies,
+    refusals: Family<OutcomeLabel, Counter>,
+    missing: Family<OutcomeLabel, Counter>,
+    sub_failures: Family<OutcomeLabel, Counter>,
 }
 
 impl ServiceFamilies {
@@ -82,7 +88,7 @@
             sub_failures: Family::default(),
             running: Family::default(),
             latency: Family::new_with_constructor(open_histogram as fn() -> Histogram),
-            sub_latency: Family::new_with_constructor(open_histogram as fn() -> Histogram),
+            handles: Arc::default(),
         };
         families.register_requests(registry);
         families.register_sub_requests(registry);
@@ -121,12 +127,21 @@
         registry.register("cancelled_sub_requests", help, self.cancelled.clone());
         let help = "Sub-requests that brought no answer, by reason";
         registry.register("sub_request_failures", help, self.sub_failures.clone());
-        let help = "Seconds from a sub-request's dispatch to its answer";
-        registry.register("sub_request_seconds", help, self.sub_latency.clone());
     }
 
     /// The members of `service`, made if they are new.
-    pub fn open_service(&self, service: &ServiceName) -> ServiceMetrics {
+    pub fn open_service(&self, service: &ServiceName) -> Arc<ServiceMetrics> {
+        if let Some(found) = self.handles.read().get(service) {
+            return Arc::clone(found);
+        }
+        let mut handles = self.handles.write();
+        let handle = handles
+            .entry(service.clone())
+            .or_insert_with(|| Arc::new(self.make_service(service)));
+        Arc::clone(handle)
+    }
+
+    fn make_service(&self, service: &ServiceName) -> ServiceMetrics {
         let label = ServiceLabel {
             service: service.clone(),
         };
@@ -143,8 +158,9 @@
             partial: self.partial.get_or_create_owned(&label),
             resent: self.resent.get_or_create_owned(&label),
             latency: self.latency.get_or_create_owned(&label),
-            sub_latency: self.sub_latency.get_or_create_owned(&label),
-            families: self.clone(),
+            refusals: self.refusals.clone(),
+            missing: self.missing.clone(),
+            sub_failures: self.sub_failures.clone(),
         }
     }
 }
@@ -165,23 +181,18 @@
 
     /// Counts a refusal that came `span` after its request.
     pub fn record_refusal(&self, code: ResultCode, span: Duration) {
-        self.count_code(&self.families.refusals, code);
+        self.count_code(&self.refusals, code);
         self.latency.observe(span.as_secs_f64());
     }
 
     /// Counts a shard that is missing from an answer.
     pub fn record_missing(&self, code: ResultCode) {
-        self.count_code(&self.families.missing, code);
-    }
-
-    /// Counts a sub-answer that came `span` after its dispatch.
-    pub fn record_sub_answer(&self, span: Duration) {
-        self.sub_latency.observe(span.as_secs_f64());
+        self.count_code(&self.missing, code);
     }
 
     /// Counts a sub-request that brought no answer.
     pub fn record_sub_failure(&self, code: ResultCode) {
-        self.count_code(&self.families.sub_failures, code);
+        self.count_code(&self.sub_failures, code);
     }
 
     fn count_code(&self, family: &Family<OutcomeLabel, Counter>, code: ResultCode) {
--- a/daisyhinge/src/shell/entry.rs
+++ b/daisyhinge/src/shell/entry.rs
@@ -4,6 +4,7 @@
 pub mod driving;
 pub mod following;
 pub mod keeping;
+pub mod metering;
 pub mod peering;
 pub mod progress;
 pub mod querying;
@@ -55,6 +56,7 @@
             tokio::spawn(following::follow_control(Arc::clone(&state))),
             tokio::spawn(following::follow_tables(Arc::clone(&state))),
             tokio::spawn(keeping::tick_keepers(Arc::clone(&state))),
+            tokio::spawn(metering::follow_state(Arc::clone(&state))),
         ];
         Ok(Self { state, tasks })
     }
--- a/daisyhinge/src/shell/entry/driving.rs
+++ b/daisyhinge/src/shell/entry/driving.rs
@@ -15,6 +15,7 @@
 use crate::search::{RequestSearch, SearchAction, SearchEvent, SubPlan};
 use crate::shell::entry::following::{claim_request, end_claim};
 use crate::shell::entry::keeping::running::run_sub;
+use crate::shell::entry::metering::count_note;
 use crate::shell::entry::state::{EntryPhase, EntryState};
 use crate::vocabulary::answer::{QueryAnswer, QueryRefusal};
 use crate::vocabulary::claim::{ClaimAsk, ClaimEnd, ClaimEnding};
@@ -213,7 +214,10 @@
                     }
                 }
                 SearchAction::Finish(finished) => result = Some(finished),
-                SearchAction::Note(draft) => self.state.note(draft),
+                SearchAction::Note(draft) => {
+                    count_note(&self.state, &self.plan.service, &draft);
+                    self.state.note(draft);
+                }
             }
         }
         result
--- a/daisyhinge/src/shell/entry/serving.rs
+++ b/daisyhinge/src/shell/entry/serving.rs
@@ -18,8 +18,9 @@
 
 use crate::prelude::*;
 use crate::shell::entry::answering::{write_answer, write_refusal};
-use crate::shell::entry::driving::{QueryResult, refuse_query, run_query};
+use crate::shell::entry::driving::{QueryResult, refuse_query};
 use crate::shell::entry::keeping::announcing::{take_announcement, take_leave};
+use crate::shell::entry::metering::run_counted;
 use crate::shell::entry::querying::read_query;
 use crate::shell::entry::state::{EntryPhase, EntryState};
 use crate::vocabulary::announcement::AnnounceReply;
@@ -123,7 +124,7 @@
     };
     let deadline_max_ms = state.settings.limits.deadline_max_ms;
     match read_query(service, &parts.headers, body, deadline_max_ms) {
-        Ok(query) => query_reply(&run_query(state, query).await),
+        Ok(query) => query_reply(&run_counted(state, query).await),
         Err(code) => refusal_reply(state, code),
     }
 }
@@ -136,6 +137,7 @@
 }
 
 fn refusal_reply(state: &EntryState, code: ResultCode) -> HttpReply {
+    state.metrics.record_front_refusal(code);
     write_refusal_reply(&refuse_query(state, &RequestId::from(""), code))
 }
 
