--- a/daisyhinge/src/lib.rs
+++ b/daisyhinge/src/lib.rs
@@ -5,7 +5,9 @@
 //! actions into bytes. Imports run one way: shells import decisions, decisions import
 //! [`vocabulary`], never back.
 
+pub mod address;
 pub mod check;
+pub mod control;
 pub mod environment;
 pub mod keeper;
 pub mod lease;
@@ -13,7 +15,7 @@
 pub mod prelude;
 pub mod rendezvous;
 pub mod search;
-pub mod shell;
 pub mod setting;
+pub mod shell;
 pub mod timeline;
 pub mod vocabulary;
--- a/daisyhinge/src/shell.rs
+++ b/daisyhinge/src/shell.rs
@@ -5,12 +5,14 @@
 
 pub mod backend;
 pub mod clock;
+pub mod control;
 pub mod entry;
 pub mod header;
 pub mod http_port;
 pub mod link;
 pub mod log;
 pub mod metric;
+pub mod operator;
 pub mod pool;
 pub mod setting;
 pub mod timeline;
