Let tests of control follow the entry's own word of its release

A test of control held the old rule, and another wrote no token file, which the program now reads at start. Ruled out: keeping both rules; the old one calls an entry released whose dispatches still run.

--- a/daisyhinge-control/tests/processes.rs
+++ b/daisyhinge-control/tests/processes.rs
@@ -341,6 +341,7 @@
     let settings = make_settings(folder.path(), &peer, std::slice::from_ref(&peer));
     let file = folder.path().join("settings.json");
     std::fs::write(&file, serde_json::to_string(&settings).unwrap()).unwrap();
+    std::fs::write(&settings.token_file, "0123456789abcdef-control\n").unwrap();
     let program = || {
         let mut command = Command::new(env!("CARGO_BIN_EXE_daisyhinge-control"));
         command.arg("--settings").arg(&file);
--- a/daisyhinge/tests/control_schedules.rs
+++ b/daisyhinge/tests/control_schedules.rs
@@ -159,6 +159,7 @@
             state: EntryState::Live,
         },
         holds: VersionNumber(0),
+        released: false,
     })
 }
 
