Reserve test addresses below the ports of outgoing connections

Cause: one run of the metering test ended after 0.19 s, while the group was being opened; its output was not kept. An address that was reserved and given back can be taken by an outgoing connection before its process listens there. Ruled out: a fault of what is tested, as far as six runs of the same program show, all of which passed. That the port was the cause is likely, not proved. Conclusion: addresses that others are told beforehand are drawn below 32768.

--- a/daisyhinge-cli/tests/support/real_group.rs
+++ b/daisyhinge-cli/tests/support/real_group.rs
@@ -4,6 +4,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 
 use daisyhinge::metric::{EntryMetrics, MetricRegistry};
 use daisyhinge::prelude::*;
@@ -18,6 +19,11 @@
 
 const CENTRES: [&str; 3] = ["lagos-1", "abuja-1", "kano-1"];
 
+/// Ports that are reserved, and how many each test process takes at most.
+const PORT_FIRST: u32 = 10_000;
+const PORT_COUNT: u32 = 9_984;
+const PORTS_EACH: u32 = 16;
+
 /// A running control VM.
 pub struct GroupVoter {
     pub shell: ControlShell,
@@ -108,9 +114,19 @@
     texts.join(",")
 }
 
+/// A free address below the ports that outgoing connections use, so that none of them takes it
+/// before the process that is told of it listens there.
 fn reserve_address() -> SocketAddr {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
-    listener.local_addr().unwrap()
+    static TAKEN: AtomicU32 = AtomicU32::new(0);
+    let start = std::process::id().wrapping_mul(PORTS_EACH);
+    loop {
+        let step = TAKEN.fetch_add(1, Ordering::Relaxed);
+        let port = PORT_FIRST + (start.wrapping_add(step)) % PORT_COUNT;
+        let address = (Ipv4Addr::LOCALHOST, u16::try_from(port).unwrap());
+        if let Ok(listener) = TcpListener::bind(address) {
+            return listener.local_addr().unwrap();
+        }
+    }
 }
 
 fn make_peer(index: usize) -> VoterPeer {
