--- a/daisyhinge/src/control/voter.rs
+++ b/daisyhinge/src/control/voter.rs
@@ -12,6 +12,7 @@
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 
+use crate::control::limits::LogLimits;
 use crate::control::log::{HardState, LogEntry, LogPayload, LogSnapshot, StoredLog, VoterLog};
 use crate::control::member::{VoterId, VoterSet};
 use crate::control::message::{VoterBody, VoterMessage};
@@ -22,6 +23,7 @@
 mod follow;
 mod lead;
 mod replicate;
+mod save;
 
 pub use action::{SaveBatch, VoterAction, VoterEvent};
 use lead::LeadState;
@@ -32,10 +34,6 @@
 pub const ELECTION_SPAN: Duration = Duration::from_millis(500);
 /// Silence of a quorum after which a leader steps down.
 pub const STEP_DOWN_SPAN: Duration = Duration::from_millis(900);
-/// Entries of one append, in bytes, unless a single one is larger.
-pub const APPEND_MAX_BYTES: usize = 512 << 10;
-/// Part of a snapshot in one message, in bytes.
-pub const SNAPSHOT_PART_BYTES: usize = 256 << 10;
 /// Largest snapshot that is accepted, in bytes.
 pub const SNAPSHOT_MAX_BYTES: u64 = 64 << 20;
 /// Entries that may wait for commit before a leader refuses more.
@@ -67,6 +65,7 @@
 pub struct VoterMachine {
     id: VoterId,
     operator_address: SocketAddr,
+    limits: LogLimits,
     hard: HardState,
     log: VoterLog,
     /// Member sets of entries that are not yet covered by the snapshot, with their index.
@@ -104,6 +103,7 @@
         now: MonotonicTime,
         id: VoterId,
         operator_address: SocketAddr,
+        limits: LogLimits,
         stored: StoredLog,
         rng: ChaCha8Rng,
         actions: &mut Vec<VoterAction>,
@@ -119,6 +119,7 @@
         let mut machine = Self {
             id,
             operator_address,
+            limits,
             hard: stored.hard,
             log,
             voter_sets,
@@ -177,6 +178,11 @@
         );
     }
 
+    /// The sizes that bound its log.
+    pub fn limits(&self) -> &LogLimits {
+        &self.limits
+    }
+
     /// Its identity.
     pub fn id(&self) -> &VoterId {
         &self.id
@@ -304,80 +310,6 @@
         self.restart_election_timer(now);
     }
 
-    /// Queues a message; it leaves at once, or after the save that it depends on.
-    fn send(&mut self, to: &VoterId, term: u64, body: VoterBody, actions: &mut Vec<VoterAction>) {
-        let message = VoterMessage {
-            from: self.id.clone(),
-            to: to.clone(),
-            term,
-            body,
-        };
-        let after = self.save_hard(actions);
-        if after <= self.saved_sequence {
-            actions.push(VoterAction::Send(message));
-        } else {
-            self.held.push_back((after, message));
-        }
-    }
-
-    /// Saves term and vote if they changed; returns the sequence that makes them durable.
-    fn save_hard(&mut self, actions: &mut Vec<VoterAction>) -> u64 {
-        if self.hard_changed {
-            self.save(Vec::new(), actions);
-            self.hard_sequence = self.sequence;
-        }
-        self.hard_sequence
-    }
-
-    fn save(&mut self, entries: Vec<LogEntry>, actions: &mut Vec<VoterAction>) {
-        self.sequence += 1;
-        let hard = self.hard_changed.then(|| self.hard.clone());
-        if hard.is_some() {
-            self.hard_sequence = self.sequence;
-        }
-        self.hard_changed = false;
-        let last = entries.last().map_or(0, |entry| entry.index);
-        self.saves.push_back((self.sequence, last));
-        actions.push(VoterAction::Save(SaveBatch {
-            sequence: self.sequence,
-            hard,
-            entries,
-        }));
-    }
-
-    /// Saves entries that the disk has not been handed yet.
-    fn save_entries(&mut self, actions: &mut Vec<VoterAction>) {
-        if self.save_sent < self.log.last_index() {
-            let entries = self.log.entries_after(self.save_sent, usize::MAX);
-            self.save_sent = self.log.last_index();
-            self.save(entries, actions);
-        }
-    }
-
-    fn note_saved(&mut self, now: MonotonicTime, sequence: u64, actions: &mut Vec<VoterAction>) {
-        assert!(sequence <= self.sequence, "a save that was never asked for");
-        self.saved_sequence = self.saved_sequence.max(sequence);
-        while let Some((_, last)) = self.saves.pop_front_if(|(saved, _)| *saved <= sequence) {
-            self.synced = self.synced.max(last);
-        }
-        while let Some((_, message)) = self.held.pop_front_if(|(after, _)| *after <= sequence) {
-            actions.push(VoterAction::Send(message));
-        }
-        self.finish_install();
-        if self.is_leader() {
-            self.advance_commit(actions);
-        } else {
-            self.report_synced(actions);
-            self.count_votes(now, actions);
-        }
-    }
-
-    fn flush(&mut self, now: MonotonicTime, actions: &mut Vec<VoterAction>) {
-        self.save_entries(actions);
-        self.save_hard(actions);
-        self.replicate_all(now, actions);
-    }
-
     /// Forgets entries from `index` on, which another leader made void.
     fn truncate_from(&mut self, index: u64) {
         assert!(index > self.commit, "a committed entry would be lost");
@@ -423,7 +355,7 @@
             bytes,
         };
         self.save_entries(actions);
-        self.log.compact(snapshot.clone());
+        self.log.compact(snapshot.clone(), self.limits.tail_entries);
         while self.voter_sets.len() > 1 && self.voter_sets[1].0 <= index {
             self.voter_sets.pop_front();
         }
