--- a/daisyhinge/src/search/conclude.rs
+++ b/daisyhinge/src/search/conclude.rs
@@ -193,7 +193,7 @@
             .map_or(0, |partition| u128::from(partition.usable_ppm()));
         let reachable = u128::from(self.answered_weight + self.open_weight) * 1_000_000;
         let reachable_ppm = reachable / u128::from(pinned.whole_weight.max(1));
-        let usual = routes.hedge_delay(self.service).unwrap_or_default();
+        let usual = routes.hedge_delay(self.service, false).unwrap_or_default();
         newer.key > pinned.key && usable > reachable_ppm && now + usual < self.answer_by
     }
 
--- a/daisyhinge/src/search/estimate.rs
+++ b/daisyhinge/src/search/estimate.rs
@@ -63,7 +63,7 @@
         if self.unseen >= REFRESH_EVERY || self.total == TOTAL_MIN {
             self.unseen = 0;
             self.median_us = self.quantile_us(50);
-            self.hedge_us = self.quantile_us(HEDGE_PERCENT).max(self.median_us / 2 * 3);
+            self.hedge_us = self.quantile_us(HEDGE_PERCENT).max(self.median_us / 5 * 6);
         }
     }
 
@@ -73,11 +73,18 @@
     }
 
     /// How long an attempt runs before a hedge is worth its cost, once enough is known: the
-    /// quantile, and one and a half medians at least, so that even latencies bring no hedges.
+    /// quantile, and six fifths of the median at least, so that even latencies bring no hedges.
     pub fn hedge_delay(&self) -> Option<Duration> {
         (self.total >= TOTAL_MIN).then(|| Duration::from_micros(self.hedge_us.into()))
     }
 
+    /// How long a hedge runs before another is worth its cost: sooner than the first, since one
+    /// straggler is there already and the request waits for it.
+    pub fn second_delay(&self) -> Option<Duration> {
+        let median = self.median()?;
+        Some(median + median / 10)
+    }
+
     fn quantile_us(&self, percent: u32) -> u32 {
         let rank = (self.total * percent).div_ceil(100).max(1);
         let mut seen = 0;
--- a/daisyhinge/src/search/route.rs
+++ b/daisyhinge/src/search/route.rs
@@ -244,8 +244,13 @@
         index.ok().map(|index| &partitions[index])
     }
 
-    pub(super) fn hedge_delay(&self, service: u32) -> Option<Duration> {
-        self.services.get(service as usize)?.latency.hedge_delay()
+    pub(super) fn hedge_delay(&self, service: u32, is_hedged: bool) -> Option<Duration> {
+        let latency = &self.services.get(service as usize)?.latency;
+        if is_hedged {
+            latency.second_delay()
+        } else {
+            latency.hedge_delay()
+        }
     }
 
     pub(super) fn earn_extra(&mut self, service: u32, extra_work_ppm: u32) {
--- a/daisyhinge/src/search/scatter.rs
+++ b/daisyhinge/src/search/scatter.rs
@@ -169,7 +169,7 @@
         actions: &mut Vec<SearchAction>,
     ) {
         let now = routes.now;
-        let delay = self.hedge_delay(now, routes);
+        let delay = self.hedge_delay(now, kind == DispatchKind::Hedge, routes);
         routes.begin_dispatch(choice.key);
         match kind {
             DispatchKind::Primary => {
@@ -205,9 +205,9 @@
         }));
     }
 
-    fn hedge_delay(&self, now: MonotonicTime, routes: &RouteTable) -> Duration {
+    fn hedge_delay(&self, now: MonotonicTime, is_hedged: bool, routes: &RouteTable) -> Duration {
         let left = self.answer_by.since(now);
-        let known = routes.hedge_delay(self.service);
+        let known = routes.hedge_delay(self.service, is_hedged);
         known.unwrap_or(left / UNKNOWN_HEDGE_DIVISOR)
     }
 
@@ -223,7 +223,8 @@
         }
         for index in 0..self.rows.len() {
             if self.rows[index].awaits_hedge() && now >= self.rows[index].hedge_at {
-                self.rows[index].hedge_done = true;
+                self.rows[index].hedges_left -= 1;
+                self.rows[index].hedge_at = now + self.hedge_delay(now, true, routes);
                 self.send_hedge(now, index, routes, actions);
             }
         }
--- a/daisyhinge/src/search/shard.rs
+++ b/daisyhinge/src/search/shard.rs
@@ -7,8 +7,12 @@
 use crate::search::plan::PinnedShard;
 use crate::search::route::RouteKey;
 
-/// Attempts for one shard that may be under way at a time: a first one and its hedge.
-pub(super) const RUNNING_MAX: usize = 2;
+/// Hedges of one shard at most. With one straggler in 20 and 10 shards, 1 search in 40 meets a
+/// second one on its hedge, which one hedge would leave in the 99th percentile.
+pub(super) const HEDGES_MAX: u8 = 2;
+
+/// Attempts for one shard that may be under way at a time: a first one and its hedges.
+pub(super) const RUNNING_MAX: usize = 1 + HEDGES_MAX as usize;
 
 /// An attempt under way.
 #[derive(Clone, Copy, Debug)]
@@ -43,8 +47,8 @@
     pub(super) is_held: bool,
     /// The next attempt costs no budget, since the last one certainly did not run.
     pub(super) is_free: bool,
-    /// No hedge is sent any more.
-    pub(super) hedge_done: bool,
+    /// Hedges that may still be sent.
+    pub(super) hedges_left: u8,
     /// When a hedge is due.
     pub(super) hedge_at: MonotonicTime,
     /// From when on the shard counts as late.
@@ -64,7 +68,7 @@
             resets: 0,
             is_held: false,
             is_free: false,
-            hedge_done: false,
+            hedges_left: HEDGES_MAX,
             hedge_at: MonotonicTime::default(),
             late_at: MonotonicTime::default(),
             code: ResultCode::NoReplica,
@@ -89,7 +93,7 @@
 
     pub(super) fn add_try(&mut self, running: RunningTry) {
         let free = self.running.iter_mut().find(|slot| slot.is_none());
-        *free.expect("a shard has at most two attempts under way") = Some(running);
+        *free.expect("a shard has room for its hedges") = Some(running);
         self.tried[usize::from(self.tried_count)] = running.key.row;
         self.tried_count += 1;
     }
@@ -107,10 +111,10 @@
     /// Whether a hedge may still become due.
     pub(super) fn awaits_hedge(&self) -> bool {
         self.is_open()
-            && !self.hedge_done
+            && self.hedges_left > 0
             && self.resets == 0
             && self.may_try()
-            && self.running_count() == 1
+            && (1..RUNNING_MAX).contains(&self.running_count())
     }
 }
 
--- /dev/null
+++ b/daisyhinge/tests/search.rs
@@ -0,0 +1,16 @@
+//! Requests as their root entry runs them.
+
+#[path = "search/claims.rs"]
+mod claims;
+#[path = "search/fleet.rs"]
+mod fleet;
+#[path = "search/fuzz.rs"]
+mod fuzz;
+#[path = "search/policy.rs"]
+mod policy;
+#[path = "search/random.rs"]
+mod random;
+#[path = "search/routes.rs"]
+mod routes;
+#[path = "search/runner.rs"]
+mod runner;
--- /dev/null
+++ b/daisyhinge/tests/search/claims.rs
@@ -0,0 +1,79 @@
+//! Requests that may not be repeated.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use daisyhinge::prelude::*;
+use daisyhinge::search::SearchEvent;
+use daisyhinge::search::plan::SearchPlan;
+
+use crate::fleet::{Scripted, plan};
+use crate::policy::{ALLOWED, run_one, runner};
+use crate::runner::{Happening, Runner};
+
+fn print_plan(runner: &Runner, number: u64) -> SearchPlan {
+    let mut plan = plan(number, runner.now, ALLOWED);
+    (plan.repeatable, plan.shard) = (false, Some(ShardNumber(1)));
+    plan.request = "print-1".into();
+    plan
+}
+
+#[test]
+fn a_print_job_is_never_sent_again_once_it_may_have_run() {
+    for code in [ResultCode::ConnectionReset, ResultCode::ServerFailed] {
+        let mut runner = runner(14);
+        runner.fleet.script = Some(Box::new(move |_, _| {
+            Some(Scripted::Refuse(code, RunState::Unknown))
+        }));
+        let first = print_plan(&runner, 1);
+        let refusal = run_one(&mut runner, 1, first).expect_err("it may have run");
+        assert_eq!((refusal.code, refusal.run), (code, RunState::Unknown));
+        let again = print_plan(&runner, 2);
+        let refusal = run_one(&mut runner, 2, again).expect_err("its outcome is not known");
+        assert_eq!(refusal.code, ResultCode::OutcomeUnknown);
+        assert_eq!(runner.fleet.ran.len(), 1);
+    }
+}
+
+#[test]
+fn a_print_job_that_did_not_run_claims_again_for_another_replica() {
+    let mut runner = runner(15);
+    let first = Rc::new(RefCell::new(None));
+    runner.fleet.script = Some(Box::new(move |_, sub| {
+        let mut first = first.borrow_mut();
+        let first = first.get_or_insert_with(|| sub.replica.clone());
+        let busy = Scripted::Refuse(ResultCode::SlotsBusy, RunState::NotRun);
+        (*first == sub.replica).then_some(busy)
+    }));
+    let plan = print_plan(&runner, 1);
+    run_one(&mut runner, 1, plan).expect("another replica takes it");
+    assert_eq!(runner.requests[&1].won.len(), 2);
+    let again = print_plan(&runner, 2);
+    let answer = run_one(&mut runner, 2, again).expect("the outcome is on record");
+    assert!(answer.resent);
+    assert_eq!(runner.fleet.ran.len(), 1);
+}
+
+#[test]
+fn a_print_job_whose_caller_left_is_finished_and_recorded() {
+    let mut runner = runner(16);
+    let first = print_plan(&runner, 1);
+    runner.start(1, first);
+    let gone = Happening::Step(1, SearchEvent::CallerGone);
+    runner.later(Duration::from_millis(4), gone);
+    let until = runner.now + Duration::from_secs(1);
+    runner.run_until(until);
+    let refusal = runner.requests[&1]
+        .result
+        .clone()
+        .expect("finished")
+        .expect_err("gone");
+    assert_eq!(
+        (refusal.code, refusal.run),
+        (ResultCode::CallerGone, RunState::Unknown)
+    );
+    let again = print_plan(&runner, 2);
+    let answer = run_one(&mut runner, 2, again).expect("the outcome is on record");
+    assert!(answer.resent);
+}
--- a/daisyhinge/tests/search/fleet.rs
+++ b/daisyhinge/tests/search/fleet.rs
@@ -56,7 +56,19 @@
     pub failed: u32,
 }
 
+/// What a test decides for one dispatch in place of the model.
+#[derive(Clone, Copy, Debug)]
+pub enum Scripted {
+    /// It runs this many times as long as usual.
+    Slow(u64),
+    /// It ends so, after 300 µs; it ran unless the state says otherwise.
+    Refuse(ResultCode, RunState),
+}
+
+type Script = Box<dyn FnMut(MonotonicTime, &SubPlan) -> Option<Scripted>>;
+
 pub struct Fleet {
+    pub script: Option<Script>,
     pub rng: ChaCha8Rng,
     pub snapshots: BTreeMap<u64, ModelSnapshot>,
     pub replicas: Vec<ModelReplica>,
@@ -73,6 +85,7 @@
 impl Fleet {
     pub fn new(seed: u64, shards: u32, copies: usize) -> Self {
         let mut fleet = Self {
+            script: None,
             rng: ChaCha8Rng::seed_from_u64(seed),
             snapshots: BTreeMap::new(),
             replicas: Vec::new(),
@@ -190,6 +203,13 @@
             })
         };
         let short = Duration::from_micros(300);
+        let scripted = self.script.as_mut().and_then(|script| script(now, sub));
+        if let Some(Scripted::Refuse(code, run)) = scripted {
+            if run != RunState::NotRun {
+                self.ran.insert(sub.attempt);
+            }
+            return (short, refuse(code, run, 0));
+        }
         if !replica.alive {
             return (
                 short,
@@ -215,7 +235,11 @@
             return (short, refuse(code, RunState::NotRun, 3));
         }
         self.ran.insert(sub.attempt);
-        let span = self.draw_span();
+        let slower = match scripted {
+            Some(Scripted::Slow(factor)) => factor,
+            _ => 1,
+        };
+        let span = self.draw_span() * u32::try_from(slower).expect("a small factor");
         let left = sub.expires.since(now);
         if span > left {
             return (
--- /dev/null
+++ b/daisyhinge/tests/search/policy.rs
@@ -0,0 +1,339 @@
+//! Hedges, retries, budget, preference, give-up and suspects, each alone.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use daisyhinge::prelude::*;
+use daisyhinge::search::plan::SearchPlan;
+use daisyhinge::vocabulary::answer::{QueryAnswer, QueryRefusal};
+use daisyhinge::vocabulary::query::AnswerPreference;
+use daisyhinge::vocabulary::replica::{CrashRecord, TableDelta};
+
+use crate::fleet::{Fleet, Scripted, keeper_name, plan};
+use crate::runner::Runner;
+
+const SHARDS: u32 = 10;
+pub const ALLOWED: Duration = Duration::from_millis(150);
+
+type QueryResult = Result<QueryAnswer, QueryRefusal>;
+
+pub fn runner(seed: u64) -> Runner {
+    Runner::new(Fleet::new(seed, SHARDS, 3), seed)
+}
+
+pub fn run_one(runner: &mut Runner, number: u64, plan: SearchPlan) -> QueryResult {
+    let until = runner.now + Duration::from_secs(1);
+    runner.start(number, plan);
+    runner.run_until(until);
+    runner.requests[&number]
+        .result
+        .clone()
+        .expect("every request is answered")
+}
+
+/// Runs searches one every 5 ms and returns their 99th percentile of latency.
+fn run_searches(runner: &mut Runner, count: u64, extra_work_ppm: u32) -> Duration {
+    let first = runner.requests.len() as u64 + 1;
+    let began = runner.now;
+    for number in first..first + count {
+        let mut plan = plan(number, runner.now, Duration::from_millis(500));
+        plan.extra_work_ppm = extra_work_ppm;
+        runner.start(number, plan);
+        let until = runner.now + Duration::from_millis(5);
+        runner.run_until(until);
+    }
+    let until = runner.now + Duration::from_secs(2);
+    runner.run_until(until);
+    runner.judge_end();
+    runner.judge_extra(extra_work_ppm, began);
+    let mut took: Vec<Duration> = (first..first + count)
+        .map(|number| runner.requests[&number].took)
+        .collect();
+    took.sort_unstable();
+    took[took.len() * 99 / 100]
+}
+
+fn extra_share(runner: &Runner) -> f64 {
+    let tally = runner.tally;
+    f64::from(tally.hedges + tally.retries) / f64::from(tally.primaries)
+}
+
+#[test]
+fn hedges_cut_the_tail_of_independent_stragglers() {
+    let even = run_searches(&mut runner(1), 2_000, 50_000);
+    let mut bare = runner(2);
+    bare.fleet.rates.straggler = 50;
+    let bare = run_searches(&mut bare, 2_000, 0);
+    let mut hedged = runner(2);
+    hedged.fleet.rates.straggler = 50;
+    let took = run_searches(&mut hedged, 2_000, 80_000);
+    let extra = extra_share(&hedged);
+    println!("p99 even {even:?} stragglers {bare:?} hedged {took:?} extra {extra:.4}");
+    assert!(took <= even * 3 && bare > even * 3);
+    assert!(extra <= 0.08);
+}
+
+#[test]
+fn a_server_that_stays_slow_is_avoided() {
+    let even = run_searches(&mut runner(3), 1_000, 50_000);
+    let mut slow = runner(3);
+    slow.fleet.script = Some(Box::new(|_, sub| {
+        (sub.replica.as_str() == "r4-0").then_some(Scripted::Slow(20))
+    }));
+    let took = run_searches(&mut slow, 1_000, 50_000);
+    let extra = extra_share(&slow);
+    println!("p99 even {even:?} one slow {took:?} extra {extra:.4}");
+    assert!(took <= even * 3 / 2);
+    assert!(extra <= 0.03);
+}
+
+#[test]
+fn extra_work_stays_in_its_budget_when_most_is_slow() {
+    let mut runner = runner(4);
+    runner.fleet.rates.straggler = 400;
+    runner.fleet.rates.failed = 100;
+    run_searches(&mut runner, 1_000, 30_000);
+    assert!(runner.tally.denied > 0);
+}
+
+#[test]
+fn the_loss_of_one_replica_of_every_shard_keeps_coverage() {
+    let mut runner = runner(5);
+    run_searches(&mut runner, 200, 50_000);
+    let lost_at = runner.now;
+    runner.fleet.script = Some(Box::new(move |now, sub| {
+        let is_lost = sub.replica.as_str().ends_with("-0");
+        let is_fresh = now.since(lost_at) < Duration::from_millis(100);
+        let refuse = if is_fresh {
+            Scripted::Refuse(ResultCode::ConnectionReset, RunState::Unknown)
+        } else {
+            Scripted::Refuse(ResultCode::ConnectFailed, RunState::NotRun)
+        };
+        is_lost.then_some(refuse)
+    }));
+    let before = runner.tally;
+    run_searches(&mut runner, 1_000, 50_000);
+    let is_whole = |number: &u64| {
+        let request = &runner.requests[number];
+        let answer = request.result.as_ref().expect("judged").as_ref();
+        request.took <= ALLOWED && answer.is_ok_and(|answer| answer.missing.is_empty())
+    };
+    let whole = (201..=1_200).filter(is_whole);
+    let whole = whole.count();
+    let extra = runner.tally.hedges + runner.tally.retries - before.hedges - before.retries;
+    println!("whole in 150 ms: {whole} of 1000, extra {extra} of 10000 sub-requests");
+    assert!(whole >= 999);
+    assert!(extra <= 1_000);
+}
+
+#[test]
+fn what_cannot_be_reached_any_more_is_refused_at_once() {
+    let mut runner = runner(6);
+    runner.fleet.script = Some(Box::new(|_, sub| {
+        let is_lost = sub.shard.0 == 3;
+        is_lost.then_some(Scripted::Refuse(ResultCode::ServerFailed, RunState::Ran))
+    }));
+    let plan = plan(1, runner.now, ALLOWED);
+    let refusal = run_one(&mut runner, 1, plan).expect_err("one shard fails everywhere");
+    assert_eq!(
+        (refusal.code, refusal.run),
+        (ResultCode::GivenUp, RunState::Ran)
+    );
+    assert!(refusal.retry_ms.is_some());
+    assert!(
+        runner.requests[&1].took <= Duration::from_millis(2),
+        "held back"
+    );
+}
+
+#[test]
+fn a_busy_service_is_refused_as_overloaded_and_not_run() {
+    let mut runner = runner(7);
+    runner.fleet.script = Some(Box::new(|_, _| {
+        Some(Scripted::Refuse(ResultCode::SlotsBusy, RunState::NotRun))
+    }));
+    let search = plan(1, runner.now, ALLOWED);
+    let refusal = run_one(&mut runner, 1, search).expect_err("all are busy");
+    // The other shards were still asked when the first was given up.
+    assert_eq!(
+        (refusal.code, refusal.run),
+        (ResultCode::Overloaded, RunState::Unknown)
+    );
+    let mut lookup = plan(2, runner.now, ALLOWED);
+    lookup.shard = Some(ShardNumber(0));
+    let refusal = run_one(&mut runner, 2, lookup).expect_err("all are busy");
+    assert_eq!(
+        (refusal.code, refusal.run),
+        (ResultCode::Overloaded, RunState::NotRun)
+    );
+    assert!(runner.requests[&1].took <= Duration::from_millis(2));
+}
+
+#[test]
+fn a_deadline_that_cannot_be_met_is_refused_before_anything_is_sent() {
+    let mut runner = runner(8);
+    run_searches(&mut runner, 50, 50_000);
+    let plan = plan(100, runner.now, Duration::from_millis(3));
+    let refusal = run_one(&mut runner, 100, plan).expect_err("6 ms do not fit into 3 ms");
+    assert_eq!(
+        (refusal.code, refusal.run),
+        (ResultCode::Overloaded, RunState::NotRun)
+    );
+    assert!(runner.requests[&100].attempts.is_empty());
+}
+
+#[test]
+fn latency_answers_early_and_coverage_waits() {
+    for (preference, longest) in [
+        (AnswerPreference::Latency, Duration::from_millis(50)),
+        (AnswerPreference::Coverage, ALLOWED),
+    ] {
+        let mut runner = runner(9);
+        run_searches(&mut runner, 50, 50_000);
+        runner.fleet.script = Some(Box::new(|_, sub| {
+            (sub.shard.0 == 3).then_some(Scripted::Slow(1_000))
+        }));
+        let mut plan = plan(100, runner.now, ALLOWED);
+        (plan.preference, plan.minimum_ppm) = (preference, 500_000);
+        let answer = run_one(&mut runner, 100, plan).expect("most is there");
+        assert_eq!(answer.missing.len(), 1);
+        assert_eq!(answer.missing[0].code, ResultCode::ShardLate);
+        let took = runner.requests[&100].took;
+        assert!(took <= longest, "{preference:?} took {took:?}");
+        let waits = preference == AnswerPreference::Coverage;
+        assert_eq!(
+            took > Duration::from_millis(140),
+            waits,
+            "{preference:?} took {took:?}"
+        );
+    }
+}
+
+#[test]
+fn a_search_starts_again_once_when_its_snapshot_is_dropped() {
+    let mut runner = runner(10);
+    runner.fleet.cut_snapshot(2, 2, 4);
+    for index in 0..runner.fleet.replicas.len() {
+        // Replicas drop the old snapshot while the search is under way.
+        let shard = u32::try_from(index / 3).expect("few replicas") % 4;
+        runner.fleet.replicas[index].held = vec![runner.fleet.held(2, shard)];
+    }
+    let plan = plan(1, runner.now, ALLOWED);
+    runner.start(1, plan);
+    let now = runner.now;
+    let Runner { fleet, routes, .. } = &mut runner;
+    fleet.publish(now, routes);
+    runner.run_until(now + Duration::from_secs(1));
+    let answer = runner.requests[&1]
+        .result
+        .clone()
+        .expect("answered")
+        .expect("whole");
+    assert_eq!(
+        (answer.snapshot, answer.parts.len()),
+        (SnapshotNumber(2), 4)
+    );
+}
+
+/// Counts dispatches to distinct servers under a script that resets all of them.
+fn crash_all(runner: &mut Runner) -> Rc<RefCell<Vec<ReplicaName>>> {
+    let crashed = Rc::new(RefCell::new(Vec::new()));
+    let seen = Rc::clone(&crashed);
+    runner.fleet.script = Some(Box::new(move |_, sub| {
+        seen.borrow_mut().push(sub.replica.clone());
+        Some(Scripted::Refuse(
+            ResultCode::ConnectionReset,
+            RunState::Unknown,
+        ))
+    }));
+    crashed
+}
+
+#[test]
+fn a_lookup_that_crashes_its_server_reaches_two_servers_resends_included() {
+    let mut runner = runner(11);
+    let crashed = crash_all(&mut runner);
+    for number in 1..=5 {
+        let mut plan = plan(number, runner.now, ALLOWED);
+        (plan.shard, plan.digest) = (Some(ShardNumber(2)), RequestDigest(77));
+        let refusal = run_one(&mut runner, number, plan).expect_err("it crashes servers");
+        assert_eq!(refusal.code, ResultCode::RequestPoisoned);
+        assert_eq!(refusal.retry_ms, None);
+        assert_eq!(refusal.run == RunState::NotRun, number > 1);
+    }
+    assert_eq!(crashed.borrow().len(), 2, "{crashed:?}");
+}
+
+fn tell_crashes(runner: &mut Runner, keeper: usize, digest: u64) {
+    let crash = CrashRecord {
+        digest: RequestDigest(digest),
+        crashes: 1,
+        age_ms: 10,
+    };
+    let ask = runner.routes.table_ask(&keeper_name(keeper));
+    let delta = TableDelta {
+        table: ask.table,
+        cursor: ask.cursor,
+        whole: false,
+        records: Vec::new(),
+        gone: Vec::new(),
+        crashes: vec![crash],
+    };
+    runner.routes.apply_delta(&keeper_name(keeper), delta);
+}
+
+#[test]
+fn a_search_with_one_crash_on_record_is_probed_and_with_two_refused() {
+    let mut runner = runner(12);
+    tell_crashes(&mut runner, 0, 1);
+    let probed = plan(1, runner.now, ALLOWED);
+    let answer = run_one(&mut runner, 1, probed).expect("it was not its doing");
+    assert!(answer.missing.is_empty());
+    assert!(
+        runner.requests[&1].took >= Duration::from_millis(12),
+        "no probe went first"
+    );
+
+    tell_crashes(&mut runner, 0, 2);
+    let crashed = crash_all(&mut runner);
+    let suspect = plan(2, runner.now, ALLOWED);
+    run_one(&mut runner, 2, suspect).expect_err("it crashes servers");
+    assert_eq!(
+        crashed.borrow().len(),
+        1,
+        "one server more, then it is known"
+    );
+
+    tell_crashes(&mut runner, 0, 3);
+    tell_crashes(&mut runner, 1, 3);
+    let known = plan(3, runner.now, ALLOWED);
+    let refusal = run_one(&mut runner, 3, known).expect_err("two servers are enough");
+    assert_eq!(
+        (refusal.code, refusal.run),
+        (ResultCode::RequestPoisoned, RunState::NotRun)
+    );
+    assert_eq!((refusal.retry_ms, crashed.borrow().len()), (None, 1));
+}
+
+#[test]
+fn no_hedge_follows_a_reset() {
+    let mut runner = runner(13);
+    run_searches(&mut runner, 50, 500_000);
+    let sent = Rc::new(RefCell::new(0));
+    let count = Rc::clone(&sent);
+    runner.fleet.script = Some(Box::new(move |_, _| {
+        *count.borrow_mut() += 1;
+        let is_first = *count.borrow() == 1;
+        let reset = Scripted::Refuse(ResultCode::ConnectionReset, RunState::Unknown);
+        Some(if is_first {
+            reset
+        } else {
+            Scripted::Slow(1_000)
+        })
+    }));
+    let mut plan = plan(100, runner.now, ALLOWED);
+    plan.shard = Some(ShardNumber(0));
+    run_one(&mut runner, 100, plan).expect_err("the retry is late");
+    assert_eq!(*sent.borrow(), 2, "a first attempt and one retry");
+}
--- a/daisyhinge/tests/search_random.rs
+++ b/daisyhinge/tests/search/random.rs
@@ -8,13 +8,8 @@
 use daisyhinge::vocabulary::query::AnswerPreference;
 use rand::RngExt;
 
-#[path = "search/fleet.rs"]
-mod fleet;
-#[path = "search/runner.rs"]
-mod runner;
-
-use fleet::{FaultRates, Fleet, plan};
-use runner::{Happening, Runner};
+use crate::fleet::{FaultRates, Fleet, plan};
+use crate::runner::{Happening, Runner};
 
 const SHARDS: u32 = 6;
 const REQUESTS: u64 = 600;
--- /dev/null
+++ b/daisyhinge/tests/search/routes.rs
@@ -0,0 +1,279 @@
+//! Which snapshot is pinned and which replica is chosen, from what keepers published.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use daisyhinge::prelude::*;
+use daisyhinge::search::admission::{AdmissionBounds, AdmissionGate};
+use daisyhinge::search::budget::ExtraBudget;
+use daisyhinge::search::route::RouteTable;
+use daisyhinge::search::{RequestSearch, SearchAction, SearchEvent};
+use daisyhinge::vocabulary::announcement::HeldSnapshot;
+use daisyhinge::vocabulary::environment::{
+    CentreEntry, CentreState, EnvironmentDocument, RegionEntry,
+};
+use daisyhinge::vocabulary::replica::{KeeperLoad, ReplicaRecord, TableDelta, UseState};
+use daisyhinge::vocabulary::view::{ControlView, EntryRecord, EntryState};
+
+use crate::fleet::{CENTRES, SERVICE, plan};
+
+/// Shard `shard` of a snapshot cut into `shards` of weight 10.
+pub fn held(snapshot: u64, shard: u32, shards: u32) -> HeldSnapshot {
+    HeldSnapshot {
+        snapshot: SnapshotNumber(snapshot),
+        generation: 1,
+        shard: ShardNumber(shard),
+        shards,
+        weight: 10,
+        whole_weight: u64::from(shards) * 10,
+    }
+}
+
+pub fn record(replica: &str, centre: usize, snapshots: &[HeldSnapshot]) -> ReplicaRecord {
+    ReplicaRecord {
+        replica: replica.into(),
+        service: SERVICE.into(),
+        data_centre: CENTRES[centre].into(),
+        incarnation: IncarnationNumber(1),
+        state: UseState::Warm,
+        slots: 2,
+        snapshots: Arc::from(snapshots),
+        load: KeeperLoad {
+            limit: 2,
+            ..KeeperLoad::default()
+        },
+    }
+}
+
+pub fn delta(cursor: u64, whole: bool, records: Vec<ReplicaRecord>, gone: &[&str]) -> TableDelta {
+    TableDelta {
+        table: 1,
+        cursor,
+        whole,
+        records,
+        gone: gone.iter().map(|name| (*name).into()).collect(),
+        crashes: Vec::new(),
+    }
+}
+
+/// A table with one keeper that published `records`.
+fn routes_of(records: Vec<ReplicaRecord>) -> RouteTable {
+    let mut routes = RouteTable::seeded(1);
+    routes.apply_delta(&"k".into(), delta(1, true, records, &[]));
+    routes
+}
+
+/// Starts a request and returns the replicas and keepers that it is sent to.
+pub fn dispatched(routes: &mut RouteTable, shard: u32, repeatable: bool) -> Vec<(String, String)> {
+    let mut plan = plan(1, MonotonicTime(5_000_000), Duration::from_secs(1));
+    (plan.shard, plan.repeatable) = (Some(ShardNumber(shard)), repeatable);
+    let mut actions = Vec::new();
+    let mut search = RequestSearch::new(plan);
+    search.step(
+        MonotonicTime(5_000_000),
+        SearchEvent::Start,
+        routes,
+        &mut actions,
+    );
+    let sent = actions.iter().filter_map(|action| match action {
+        SearchAction::Dispatch(sub) => Some((sub.replica.to_string(), sub.keeper.to_string())),
+        _ => None,
+    });
+    sent.collect()
+}
+
+fn make_view(out: Option<usize>) -> Arc<ControlView> {
+    let centre = |index: usize| CentreEntry {
+        name: CENTRES[index].into(),
+        state: if out == Some(index) {
+            CentreState::Out
+        } else {
+            CentreState::In
+        },
+        power_cap: None,
+    };
+    let regions = (0..3).map(|index| RegionEntry {
+        name: format!("region-{index}").into(),
+        data_centres: vec![centre(index)],
+    });
+    let document = EnvironmentDocument {
+        regions: regions.collect(),
+        ..EnvironmentDocument::default()
+    };
+    let entries = (0..3_u16).map(|index| EntryRecord {
+        vm: format!("entry-{index}").into(),
+        environment: "production".into(),
+        data_centre: CENTRES[usize::from(index)].into(),
+        incarnation: IncarnationNumber(1),
+        caller_address: ([127, 0, 0, 1], 9_000 + index).into(),
+        peer_address: ([127, 0, 0, 1], 9_100 + index).into(),
+        state: EntryState::Live,
+    });
+    Arc::new(ControlView {
+        version: VersionNumber(1),
+        environments: BTreeMap::from([("production".into(), Arc::new(document))]),
+        entries: entries.collect(),
+        departed: Vec::new(),
+    })
+}
+
+#[test]
+fn the_newest_snapshot_with_enough_shards_is_pinned() {
+    let both = [held(2, 0, 2), held(1, 0, 2)];
+    let mut routes = routes_of(vec![
+        record("a", 0, &both),
+        record("b", 0, &[held(1, 1, 2)]),
+    ]);
+    let pin = |routes: &RouteTable, minimum, loss| {
+        let pinned = routes.pin_snapshot(&SERVICE.into(), minimum, loss);
+        pinned.expect("something is held").snapshot.0
+    };
+    assert_eq!(pin(&routes, 1_000_000, 0), 1, "the newer one lacks a shard");
+    assert_eq!(
+        pin(&routes, 500_000, 0),
+        1,
+        "the newer one would lose coverage"
+    );
+    assert_eq!(pin(&routes, 500_000, 600_000), 2, "as much may be lost");
+    let both = [held(2, 1, 2), held(1, 1, 2)];
+    routes.apply_delta(
+        &"k".into(),
+        delta(2, false, vec![record("b", 0, &both)], &[]),
+    );
+    assert_eq!(pin(&routes, 1_000_000, 0), 2);
+}
+
+#[test]
+fn a_shard_without_replicas_keeps_its_weight() {
+    let mut routes = routes_of(vec![
+        record("a", 0, &[held(1, 0, 2)]),
+        record("b", 0, &[held(1, 1, 2)]),
+    ]);
+    routes.apply_delta(&"k".into(), delta(2, false, Vec::new(), &["b"]));
+    let pinned = routes.pin_snapshot(&SERVICE.into(), 0, 0).expect("held");
+    assert_eq!((pinned.whole_weight, pinned.shards.len()), (20, 2));
+    assert_eq!(pinned.shards[1].weight, 10, "remembered");
+    assert!(pinned.shards[1].known);
+}
+
+#[test]
+fn contradictory_partitions_are_never_mixed() {
+    let mut other = held(1, 1, 2);
+    other.generation = 2;
+    let mut routes = routes_of(vec![
+        record("a", 0, &[held(1, 0, 2)]),
+        record("b", 0, &[other]),
+    ]);
+    let pinned = routes.pin_snapshot(&SERVICE.into(), 0, 0).expect("held");
+    let known = pinned.shards.iter().filter(|row| row.known).count();
+    assert_eq!(known, 1, "half of each partition only");
+    // A second weight for a known shard is not believed.
+    let mut heavier = held(1, 0, 2);
+    heavier.weight = 15;
+    routes.apply_delta(
+        &"k".into(),
+        delta(2, false, vec![record("c", 0, &[heavier])], &["a"]),
+    );
+    assert!(dispatched(&mut routes, 0, true).is_empty());
+}
+
+#[test]
+fn the_keeper_that_the_view_names_wins_and_crossed_replies_do_not_count() {
+    let mut routes = RouteTable::seeded(1);
+    let shard = [held(1, 0, 1)];
+    for keeper in ["entry-1", "entry-0", "entry-2"] {
+        routes.apply_delta(
+            &keeper.into(),
+            delta(5, true, vec![record("a", 0, &shard)], &[]),
+        );
+    }
+    routes.adopt_view(make_view(None), "production".into(), CENTRES[0].into());
+    assert_eq!(
+        dispatched(&mut routes, 0, true),
+        [("a".into(), "entry-0".into())]
+    );
+    // An older reply of the keeper arrives late.
+    routes.apply_delta(&"entry-0".into(), delta(4, false, Vec::new(), &["a"]));
+    assert_eq!(dispatched(&mut routes, 0, true)[0].1, "entry-0");
+    routes.drop_keeper(&"entry-0".into());
+    assert_ne!(dispatched(&mut routes, 0, true)[0].1, "entry-0");
+}
+
+#[test]
+fn the_nearest_data_centre_that_takes_work_is_chosen() {
+    let shard = [held(1, 0, 1)];
+    let records = (0..3)
+        .map(|centre| record(&format!("r{centre}"), centre, &shard))
+        .collect();
+    let mut routes = routes_of(records);
+    routes.adopt_view(make_view(None), "production".into(), CENTRES[1].into());
+    assert_eq!(dispatched(&mut routes, 0, true)[0].0, "r1");
+    routes.adopt_view(make_view(Some(1)), "production".into(), CENTRES[1].into());
+    assert_ne!(
+        dispatched(&mut routes, 0, true)[0].0,
+        "r1",
+        "its data centre is out"
+    );
+}
+
+#[test]
+fn a_cold_replica_gets_work_only_when_no_warm_one_can_take_it() {
+    let shard = [held(1, 0, 1)];
+    let mut cold = record("cold", 0, &shard);
+    (cold.state, cold.load.limit) = (UseState::Cold, 1);
+    let mut warm = record("warm", 0, &shard);
+    let mut routes = routes_of(vec![cold.clone(), warm.clone()]);
+    assert_eq!(dispatched(&mut routes, 0, true)[0].0, "warm");
+    warm.state = UseState::Closed;
+    routes.apply_delta(&"k".into(), delta(2, false, vec![warm], &[]));
+    assert_eq!(dispatched(&mut routes, 0, true)[0].0, "cold");
+    cold.state = UseState::Closed;
+    routes.apply_delta(&"k".into(), delta(3, false, vec![cold], &[]));
+    assert!(dispatched(&mut routes, 0, true).is_empty());
+}
+
+#[test]
+fn the_budget_bounds_extra_work_and_lets_a_lone_request_retry() {
+    let mut budget = ExtraBudget::default();
+    let now = MonotonicTime(0);
+    let granted = (0..100).filter(|_| budget.take(now, 50_000)).count();
+    assert_eq!(granted, 10, "the floor");
+    assert!(!budget.take(now, 50_000));
+    assert!(
+        budget.take(now + Duration::from_secs(1), 50_000),
+        "one comes back each second"
+    );
+    (0..40).for_each(|_| budget.earn(50_000));
+    let granted = (0..100).filter(|_| budget.take(now, 50_000)).count();
+    assert_eq!(granted, 2, "a twentieth of what was sent");
+    assert!(
+        !ExtraBudget::default().take(now, 0),
+        "a share of nothing forbids all"
+    );
+}
+
+#[test]
+fn the_gate_refuses_beyond_its_bounds_and_what_would_be_late() {
+    let mut gate = AdmissionGate::default();
+    let (now, service) = (MonotonicTime(5_000_000), SERVICE.into());
+    let bounds = AdmissionBounds {
+        running_max: 4,
+        total_max: 100,
+    };
+    let long = Duration::from_secs(1);
+    for _ in 0..4 {
+        assert_eq!(gate.admit(now, &service, bounds, long), Ok(()));
+    }
+    let refusal = gate
+        .admit(now, &service, bounds, long)
+        .expect_err("four run");
+    assert_eq!(refusal.code, ResultCode::Overloaded);
+    assert!(refusal.retry_ms > 0);
+    gate.leave(now, &service, Duration::from_millis(80));
+    let short = Duration::from_millis(50);
+    gate.admit(now, &service, bounds, short)
+        .expect_err("requests take 80 ms now");
+    assert_eq!(gate.admit(now, &service, bounds, long), Ok(()));
+    assert_eq!(gate.running(), 4);
+}
--- a/daisyhinge/tests/search/runner.rs
+++ b/daisyhinge/tests/search/runner.rs
@@ -12,7 +12,7 @@
 use daisyhinge::vocabulary::answer::{QueryAnswer, QueryRefusal};
 use daisyhinge::vocabulary::claim::ClaimEnding;
 
-use super::fleet::{Fleet, part_body};
+use crate::fleet::{Fleet, part_body};
 
 /// What happens next in model time.
 pub enum Happening {
