--- a/daisyhinge/src/search/conclude.rs
+++ b/daisyhinge/src/search/conclude.rs
@@ -206,15 +206,18 @@
 
     fn merge_answer(&mut self, actions: &mut Vec<SearchAction>) -> QueryAnswer {
         let whole_weight = self.wanted_weight();
+        let snapshot = SnapshotNumber(self.pinned_number());
         let mut parts = Vec::with_capacity(self.answered_count);
         let mut missing = Vec::new();
         let mut weight = 0;
         for row in &mut self.rows {
             let shard = row.pinned.shard;
             let code = match &mut row.state {
-                ShardState::Answered(body) => {
+                ShardState::Answered(answer) => {
+                    assert_eq!(answer.snapshot, snapshot, "one snapshot for each answer");
+                    assert_eq!(answer.shard, shard, "each part is of its own shard");
                     weight += row.pinned.weight;
-                    let body = std::mem::take(body);
+                    let body = std::mem::take(&mut answer.body);
                     parts.push(AnswerPart { shard, body });
                     continue;
                 }
@@ -240,7 +243,7 @@
         }
         QueryAnswer {
             request: self.plan.request.clone(),
-            snapshot: SnapshotNumber(self.pinned_number()),
+            snapshot,
             answered_weight: weight,
             whole_weight,
             missing,
--- a/daisyhinge/src/search/reply.rs
+++ b/daisyhinge/src/search/reply.rs
@@ -72,7 +72,7 @@
         self.cancel_row(now, index, routes, actions);
         let row = &mut self.rows[index];
         assert!(row.is_open(), "a shard is answered once");
-        row.state = ShardState::Answered(answer.body);
+        row.state = ShardState::Answered(answer);
         self.open_count -= 1;
         self.open_weight -= row.pinned.weight;
         self.answered_count += 1;
--- a/daisyhinge/src/search/shard.rs
+++ b/daisyhinge/src/search/shard.rs
@@ -1,11 +1,10 @@
 //! One shard of a running request.
 
-use bytes::Bytes;
-
 use crate::prelude::*;
 use crate::search::choice::TRIES_MAX;
 use crate::search::plan::PinnedShard;
 use crate::search::route::RouteKey;
+use crate::vocabulary::subrequest::SubAnswer;
 
 /// Hedges of one shard at most. With one straggler in 20 and 10 shards, 1 search in 40 meets a
 /// second one on its hedge, which one hedge would leave in the 99th percentile.
@@ -28,7 +27,7 @@
     /// Attempts are under way, or it waits for the outcome of a probe.
     Open,
     /// Its answer is here.
-    Answered(Bytes),
+    Answered(SubAnswer),
     /// There will be no answer.
     Missing(ResultCode),
 }
--- a/daisyhinge/tests/search/fleet.rs
+++ b/daisyhinge/tests/search/fleet.rs
@@ -257,10 +257,11 @@
             return (span, refuse(ResultCode::ServerFailed, RunState::Ran, 0));
         }
         let wrong = u64::from(self.chance(self.rates.mismatch));
+        let snapshot = SnapshotNumber(held.snapshot.0 + wrong);
         let answer = SubAnswer {
             shard: held.shard,
-            snapshot: SnapshotNumber(held.snapshot.0 + wrong),
-            body: part_body(held.snapshot, held.shard).into(),
+            snapshot,
+            body: part_body(snapshot, held.shard).into(),
             load,
         };
         (span, Ok(answer))
--- a/daisyhinge/tests/search/fuzz.rs
+++ b/daisyhinge/tests/search/fuzz.rs
@@ -203,7 +203,7 @@
         };
         let best = (1..4).map(|number| count(number, true)).max().unwrap_or(0);
         match pinned {
-            Some(pinned) => assert!(count(pinned.snapshot.0, false) >= best),
+            Some(pinned) => assert!(count(pinned.snapshot.0, false) >= best.max(1)),
             None => assert_eq!(best, 0),
         }
     }
--- a/daisyhinge/tests/search/policy.rs
+++ b/daisyhinge/tests/search/policy.rs
@@ -210,30 +210,50 @@
     }
 }
 
-#[test]
-fn a_search_starts_again_once_when_its_snapshot_is_dropped() {
-    let mut runner = runner(10);
-    runner.fleet.cut_snapshot(2, 2, 4);
+/// Replicas drop what they hold for a snapshot cut into 4 shards, and say so.
+fn roll_all(runner: &mut Runner, number: u64) {
+    runner.fleet.cut_snapshot(number, number, 4);
     for index in 0..runner.fleet.replicas.len() {
-        // Replicas drop the old snapshot while the search is under way.
-        let shard = u32::try_from(index / 3).expect("few replicas") % 4;
-        runner.fleet.replicas[index].held = vec![runner.fleet.held(2, shard)];
+        let shard = u32::try_from(index / 3).expect("few replicas");
+        runner.fleet.replicas[index].held = vec![runner.fleet.held(number, shard)];
     }
-    let plan = plan(1, runner.now, ALLOWED);
-    runner.start(1, plan);
     let now = runner.now;
-    let Runner { fleet, routes, .. } = &mut runner;
+    let Runner { fleet, routes, .. } = runner;
     fleet.publish(now, routes);
-    runner.run_until(now + Duration::from_secs(1));
-    let answer = runner.requests[&1]
-        .result
-        .clone()
-        .expect("answered")
-        .expect("whole");
-    assert_eq!(
-        (answer.snapshot, answer.parts.len()),
-        (SnapshotNumber(2), 4)
-    );
+}
+
+#[test]
+fn a_search_starts_again_once_when_its_snapshot_is_dropped() {
+    for rolls in 1..=2 {
+        let mut runner = runner(10);
+        let refuse = Scripted::Refuse(ResultCode::SnapshotNotHeld, RunState::NotRun);
+        runner.fleet.script = Some(Box::new(move |_, sub| {
+            (sub.snapshot.0 <= rolls).then_some(refuse)
+        }));
+        let plan = plan(1, runner.now, ALLOWED);
+        runner.start(1, plan);
+        for number in 0..rolls {
+            roll_all(&mut runner, number + 2);
+            let until = runner.now + Duration::from_micros(300);
+            runner.run_until(until);
+        }
+        let until = runner.now + Duration::from_secs(1);
+        runner.run_until(until);
+        let result = runner.requests[&1].result.clone().expect("answered");
+        if rolls == 1 {
+            let answer = result.expect("whole on the newer one");
+            assert_eq!(
+                (answer.snapshot, answer.parts.len()),
+                (SnapshotNumber(2), 4)
+            );
+        } else {
+            let refusal = result.expect_err("the newer one was dropped as well");
+            assert_eq!(
+                (refusal.code, runner.requests[&1].pins),
+                (ResultCode::GivenUp, 2)
+            );
+        }
+    }
 }
 
 /// Counts dispatches to distinct servers under a script that resets all of them.
@@ -295,6 +315,14 @@
         "no probe went first"
     );
 
+    tell_crashes(&mut runner, 1, 1);
+    let again = plan(9, runner.now, ALLOWED);
+    let again = SearchPlan {
+        digest: RequestDigest(1),
+        ..again
+    };
+    run_one(&mut runner, 9, again).expect("the answer cleared it of the first crash");
+
     tell_crashes(&mut runner, 0, 2);
     let crashed = crash_all(&mut runner);
     let suspect = plan(2, runner.now, ALLOWED);
@@ -322,7 +350,10 @@
     run_searches(&mut runner, 50, 500_000);
     let sent = Rc::new(RefCell::new(0));
     let count = Rc::clone(&sent);
-    runner.fleet.script = Some(Box::new(move |_, _| {
+    runner.fleet.script = Some(Box::new(move |_, sub| {
+        if sub.shard.0 != 0 {
+            return None;
+        }
         *count.borrow_mut() += 1;
         let is_first = *count.borrow() == 1;
         let reset = Scripted::Refuse(ResultCode::ConnectionReset, RunState::Unknown);
@@ -332,8 +363,49 @@
             Scripted::Slow(1_000)
         })
     }));
-    let mut plan = plan(100, runner.now, ALLOWED);
-    plan.shard = Some(ShardNumber(0));
+    // The other shards answer, which clears the request, yet not this shard.
+    let plan = plan(100, runner.now, ALLOWED);
     run_one(&mut runner, 100, plan).expect_err("the retry is late");
     assert_eq!(*sent.borrow(), 2, "a first attempt and one retry");
 }
+
+#[test]
+fn shards_that_never_announced_count_as_missing() {
+    let mut runner = Runner::new(Fleet::new(17, SHARDS, 3), 17);
+    runner.fleet.cut_snapshot(2, 2, SHARDS);
+    for index in 0..runner.fleet.replicas.len() {
+        let shard = u32::try_from(index / 3).expect("few replicas");
+        let held = runner.fleet.held(2, shard.min(7));
+        runner.fleet.replicas[index].held = vec![held];
+    }
+    let now = runner.now;
+    let Runner { fleet, routes, .. } = &mut runner;
+    fleet.publish(now, routes);
+    let mut plan = plan(1, now, ALLOWED);
+    plan.minimum_ppm = 100_000;
+    let answer = run_one(&mut runner, 1, plan).expect("most is there");
+    let missing = answer.missing.iter().map(|row| (row.shard.0, row.code));
+    let absent = ResultCode::ShardAbsent;
+    assert_eq!(missing.collect::<Vec<_>>(), [(8, absent), (9, absent)]);
+    assert_eq!(answer.whole_weight, runner.fleet.snapshots[&2].whole());
+}
+
+#[test]
+fn a_shard_whose_queues_are_too_long_stops_a_search_before_it_begins() {
+    let mut runner = runner(18);
+    run_searches(&mut runner, 50, 50_000);
+    for replica in &mut runner.fleet.replicas[9..12] {
+        replica.running = 400;
+    }
+    let now = runner.now;
+    let Runner { fleet, routes, .. } = &mut runner;
+    routes.advance(now);
+    fleet.publish(now, routes);
+    let plan = plan(100, now, ALLOWED);
+    let refusal = run_one(&mut runner, 100, plan).expect_err("1.2 s do not fit into 150 ms");
+    assert_eq!(
+        (refusal.code, refusal.run),
+        (ResultCode::Overloaded, RunState::NotRun)
+    );
+    assert!(runner.requests[&100].attempts.is_empty());
+}
--- a/daisyhinge/tests/search/runner.rs
+++ b/daisyhinge/tests/search/runner.rs
@@ -11,6 +11,7 @@
 use daisyhinge::search::{RequestSearch, SearchAction, SearchEvent, SearchTally, is_covered};
 use daisyhinge::vocabulary::answer::{QueryAnswer, QueryRefusal};
 use daisyhinge::vocabulary::claim::ClaimEnding;
+use daisyhinge::vocabulary::event::EventKind;
 
 use crate::fleet::{Fleet, part_body};
 
@@ -30,6 +31,7 @@
     pub dispatched_under: HashSet<AttemptId>,
     pub result: Option<Result<QueryAnswer, QueryRefusal>>,
     pub took: Duration,
+    pub pins: u32,
 }
 
 pub struct Runner {
@@ -76,6 +78,7 @@
             dispatched_under: HashSet::new(),
             result: None,
             took: Duration::ZERO,
+            pins: 0,
         };
         self.requests.insert(number, request);
         self.step(number, SearchEvent::Start);
@@ -108,6 +111,11 @@
         let due = self.requests[&number].search.next_wake();
         if due.is_some_and(|due| due <= self.now) {
             self.step(number, SearchEvent::Tick);
+            let next = self.requests[&number].search.next_wake();
+            assert!(
+                next.is_none_or(|next| next > self.now),
+                "a wake that changes nothing"
+            );
         }
     }
 
@@ -191,6 +199,10 @@
                 assert!(request.out.remove(&attempt).is_some(), "cancelled twice");
             }
             SearchAction::Finish(result) => self.take_result(number, &result),
+            SearchAction::Note(event) if event.kind == EventKind::SnapshotPinned => {
+                request.pins += 1;
+                assert!(request.pins <= 2, "a request starts again once");
+            }
             SearchAction::Note(_) => {}
         }
     }
