--- a/daisyhinge/src/lib.rs
+++ b/daisyhinge/src/lib.rs
@@ -6,11 +6,16 @@
 //! [`vocabulary`], never back.
 
 pub mod address;
+pub mod check;
+pub mod control;
+pub mod environment;
 pub mod keeper;
 pub mod lease;
+pub mod metric;
 pub mod prelude;
 pub mod rendezvous;
 pub mod search;
-pub mod vocabulary;
-
+pub mod setting;
 pub mod shell;
+pub mod timeline;
+pub mod vocabulary;
