--- a/daisyhinge/tests/environment.rs
+++ b/daisyhinge/tests/environment.rs
@@ -1,5 +1,8 @@
 //! Environment documents: every fault at once, no panic on any bytes, round trip.
 
+#[path = "support/fixed_config.rs"]
+mod fixed_config;
+
 use daisyhinge::environment::{DOCUMENT_MAX_BYTES, check_document, diff_documents};
 use daisyhinge::prelude::*;
 use daisyhinge::vocabulary::environment::{
@@ -7,8 +10,8 @@
 };
 use daisyhinge::vocabulary::name::RegionName;
 use daisyhinge::vocabulary::query::AnswerPreference;
+use fixed_config::fixed_config;
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 
 const GOOD: &str = r#"{
     "regions": [
@@ -131,20 +134,6 @@
     assert!(diff_documents(&before, &before).is_empty());
 }
 
-/// The same cases on every run, unless the environment names a seed or a number of cases.
-fn fixed_config() -> ProptestConfig {
-    let config = ProptestConfig::default();
-    let rng_seed = match config.rng_seed {
-        RngSeed::Random => RngSeed::Fixed(1),
-        seed @ RngSeed::Fixed(_) => seed,
-    };
-    ProptestConfig {
-        rng_seed,
-        failure_persistence: None,
-        ..config
-    }
-}
-
 fn centre_strategy() -> impl Strategy<Value = CentreEntry> {
     let cap = proptest::option::of(1..=1_000_000_u32);
     (any::<bool>(), cap).prop_map(|(out, power_cap)| CentreEntry {
--- a/daisyhinge/tests/operator.rs
+++ b/daisyhinge/tests/operator.rs
@@ -1,5 +1,8 @@
 //! The operators' port and its client, against a fake group of control VMs.
 
+#[path = "support/fixed_config.rs"]
+mod fixed_config;
+
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,9 +18,9 @@
 use daisyhinge::vocabulary::control::{ControlRole, ControlStatus};
 use daisyhinge::vocabulary::environment::CentreState;
 use daisyhinge::vocabulary::view::ControlView;
+use fixed_config::fixed_config;
 use parking_lot::Mutex;
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 
@@ -365,20 +368,6 @@
     assert_eq!(paths, expected);
 }
 
-/// The same cases on every run, unless the environment names a seed or a number of cases.
-fn fixed_config() -> ProptestConfig {
-    let config = ProptestConfig::default();
-    let rng_seed = match config.rng_seed {
-        RngSeed::Random => RngSeed::Fixed(1),
-        seed @ RngSeed::Fixed(_) => seed,
-    };
-    ProptestConfig {
-        rng_seed,
-        failure_persistence: None,
-        ..config
-    }
-}
-
 fn kind_strategy() -> impl Strategy<Value = ChangeKind> {
     let name = || "[A-Za-z0-9._-]{1,64}";
     let document = check_document(
--- a/daisyhinge/tests/setting.rs
+++ b/daisyhinge/tests/setting.rs
@@ -1,11 +1,14 @@
 //! Settings of the processes: every fault at once, no panic on any bytes.
 
+#[path = "support/fixed_config.rs"]
+mod fixed_config;
+
 use daisyhinge::prelude::*;
 use daisyhinge::setting::{SETTINGS_MAX_BYTES, check_control_settings, check_entry_settings};
 use daisyhinge::shell::setting::read_settings;
 use daisyhinge::vocabulary::fault::FieldFault;
+use fixed_config::fixed_config;
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 
 const ENTRY: &str = r#"{
     "vm": "entry-1", "environment": "production", "data_centre": "lagos-1",
@@ -121,20 +124,6 @@
     assert_eq!(large[0].code, ResultCode::DocumentTooLarge);
 }
 
-/// The same cases on every run, unless the environment names a seed or a number of cases.
-fn fixed_config() -> ProptestConfig {
-    let config = ProptestConfig::default();
-    let rng_seed = match config.rng_seed {
-        RngSeed::Random => RngSeed::Fixed(1),
-        seed @ RngSeed::Fixed(_) => seed,
-    };
-    ProptestConfig {
-        rng_seed,
-        failure_persistence: None,
-        ..config
-    }
-}
-
 proptest! {
     #![proptest_config(fixed_config())]
 
--- a/daisyhinge/tests/timeline.rs
+++ b/daisyhinge/tests/timeline.rs
@@ -1,12 +1,15 @@
 //! The ring, its clock, its filters and the merge of several processes' events.
 
+#[path = "support/fixed_config.rs"]
+mod fixed_config;
+
 use daisyhinge::prelude::*;
 use daisyhinge::timeline::clock::AHEAD_MAX_US;
 use daisyhinge::timeline::line::KindText;
 use daisyhinge::timeline::{EventFilter, EventLine, EventRing, merge_records};
 use daisyhinge::vocabulary::event::{EventDraft, EventKind, HybridStamp};
+use fixed_config::fixed_config;
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 
 fn open_ring(vm: &str, events_max: u32) -> EventRing {
     EventRing::new(VmName::from(vm), events_max)
@@ -133,20 +136,6 @@
     assert!(line.ends_with(" code=2001 reason=Overloaded value=0"));
 }
 
-/// The same cases on every run, unless the environment names a seed or a number of cases.
-fn fixed_config() -> ProptestConfig {
-    let config = ProptestConfig::default();
-    let rng_seed = match config.rng_seed {
-        RngSeed::Random => RngSeed::Fixed(1),
-        seed @ RngSeed::Fixed(_) => seed,
-    };
-    ProptestConfig {
-        rng_seed,
-        failure_persistence: None,
-        ..config
-    }
-}
-
 fn filter_strategy() -> impl Strategy<Value = EventFilter> {
     let name = || proptest::option::of("[A-Za-z0-9._-]{1,64}");
     let time = || proptest::option::of(any::<u64>());
