Wait for the group when a control VM is added or removed

Cause: `--wait` on `control add` waited for entries, which says nothing of the group; and a control process without a token opened its data folder before it ended. Before and after: with the look at the group or at its learners taken away, the test wait_for_a_control_vm_lasts_until_it_votes fails at exit code 7; with both it passes. Conclusion: the token is read first and handed to the ports.

--- a/daisyhinge-cli/src/arguments.rs
+++ b/daisyhinge-cli/src/arguments.rs
@@ -91,7 +91,8 @@
     /// Who makes the change, for the history; the variable USER if not given.
     #[arg(long, value_name = "NAME")]
     pub operator: Option<String>,
-    /// Return only once the change is in force on every entry, and say which entries lack it.
+    /// Return only once the change is in force on every entry, or the group of control VMs is as
+    /// wanted, and say what lacks.
     #[arg(long)]
     pub wait: bool,
     /// Longest time to wait with --wait, in seconds.
--- a/daisyhinge-cli/src/centre.rs
+++ b/daisyhinge-cli/src/centre.rs
@@ -61,7 +61,7 @@
         state,
     };
     let done = send_change(&client, &arguments.change, None, kind, output).await?;
-    finish_change(&client, &arguments.change, Some(&environment), done, output).await
+    finish_change(&client, &arguments.change, &environment, done, output).await
 }
 
 async fn show_status(
--- a/daisyhinge-cli/src/control.rs
+++ b/daisyhinge-cli/src/control.rs
@@ -3,8 +3,10 @@
 use std::fmt::Write;
 use std::net::SocketAddr;
 use std::process::ExitCode;
+use std::time::{Duration, Instant};
 
 use daisyhinge::prelude::*;
+use daisyhinge::shell::operator::OperatorClient;
 use daisyhinge::shell::operator::client::ClientFault;
 use daisyhinge::vocabulary::change::ChangeKind;
 use daisyhinge::vocabulary::control::{ControlRole, ControlStatus, VoterStatus};
@@ -12,9 +14,9 @@
 
 use crate::arguments::{ChangeArguments, ControlCommand, GroupArguments};
 use crate::connection::{open_client, read_name, read_operators, send_change};
-use crate::exit::CommandFault;
+use crate::exit::{CommandFault, EXIT_NOT_EVERYWHERE};
 use crate::output::Output;
-use crate::wait::finish_change;
+use crate::wait::POLL_PAUSE;
 
 /// What one of the control VMs answered.
 #[derive(Debug, Serialize)]
@@ -23,6 +25,17 @@
     status: Option<ControlStatus>,
 }
 
+/// What became of a change of the group.
+#[derive(Debug, Serialize)]
+struct VoterReport {
+    /// Version at which it was accepted.
+    version: VersionNumber,
+    /// Whether the group is as wanted; unset if that was not waited for.
+    settled: Option<bool>,
+    /// The group, if that was waited for.
+    voters: Vec<VoterStatus>,
+}
+
 /// Runs one command.
 pub async fn run(
     command: &ControlCommand,
@@ -58,8 +71,67 @@
     output: Output,
 ) -> Result<ExitCode, CommandFault> {
     let client = open_client(group)?;
+    let wanted = kind.clone();
     let done = send_change(&client, change, None, kind, output).await?;
-    finish_change(&client, change, None, done, output).await
+    let mut report = VoterReport {
+        version: done.version,
+        settled: None,
+        voters: Vec::new(),
+    };
+    if change.wait {
+        let end = Instant::now() + Duration::from_secs(change.wait_s);
+        wait_settled(&client, &wanted, &mut report, end).await;
+    }
+    output.show(&report, |text| write_voters(&report, text));
+    Ok(match report.settled {
+        Some(false) => ExitCode::from(EXIT_NOT_EVERYWHERE),
+        _ => ExitCode::SUCCESS,
+    })
+}
+
+/// Waits until the group is as the change wants it: the added VM votes, the removed one is gone.
+async fn wait_settled(
+    client: &OperatorClient,
+    wanted: &ChangeKind,
+    report: &mut VoterReport,
+    end: Instant,
+) {
+    report.settled = Some(false);
+    loop {
+        if let Ok(status) = client.leader_status().await {
+            report.voters = status.voters;
+            if is_settled(wanted, &report.voters) {
+                report.settled = Some(true);
+                return;
+            }
+        }
+        if Instant::now() + POLL_PAUSE >= end {
+            return;
+        }
+        tokio::time::sleep(POLL_PAUSE).await;
+    }
+}
+
+fn is_settled(wanted: &ChangeKind, voters: &[VoterStatus]) -> bool {
+    match wanted {
+        ChangeKind::AddVoter { vm, .. } => {
+            voters.iter().any(|voter| voter.vm == *vm && !voter.learner)
+        }
+        ChangeKind::RemoveVoter { vm } => voters.iter().all(|voter| voter.vm != *vm),
+        _ => true,
+    }
+}
+
+fn write_voters(report: &VoterReport, text: &mut String) {
+    let _ = writeln!(text, "accepted at version {}", report.version);
+    match report.settled {
+        Some(true) => text.push_str("the group is as wanted\n"),
+        Some(false) => text.push_str("the group is not yet as wanted\n"),
+        None => {}
+    }
+    for voter in &report.voters {
+        write_voter(voter, text);
+    }
 }
 
 async fn show_status(group: &GroupArguments, output: Output) -> Result<ExitCode, CommandFault> {
--- a/daisyhinge-cli/src/env.rs
+++ b/daisyhinge-cli/src/env.rs
@@ -86,7 +86,7 @@
     };
     let base = Some(VersionNumber(arguments.base));
     let done = send_change(&client, &arguments.change, base, kind, output).await?;
-    finish_change(&client, &arguments.change, Some(&environment), done, output).await
+    finish_change(&client, &arguments.change, &environment, done, output).await
 }
 
 async fn show(
@@ -176,7 +176,7 @@
         to: to.clone(),
     };
     let done = send_change(&client, &arguments.change, Some(base), kind, output).await?;
-    finish_change(&client, &arguments.change, Some(&to), done, output).await
+    finish_change(&client, &arguments.change, &to, done, output).await
 }
 
 async fn history(
--- a/daisyhinge-cli/src/wait.rs
+++ b/daisyhinge-cli/src/wait.rs
@@ -16,7 +16,8 @@
 use crate::exit::{CommandFault, EXIT_NOT_EVERYWHERE};
 use crate::output::Output;
 
-const POLL_PAUSE: Duration = Duration::from_millis(250);
+/// Pause between two looks at the group.
+pub const POLL_PAUSE: Duration = Duration::from_millis(250);
 
 /// Allowance for clocks that drift while a lease runs out.
 const LEASE_MARGIN: Duration = Duration::from_secs(1);
@@ -35,11 +36,11 @@
 }
 
 /// Shows an accepted change, after waiting until it is in force everywhere if that was asked for.
-/// `environment` limits the wait to its entries.
+/// Only entries of `environment` are waited for.
 pub async fn finish_change(
     client: &OperatorClient,
     arguments: &ChangeArguments,
-    environment: Option<&EnvironmentName>,
+    environment: &EnvironmentName,
     done: ChangeDone,
     output: Output,
 ) -> Result<ExitCode, CommandFault> {
@@ -62,7 +63,7 @@
 
 async fn wait_everywhere(
     client: &OperatorClient,
-    environment: Option<&EnvironmentName>,
+    environment: &EnvironmentName,
     report: &mut ChangeReport,
     end: Instant,
 ) {
@@ -72,7 +73,7 @@
         if let Ok(status) = client.leader_status().await {
             let lacking = status.entries.into_iter().filter(|entry| {
                 entry.holds.is_none_or(|holds| holds < report.version)
-                    && environment.is_none_or(|environment| entry.environment == *environment)
+                    && entry.environment == *environment
             });
             (report.silent, report.lacking) = lacking.partition(is_silent);
             if report.lacking.is_empty() {
--- a/daisyhinge-cli/tests/command.rs
+++ b/daisyhinge-cli/tests/command.rs
@@ -157,6 +157,19 @@
     expect_exit(&group.run("control status"), 0);
 }
 
+#[test]
+fn wait_for_a_control_vm_lasts_until_it_votes() {
+    let group = FakeGroup::open();
+    let add = "--json control add control-9 127.0.0.1:9 --change-id c-9 --wait --wait-s 1";
+    let learning = group.run(add);
+    expect_exit(&learning, 7);
+    assert_eq!(json(&learning)["settled"], false);
+    group.state.lock().unwrap().voters[0].learner = false;
+    expect_exit(&group.run(add), 0);
+    assert_eq!(group.state.lock().unwrap().voters.len(), 1);
+    expect_exit(&group.run("control remove control-8"), 3);
+}
+
 #[test]
 fn wrong_token_and_closed_ports_have_their_own_exit_codes() {
     let group = open_group();
--- a/daisyhinge-cli/tests/support/fake_group.rs
+++ b/daisyhinge-cli/tests/support/fake_group.rs
@@ -13,7 +13,7 @@
 use daisyhinge::vocabulary::change::{
     ChangeAsk, ChangeDone, ChangeKind, ChangeRecord, ChangeRefusal,
 };
-use daisyhinge::vocabulary::control::{ControlRole, ControlStatus, EntryStatus};
+use daisyhinge::vocabulary::control::{ControlRole, ControlStatus, EntryStatus, VoterStatus};
 use daisyhinge::vocabulary::environment::EnvironmentDocument;
 use daisyhinge::vocabulary::view::{ControlView, EntryRecord, EntryState};
 use tempfile::TempDir;
@@ -27,6 +27,7 @@
     pub histories: BTreeMap<EnvironmentName, Vec<ChangeRecord>>,
     pub replies: BTreeMap<ChangeId, Result<ChangeDone, ChangeRefusal>>,
     pub entries: Vec<EntryStatus>,
+    pub voters: Vec<VoterStatus>,
     /// Replies to changes that are lost from now on, after the change was carried out.
     pub lose_replies: u32,
 }
@@ -78,7 +79,21 @@
                 }
                 (environment, Arc::new(document))
             }
-            _ => return Err(refuse(ResultCode::UnknownVoter, VersionNumber(0), None)),
+            ChangeKind::AddVoter { vm, address } => {
+                self.voters.push(VoterStatus {
+                    vm: vm.clone(),
+                    number: 9,
+                    address: *address,
+                    learner: true,
+                    matched: None,
+                    heard_ms: None,
+                });
+                let version = self.view.version;
+                return Ok(ChangeDone { version });
+            }
+            ChangeKind::RemoveVoter { .. } => {
+                return Err(refuse(ResultCode::UnknownVoter, VersionNumber(0), None));
+            }
         };
         let current = self.version_of(environment);
         if ask.base.is_some_and(|base| base != current) {
@@ -131,7 +146,7 @@
             version: self.view.version,
             claims: 0,
             confirmed_ms: leading.then_some(5),
-            voters: Vec::new(),
+            voters: self.voters.clone(),
             entries: self.entries.clone(),
         }
     }
--- a/daisyhinge-cli/tests/support/real_group.rs
+++ b/daisyhinge-cli/tests/support/real_group.rs
@@ -11,7 +11,7 @@
 use daisyhinge::shell::control::ControlShell;
 use daisyhinge::shell::entry::EntryShell;
 use daisyhinge::shell::metric::MetricPort;
-use daisyhinge::shell::operator::ControlPorts;
+use daisyhinge::shell::operator::{ControlPorts, OperatorToken};
 use daisyhinge::shell::timeline::EventLog;
 use daisyhinge::vocabulary::setting::{ControlSettings, EntryLimits, EntrySettings, VoterPeer};
 use tempfile::TempDir;
@@ -155,7 +155,10 @@
     });
     let shell = ControlShell::spawn(settings.clone(), note).unwrap();
     settings.metrics_address = any;
-    let ports = ControlPorts::bind(&settings, &shell, log).await.unwrap();
+    let token = OperatorToken::read(&settings.token_file).unwrap();
+    let ports = ControlPorts::bind(&settings, token, &shell, log)
+        .await
+        .unwrap();
     GroupVoter { shell, ports }
 }
 
--- a/daisyhinge-control/src/main.rs
+++ b/daisyhinge-control/src/main.rs
@@ -8,7 +8,7 @@
 use daisyhinge::setting::check_control_settings;
 use daisyhinge::shell::control::ControlShell;
 use daisyhinge::shell::log::open_log;
-use daisyhinge::shell::operator::ControlPorts;
+use daisyhinge::shell::operator::{ControlPorts, OperatorToken};
 use daisyhinge::shell::setting::{EXIT_BAD_INPUT, print_faults, read_settings};
 use daisyhinge::shell::timeline::EventLog;
 use daisyhinge::vocabulary::setting::ControlSettings;
@@ -55,17 +55,25 @@
     open_log().map_err(|code| code.to_string())?;
     let mut terminate = signal(SignalKind::terminate()).map_err(|error| error.to_string())?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|error| error.to_string())?;
+    // Before the data folder is opened: a process without a token is of no use to the group.
+    let token = OperatorToken::read(&settings.token_file).map_err(|code| {
+        let path = settings.token_file.display();
+        format!(
+            "code={} token_file={path}: 16 to 256 visible characters",
+            code.number()
+        )
+    })?;
     let log = EventLog::open(settings.vm.clone(), settings.events_max);
     let sink = log.clone();
     let note = Arc::new(move |draft| {
         sink.record(draft);
     });
     let shell = ControlShell::spawn(settings.clone(), note).map_err(|fault| fault.to_string())?;
-    let ports = ControlPorts::bind(&settings, &shell, log)
+    let ports = ControlPorts::bind(&settings, token, &shell, log)
         .await
         .map_err(|code| {
             format!(
-                "{} {code}: operator_address, metrics_address or token_file",
+                "{} {code}: operator_address or metrics_address",
                 code.number()
             )
         })?;
--- a/daisyhinge/src/shell/operator/ports.rs
+++ b/daisyhinge/src/shell/operator/ports.rs
@@ -30,17 +30,17 @@
 }
 
 impl ControlPorts {
-    /// Reads the token and binds both ports for a running control process.
+    /// Binds both ports for a running control process.
     ///
     /// # Errors
     ///
-    /// Those of [`OperatorToken::read`], or [`ResultCode::BindFailed`].
+    /// [`ResultCode::BindFailed`].
     pub async fn bind(
         settings: &ControlSettings,
+        token: OperatorToken,
         shell: &ControlShell,
         log: EventLog,
     ) -> Result<Self, ResultCode> {
-        let token = OperatorToken::read(&settings.token_file)?;
         let mut registry = Registry::default();
         let metrics = ControlMetrics::register(&mut registry);
         let calls = OperatorCalls::new(shell, &metrics);
