--- /dev/null
+++ b/daisyhinge/benches/control.rs
@@ -0,0 +1,332 @@
+//! Costs of control: commits, claims, freshness, restart, and time without a leader.
+
+use std::hint::black_box;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU16, AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use criterion::{Criterion, criterion_group, criterion_main};
+use daisyhinge::control::book::{BookCommand, BookKind};
+use daisyhinge::control::core::{ControlCore, CoreAction, CoreAsk, CoreEvent};
+use daisyhinge::control::limits::LogLimits;
+use daisyhinge::control::log::{LogEntry, LogPayload, StoredLog};
+use daisyhinge::control::member::{VoterId, VoterMember, VoterSet};
+use daisyhinge::control::record::{RECORD_HEAD_BYTES, encode_entry};
+use daisyhinge::control::voter::VoterMachine;
+use daisyhinge::prelude::*;
+use daisyhinge::shell::control::ControlShell;
+use daisyhinge::shell::control::codec::BOOK_CODEC;
+use daisyhinge::vocabulary::change::{ChangeAsk, ChangeKind};
+use daisyhinge::vocabulary::claim::{ClaimAsk, ClaimReply};
+use daisyhinge::vocabulary::environment::{AddressPolicy, EnvironmentDocument};
+use daisyhinge::vocabulary::freshness::FreshAsk;
+use daisyhinge::vocabulary::setting::{ControlSettings, VoterPeer};
+use daisyhinge::vocabulary::view::{EntryRecord, EntryState};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use tokio::runtime::Runtime;
+
+static CLAIMS: AtomicU64 = AtomicU64::new(0);
+
+fn free_address() -> SocketAddr {
+    static TAKEN: AtomicU16 = AtomicU16::new(0);
+    loop {
+        let port = 21_000 + TAKEN.fetch_add(1, Ordering::Relaxed) % 10_000;
+        if let Ok(listener) = TcpListener::bind((Ipv4Addr::LOCALHOST, port)) {
+            return listener.local_addr().unwrap();
+        }
+    }
+}
+
+fn make_settings(folder: &Path, count: usize) -> Vec<ControlSettings> {
+    let peers: Vec<VoterPeer> = (0..count)
+        .map(|place| VoterPeer {
+            vm: VmName::from(format!("control-{place}")),
+            address: free_address(),
+        })
+        .collect();
+    let settings = peers.iter().map(|peer| ControlSettings {
+        vm: peer.vm.clone(),
+        address: peer.address,
+        operator_address: free_address(),
+        metrics_address: free_address(),
+        data_folder: folder.join(peer.vm.as_str()),
+        token_file: folder.join("token"),
+        voters: peers.clone(),
+        events_max: 64,
+    });
+    settings.collect()
+}
+
+fn start(settings: &ControlSettings) -> ControlShell {
+    ControlShell::spawn(settings.clone(), Arc::new(|_| ())).unwrap()
+}
+
+fn make_claim() -> ClaimAsk {
+    let number = CLAIMS.fetch_add(1, Ordering::Relaxed);
+    ClaimAsk {
+        service: "print-queue".into(),
+        request: RequestId::from(format!("5f0c1e9a-{number:016x}")),
+        digest: RequestDigest(number),
+        attempt: AttemptId {
+            origin: 0x1234_5678_9abc_def0,
+            sequence: number,
+        },
+        age_ms: 0,
+    }
+}
+
+fn make_change(number: u64) -> ChangeAsk {
+    let document = EnvironmentDocument {
+        addresses: AddressPolicy {
+            keep_ms: number,
+            count: 1,
+        },
+        ..EnvironmentDocument::default()
+    };
+    ChangeAsk {
+        change: ChangeId::from(format!("change-{number}")),
+        base: Some(VersionNumber(number)),
+        operator: "ada".into(),
+        made_ms: 0,
+        kind: ChangeKind::Apply {
+            environment: "trial".into(),
+            document: Arc::new(document),
+        },
+    }
+}
+
+/// Makes one change, at whichever VM leads.
+async fn change_at_any(shells: &[ControlShell], number: u64) -> usize {
+    loop {
+        for (place, shell) in shells.iter().enumerate() {
+            if shell.change(make_change(number)).await.is_ok() {
+                return place;
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
+
+async fn run_claims(leader: &ControlShell, count: u64, at_a_time: u64) -> Duration {
+    let begun = Instant::now();
+    let left = Arc::new(AtomicU64::new(count));
+    let tasks: Vec<_> = (0..at_a_time)
+        .map(|_| {
+            let (leader, left) = (leader.clone(), Arc::clone(&left));
+            tokio::spawn(async move {
+                let more = |left: u64| left.checked_sub(1);
+                while left
+                    .fetch_update(Ordering::Relaxed, Ordering::Relaxed, more)
+                    .is_ok()
+                {
+                    let reply = leader.claim(make_claim()).await;
+                    assert!(reply == ClaimReply::Won, "{reply:?}");
+                }
+            })
+        })
+        .collect();
+    for task in tasks {
+        task.await.unwrap();
+    }
+    begun.elapsed()
+}
+
+fn bench_commits(criterion: &mut Criterion) {
+    let runtime = Runtime::new().unwrap();
+    for voters in [1, 3] {
+        for at_a_time in [1, 64] {
+            let folder = tempfile::tempdir().unwrap();
+            let settings = make_settings(folder.path(), voters);
+            let _guard = runtime.enter();
+            let shells: Vec<ControlShell> = settings.iter().map(start).collect();
+            let leader = runtime.block_on(change_at_any(&shells, 0));
+            // Bounded, since claims are.
+            let name = format!("claims/{voters}-voters/{at_a_time}-at-a-time");
+            criterion.bench_function(&name, |bencher| {
+                bencher.iter_custom(|count| {
+                    runtime.block_on(run_claims(&shells[leader], count, at_a_time))
+                });
+            });
+            for shell in &shells {
+                runtime.block_on(shell.stop());
+            }
+        }
+    }
+}
+
+fn make_leader(now: MonotonicTime) -> ControlCore {
+    let id = VoterId {
+        vm: "control-0".into(),
+        number: 1,
+    };
+    let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
+    let mut first = Vec::new();
+    let voter = VoterMachine::open(
+        now,
+        id.clone(),
+        address,
+        LogLimits::default(),
+        StoredLog::default(),
+        ChaCha8Rng::seed_from_u64(1),
+        &mut first,
+    );
+    let mut core = ControlCore::open(now, voter, first, BOOK_CODEC, &mut Vec::new());
+    let member = VoterMember {
+        id,
+        address,
+        learner: false,
+        replaces: None,
+    };
+    step(
+        &mut core,
+        now,
+        CoreEvent::Found(VoterSet {
+            members: vec![member],
+        }),
+    );
+    step(&mut core, now + Duration::from_secs(2), CoreEvent::Tick);
+    core
+}
+
+/// Steps the core; what it saves is synced at once.
+fn step(core: &mut ControlCore, now: MonotonicTime, event: CoreEvent) {
+    let mut actions = Vec::new();
+    core.step(now, event, &mut actions);
+    core.step(now, CoreEvent::Flush, &mut actions);
+    for action in actions {
+        match action {
+            CoreAction::Save(save) => step(core, now, CoreEvent::Saved(save.sequence)),
+            CoreAction::SaveSnapshot { sequence, .. } => {
+                step(core, now, CoreEvent::Saved(sequence));
+            }
+            other => drop(black_box(other)),
+        }
+    }
+}
+
+fn make_fresh(number: u64, holds: VersionNumber) -> CoreAsk {
+    CoreAsk::Fresh(FreshAsk {
+        entry: EntryRecord {
+            vm: VmName::from(format!("entry-{number}")),
+            environment: "trial".into(),
+            data_centre: "lagos-1".into(),
+            incarnation: IncarnationNumber(1),
+            caller_address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+            peer_address: SocketAddr::from((Ipv4Addr::LOCALHOST, 2)),
+            state: EntryState::Live,
+        },
+        holds,
+    })
+}
+
+fn bench_freshness(criterion: &mut Criterion) {
+    let now = MonotonicTime(1);
+    let mut core = make_leader(now);
+    let now = now + Duration::from_secs(2);
+    let mut ticket = 0;
+    let mut ask = |core: &mut ControlCore, ask: CoreAsk| {
+        ticket += 1;
+        step(core, now, CoreEvent::Asked { ticket, ask });
+    };
+    for number in 0..1_000 {
+        ask(&mut core, make_fresh(number, VersionNumber(0)));
+    }
+    assert_eq!(core.book().view().entries.len(), 1_000);
+    let version = core.book().view().version;
+    let mut number = 0;
+    criterion.bench_function("freshness/ask-of-one-entry-of-1000", |bencher| {
+        bencher.iter(|| {
+            number = (number + 1) % 1_000;
+            ask(&mut core, make_fresh(number, version));
+        });
+    });
+}
+
+fn bench_restart(criterion: &mut Criterion) {
+    let runtime = Runtime::new().unwrap();
+    let folder = tempfile::tempdir().unwrap();
+    let settings = make_settings(folder.path(), 1);
+    let _guard = runtime.enter();
+    let shell = start(&settings[0]);
+    let shells = [shell];
+    runtime.block_on(async {
+        for number in 0..10_000 {
+            change_at_any(&shells, number).await;
+        }
+        shells[0].stop().await;
+    });
+    criterion.bench_function("restart/after-10000-changes", |bencher| {
+        bencher.iter_custom(|count| {
+            let mut total = Duration::ZERO;
+            for _ in 0..count {
+                let begun = Instant::now();
+                let shell = start(&settings[0]);
+                let status = runtime.block_on(shell.status()).unwrap();
+                total += begun.elapsed();
+                assert!(status.snapshot > 0);
+                runtime.block_on(shell.stop());
+            }
+            total
+        });
+    });
+}
+
+/// Prints, for each of several stops of the leader, the time until the next change is accepted.
+fn print_leaderless(_: &mut Criterion) {
+    let runtime = Runtime::new().unwrap();
+    let folder = tempfile::tempdir().unwrap();
+    let settings = make_settings(folder.path(), 3);
+    let _guard = runtime.enter();
+    let mut shells: Vec<ControlShell> = settings.iter().map(start).collect();
+    let mut spans = Vec::new();
+    for number in 0..21 {
+        let leader = runtime.block_on(change_at_any(&shells, 2 * number));
+        runtime.block_on(shells[leader].stop());
+        let begun = Instant::now();
+        runtime.block_on(change_at_any(&shells, 2 * number + 1));
+        spans.push(begun.elapsed().as_millis());
+        shells[leader] = start(&settings[leader]);
+    }
+    spans.sort_unstable();
+    println!(
+        "leaderless/after-stop: min {} ms, median {} ms, max {} ms of {}",
+        spans[0],
+        spans[spans.len() / 2],
+        spans[spans.len() - 1],
+        spans.len()
+    );
+    for shell in &shells {
+        runtime.block_on(shell.stop());
+    }
+}
+
+fn print_sizes(_: &mut Criterion) {
+    let command = BookCommand {
+        at_ms: 1_000_000,
+        kind: BookKind::Claim(make_claim()),
+    };
+    let command = (BOOK_CODEC.encode_command)(&command);
+    let entry = LogEntry {
+        index: 1,
+        term: 1,
+        payload: LogPayload::Command(command.clone()),
+    };
+    println!(
+        "claim: command {} B, on disk {} B",
+        command.len(),
+        encode_entry(&entry).len() + RECORD_HEAD_BYTES
+    );
+}
+
+criterion_group! {
+    name = benches;
+    config = Criterion::default()
+        .sample_size(10)
+        .warm_up_time(Duration::from_millis(200))
+        .measurement_time(Duration::from_secs(2));
+    targets = print_sizes, bench_freshness, bench_commits, print_leaderless, bench_restart
+}
+criterion_main!(benches);
--- a/daisyhinge/src/control/record.rs
+++ b/daisyhinge/src/control/record.rs
@@ -25,14 +25,12 @@
     Hard = 1,
     /// An entry of the log; it replaces all stored entries from its index on.
     Entry = 2,
-    /// Makes all stored entries before it void.
-    Reset = 3,
     /// Head of a snapshot, as JSON.
-    SnapshotHead = 4,
+    SnapshotHead = 3,
     /// A part of a snapshot's bytes.
-    SnapshotPart = 5,
+    SnapshotPart = 4,
     /// The identity of the voter, as JSON.
-    Identity = 6,
+    Identity = 5,
 }
 
 impl RecordKind {
@@ -40,7 +38,6 @@
         [
             Self::Hard,
             Self::Entry,
-            Self::Reset,
             Self::SnapshotHead,
             Self::SnapshotPart,
             Self::Identity,
--- a/daisyhinge/src/control/store.rs
+++ b/daisyhinge/src/control/store.rs
@@ -114,10 +114,7 @@
     /// Plans a new segment and the removal of those that the snapshot at `index` makes needless.
     fn plan_segment(&mut self, index: u64, reset: bool, ops: &mut Vec<DiskOp>) {
         self.begin_segment();
-        let mut bodies = vec![(RecordKind::Hard, self.hard_body())];
-        if reset {
-            bodies.push((RecordKind::Reset, Vec::new()));
-        }
+        let bodies = [(RecordKind::Hard, self.hard_body())];
         self.append_batch(&bodies, 0, ops);
         ops.push(DiskOp::SyncFolder);
         self.remove_needless(index, reset, ops);
--- a/daisyhinge/src/control/store/recover.rs
+++ b/daisyhinge/src/control/store/recover.rs
@@ -315,7 +315,6 @@
     fn take_record(&mut self, record: &StoredRecord) -> Option<()> {
         match record.kind {
             RecordKind::Hard => self.hard = Some(serde_json::from_slice(&record.body).ok()?),
-            RecordKind::Reset => self.entries.clear(),
             RecordKind::Entry => self.take_entry(decode_entry(&record.body)?)?,
             _ => return None,
         }
--- a/daisyhinge/src/shell/control/serve.rs
+++ b/daisyhinge/src/shell/control/serve.rs
@@ -33,8 +33,10 @@
 const CALLS_MAX: usize = 1_024;
 /// Longest wait for the first byte of a connection.
 const PREFACE_SPAN: Duration = Duration::from_secs(5);
-/// Longest wait for a relayed call.
-const RELAY_SPAN: Duration = Duration::from_secs(4);
+/// Longest wait for a relayed claim.
+const RELAY_SPAN: Duration = Duration::from_secs(3);
+/// Longest wait for a relayed proof: well under a lease, so that the entry can ask elsewhere.
+const RELAY_FRESH_SPAN: Duration = Duration::from_secs(1);
 
 /// Serves one control process.
 #[derive(Clone, Debug)]
@@ -144,7 +146,7 @@
             return Err(ResultCode::NotLeader);
         };
         let sent = Instant::now();
-        let Ok(reply) = relay.relay_fresh(call_context(RELAY_SPAN), ask).await else {
+        let Ok(reply) = relay.relay_fresh(call_context(RELAY_FRESH_SPAN), ask).await else {
             self.drop_relay();
             return Err(ResultCode::NotLeader);
         };
--- a/daisyhinge/tests/control_voter.rs
+++ b/daisyhinge/tests/control_voter.rs
@@ -5,9 +5,9 @@
 
 use bytes::Bytes;
 use daisyhinge::control::limits::LogLimits;
-use daisyhinge::control::log::StoredLog;
-use daisyhinge::control::member::{VoterId, VoterMember, VoterSet};
-use daisyhinge::control::message::{LogEnd, VoterBody, VoterMessage};
+use daisyhinge::control::log::{HardState, LogEntry, LogPayload, LogSnapshot, StoredLog};
+use daisyhinge::control::member::{MemberChange, VoterId, VoterMember, VoterSet};
+use daisyhinge::control::message::{AppendAsk, AppendReply, LogEnd, VoterBody, VoterMessage};
 use daisyhinge::control::voter::{VoterAction, VoterEvent, VoterMachine};
 use daisyhinge::prelude::*;
 use rand::SeedableRng;
@@ -31,6 +31,8 @@
     now: MonotonicTime,
     voters: Vec<VoterMachine>,
     cut: Option<usize>,
+    /// A voter that is heard and hears nothing.
+    deaf: Option<usize>,
     /// Messages to and from the voter that is cut off are lost, or held for later.
     held: Vec<VoterMessage>,
     confirmed: Vec<u64>,
@@ -60,6 +62,7 @@
             now,
             voters: voters.collect(),
             cut: None,
+            deaf: None,
             held: Vec::new(),
             confirmed: Vec::new(),
             refused: Vec::new(),
@@ -101,11 +104,16 @@
     }
 
     fn send(&mut self, from: usize, message: VoterMessage) {
-        let to = (0..3).find(|place| make_id(*place) == message.to).unwrap();
+        let Some(to) = (0..3).find(|place| make_id(*place) == message.to) else {
+            return;
+        };
         if self.cut == Some(from) || self.cut == Some(to) {
             self.held.push(message);
             return;
         }
+        if self.deaf == Some(to) {
+            return;
+        }
         self.step(to, VoterEvent::Received(message));
     }
 
@@ -176,6 +184,20 @@
     assert!(trio.voters.iter().all(|voter| voter.term() == term));
 }
 
+#[test]
+fn a_voter_that_hears_nothing_and_is_heard_takes_the_lead_from_nobody() {
+    let mut trio = VoterTrio::new();
+    let leader = trio.leader().unwrap();
+    let term = trio.voters[leader].term();
+    // Its log is as long as the others', so that only the leader's presence speaks against it.
+    trio.deaf = Some((leader + 1) % 3);
+    trio.run(Duration::from_secs(5));
+    trio.deaf = None;
+    trio.run(Duration::from_secs(2));
+    assert!(trio.voters[leader].is_leader());
+    assert!(trio.voters.iter().all(|voter| voter.term() == term));
+}
+
 #[test]
 fn a_proof_counts_from_when_the_question_left() {
     let mut trio = VoterTrio::new();
@@ -290,3 +312,199 @@
         })]
     ));
 }
+
+/// One voter of three that holds `terms` as its entries from 2 on.
+fn open_stored(now: MonotonicTime, terms: &[u64]) -> VoterMachine {
+    let members = (0..3).map(|place| VoterMember {
+        id: make_id(place),
+        address: make_address(),
+        learner: false,
+        replaces: None,
+    });
+    let entries = terms.iter().zip(2..).map(|(term, index)| LogEntry {
+        index,
+        term: *term,
+        payload: LogPayload::Command(Bytes::from_static(b"x")),
+    });
+    let term = terms.last().copied().unwrap_or(1);
+    let stored = StoredLog {
+        hard: HardState { term, vote: None },
+        snapshot: LogSnapshot {
+            index: 1,
+            term: 1,
+            voters: VoterSet {
+                members: members.collect(),
+            },
+            bytes: Bytes::new(),
+        },
+        entries: entries.collect(),
+    };
+    let rng = ChaCha8Rng::seed_from_u64(1);
+    let limits = LogLimits::default();
+    let mut first = Vec::new();
+    VoterMachine::open(
+        now,
+        make_id(0),
+        make_address(),
+        limits,
+        stored,
+        rng,
+        &mut first,
+    )
+}
+
+/// Steps and flushes a voter; what it saves is synced at once if `synced`.
+fn step_one(
+    voter: &mut VoterMachine,
+    now: MonotonicTime,
+    event: VoterEvent,
+    synced: bool,
+) -> Vec<VoterAction> {
+    let mut actions = Vec::new();
+    voter.step(now, event, &mut actions);
+    voter.step(now, VoterEvent::Flush, &mut actions);
+    let saves = actions.iter().filter_map(|action| match action {
+        VoterAction::Save(save) if synced => Some(save.sequence),
+        _ => None,
+    });
+    for sequence in saves.collect::<Vec<_>>() {
+        actions.extend(step_one(voter, now, VoterEvent::Saved(sequence), true));
+    }
+    actions
+}
+
+fn receive(from: usize, term: u64, body: VoterBody) -> VoterEvent {
+    VoterEvent::Received(VoterMessage {
+        from: make_id(from),
+        to: make_id(0),
+        term,
+        body,
+    })
+}
+
+#[test]
+fn its_own_vote_counts_only_once_it_is_synced() {
+    let mut now = MonotonicTime(5_000_000);
+    let mut voter = open_stored(now, &[1]);
+    now = now + Duration::from_secs(2);
+    step_one(&mut voter, now, VoterEvent::Tick, false);
+    let granted = VoterBody::PreVoteReply { granted: true };
+    let stood = step_one(&mut voter, now, receive(1, 2, granted), false);
+    assert_eq!(voter.term(), 2);
+    let granted = VoterBody::VoteReply { granted: true };
+    step_one(&mut voter, now, receive(1, 2, granted), false);
+    assert!(
+        !voter.is_leader(),
+        "it leads by a vote that a crash would forget"
+    );
+    for action in stood {
+        if let VoterAction::Save(save) = action {
+            step_one(&mut voter, now, VoterEvent::Saved(save.sequence), false);
+        }
+    }
+    assert!(voter.is_leader());
+}
+
+#[test]
+fn an_entry_of_an_earlier_term_is_committed_only_with_one_of_the_leaders_own() {
+    let mut now = MonotonicTime(5_000_000);
+    let mut voter = open_stored(now, &[1, 2]);
+    now = now + Duration::from_secs(2);
+    step_one(&mut voter, now, VoterEvent::Tick, true);
+    step_one(
+        &mut voter,
+        now,
+        receive(1, 3, VoterBody::PreVoteReply { granted: true }),
+        true,
+    );
+    step_one(
+        &mut voter,
+        now,
+        receive(1, 3, VoterBody::VoteReply { granted: true }),
+        true,
+    );
+    assert!(voter.is_leader());
+    let reply = |matched| {
+        VoterBody::AppendReply(AppendReply {
+            round: 1,
+            accepted: true,
+            matched,
+        })
+    };
+    // A quorum holds the entry of term 2, yet a voter with a longer log of term 2 may still win.
+    step_one(&mut voter, now, receive(1, 3, reply(3)), true);
+    assert_eq!(voter.commit(), 1);
+    step_one(&mut voter, now, receive(1, 3, reply(4)), true);
+    assert_eq!(voter.commit(), 4);
+}
+
+#[test]
+fn entries_that_replace_synced_ones_are_acknowledged_only_once_they_are_synced() {
+    let now = MonotonicTime(5_000_000);
+    let mut voter = open_stored(now, &[1, 1, 1, 1]);
+    let entry = LogEntry {
+        index: 3,
+        term: 2,
+        payload: LogPayload::Blank,
+    };
+    let ask = VoterBody::Append(AppendAsk {
+        prev_index: 2,
+        prev_term: 1,
+        commit: 1,
+        round: 5,
+        operator_address: make_address(),
+        entries: vec![entry],
+    });
+    let actions = step_one(&mut voter, now, receive(1, 2, ask), false);
+    let find_matched = |actions: &[VoterAction]| {
+        let replies = actions.iter().filter_map(|action| match action {
+            VoterAction::Send(VoterMessage {
+                body: VoterBody::AppendReply(reply),
+                ..
+            }) => Some(reply.matched),
+            _ => None,
+        });
+        replies.max()
+    };
+    let mut before = find_matched(&actions);
+    let saves: Vec<u64> = actions
+        .iter()
+        .filter_map(|action| match action {
+            VoterAction::Save(save) => Some(save.sequence),
+            _ => None,
+        })
+        .collect();
+    // The term is synced first, which lets the answer go; the entry is not.
+    let (last, earlier) = saves.split_last().unwrap();
+    for sequence in earlier {
+        let more = step_one(&mut voter, now, VoterEvent::Saved(*sequence), false);
+        before = before.max(find_matched(&more));
+    }
+    assert_eq!(before, Some(2));
+    let after = step_one(&mut voter, now, VoterEvent::Saved(*last), false);
+    assert_eq!(find_matched(&after), Some(3));
+}
+
+#[test]
+fn a_new_member_that_cannot_be_reached_takes_no_quorum_from_the_others() {
+    let mut trio = VoterTrio::new();
+    let leader = trio.leader().unwrap();
+    let member = VoterMember {
+        id: make_id(9),
+        address: make_address(),
+        learner: true,
+        replaces: None,
+    };
+    let event = VoterEvent::ChangeMembers {
+        ticket: 1,
+        change: MemberChange::AddLearner(member),
+        command: Bytes::new(),
+    };
+    trio.step(leader, event);
+    trio.run(Duration::from_secs(1));
+    assert_eq!(trio.voters[leader].voters().members.len(), 4);
+    trio.cut = Some((leader + 1) % 3);
+    trio.propose(leader);
+    trio.run(Duration::from_secs(1));
+    assert_eq!(trio.applied[leader], 1);
+}
