Fuzz one keeper against an oracle; cut entries off in the model

Cause: taking away the lease, the closing of a lost replica, the handover's transit allowance or the memory of replicas that left was not noticed by the randomised run: no entry was cut off from control while callers went on. Conclusion: the model cuts entries off and lets roots act on old views; a test of its own covers a late announcement of a replica that left.

--- /dev/null
+++ b/daisyhinge/tests/keeper/world/entry_side.rs
@@ -0,0 +1,306 @@
+//! What happens at entries: their shell around the roster, and what it must never send.
+
+use super::*;
+
+impl World {
+    pub(super) fn step(&mut self, index: usize, event: RosterEvent) -> Option<ResultCode> {
+        let mut actions = Vec::new();
+        let entry = &mut self.entries[index];
+        let local = entry.local(self.now);
+        entry.roster.step(local, event, &mut actions);
+        let mut reply = None;
+        for action in actions {
+            match action {
+                RosterAction::Replica { replica, action } => self.act(index, &replica, &action),
+                RosterAction::Announced { code, .. } => reply = Some(code),
+                RosterAction::Note(_) => {}
+            }
+        }
+        reply
+    }
+
+    pub(super) fn step_replica(&mut self, index: usize, server: usize, event: KeeperEvent) {
+        let replica = self.servers[server].announcement.replica.clone();
+        self.step(index, RosterEvent::Replica { replica, event });
+    }
+
+    pub(super) fn act(&mut self, index: usize, replica: &ReplicaName, action: &KeeperAction) {
+        let named = |server: &Server| server.announcement.replica == *replica;
+        let server = self.servers.iter().position(named).expect("a server");
+        match *action {
+            KeeperAction::Send(attempt) => {
+                assert!(
+                    self.pending.remove(&attempt).is_some(),
+                    "sent or refused twice"
+                );
+                let delay = self.delay(300 * MS);
+                self.push_to(delay, index, Item::Write(attempt));
+            }
+            KeeperAction::Refuse { attempt, refusal } => {
+                assert_eq!(refusal.run, RunState::NotRun);
+                assert!(
+                    !self.written.contains(&attempt),
+                    "refused though it was sent"
+                );
+                assert!(
+                    self.pending.remove(&attempt).is_some(),
+                    "sent or refused twice"
+                );
+                self.entries[index].open.remove(&attempt);
+                self.counts.refused += 1;
+                let poison = refusal.code == ResultCode::RequestPoisoned;
+                self.counts.poison_refusals += u64::from(poison);
+                self.counts.capped += u64::from(refusal.code == ResultCode::PowerCapReached);
+            }
+            KeeperAction::SendCancel(attempt) => {
+                let start = self.entries[index].start;
+                let delay = self.delay(100 * MS);
+                self.push(
+                    delay,
+                    None,
+                    Item::CancelArrive {
+                        entry: index,
+                        start,
+                        server,
+                        attempt,
+                    },
+                );
+            }
+            KeeperAction::Publish | KeeperAction::Note(_) => {}
+        }
+    }
+
+    pub(super) fn ask(&mut self) {
+        let gap = self.random.random_range(200..4 * MS);
+        self.push(gap, None, Item::Ask);
+        let server = self.random.random_range(0..self.servers.len());
+        let stale = self.stale_version();
+        let name = self.servers[server].announcement.replica.clone();
+        let keeper = find_keeper(&stale, &ENVIRONMENT.into(), &CENTRE.into(), &name);
+        let Some(vm) = keeper.map(|entry| entry.vm.clone()) else {
+            return;
+        };
+        let index = self
+            .entries
+            .iter()
+            .position(|entry| entry.vm == vm)
+            .expect("an entry");
+        if !self.entries[index].alive || self.entries[index].frozen > self.now {
+            return;
+        }
+        self.counts.asked += 1;
+        let number = self.counts.asked;
+        let span = self.random.random_range(10 * MS..400 * MS);
+        let local = self.entries[index].local(self.now);
+        let mut ticket = ticket(number, local + Duration::from_micros(span));
+        ticket.hedge = self.chance(10);
+        ticket.digest = RequestDigest(1_000 + number % 50);
+        if number.is_multiple_of(400) {
+            ticket.digest = RequestDigest(number / 400 % POISONS);
+        }
+        self.pending
+            .insert(ticket.attempt, (index, self.now + span));
+        let run = OpenRun {
+            server,
+            ticket,
+            left: Duration::ZERO,
+            sent: 0,
+            knew_cold: false,
+        };
+        self.entries[index].open.insert(ticket.attempt, run);
+        if self.chance(10) {
+            let delay = self.random.random_range(0..span);
+            self.push_to(delay, index, Item::Drop(server, ticket.attempt));
+        }
+        self.step(
+            index,
+            RosterEvent::Asked {
+                replica: name,
+                ticket,
+            },
+        );
+    }
+
+    /// The shell's last look, and the dispatch.
+    pub(super) fn write(&mut self, index: usize, attempt: AttemptId) {
+        let entry = &self.entries[index];
+        let local = entry.local(self.now);
+        let Some(run) = entry.open.get(&attempt).copied() else {
+            return;
+        };
+        let replica = self.servers[run.server].announcement.replica.clone();
+        let closed = entry
+            .roster
+            .gate(&replica)
+            .is_none_or(|gate| gate.refuse_reason(local).is_some());
+        if closed || local >= run.ticket.expires {
+            self.counts.not_sent += 1;
+            self.end(index, attempt, RunEnd::NotSent);
+            return;
+        }
+        self.check_write(index, run.server);
+        assert!(self.written.insert(attempt), "written twice");
+        let server = &self.servers[run.server];
+        let known = self.entries[index].knows_cold.get(&run.server);
+        let run = OpenRun {
+            left: run.ticket.expires.since(local),
+            sent: self.now,
+            knew_cold: known == Some(&server.announcement.incarnation),
+            ..run
+        };
+        let entry = &mut self.entries[index];
+        entry.open.insert(attempt, run);
+        let start = entry.start;
+        let delay = self.delay(200 * MS);
+        self.push(
+            delay,
+            None,
+            Item::Arrive {
+                entry: index,
+                start,
+                run,
+            },
+        );
+        let left = u64::try_from(run.left.as_micros()).expect("a short time");
+        self.push_to(left, index, Item::Timeout(attempt));
+        self.step_replica(index, run.server, KeeperEvent::Written(attempt));
+    }
+
+    pub(super) fn check_write(&mut self, index: usize, server: usize) {
+        let entry = &self.entries[index];
+        let in_force = Arc::clone(entry.roster.view().expect("a view"));
+        let next = self
+            .versions
+            .iter()
+            .find(|next| next.view.version > in_force.version);
+        let lease = u64::try_from(LEASE_SPAN.as_micros()).expect("a short time");
+        let lease = lease + lease / 500 + MS;
+        assert!(
+            next.is_none_or(|next| self.now <= next.committed + lease),
+            "work was sent on a version that was superseded long ago"
+        );
+        let replica = &self.servers[server].announcement.replica;
+        let document = &in_force.environments[&ENVIRONMENT.into()];
+        let centre = document
+            .find_centre(&CENTRE.into())
+            .expect("the data centre");
+        assert_eq!(
+            centre.state,
+            CentreState::In,
+            "work was sent to a data centre taken out"
+        );
+        let keeper = find_keeper(&in_force, &ENVIRONMENT.into(), &CENTRE.into(), replica);
+        assert_eq!(keeper.map(|keeper| &keeper.vm), Some(&entry.vm));
+        if let Some((incarnation, at)) = entry.left.get(&server) {
+            let same = *incarnation == self.servers[server].announcement.incarnation;
+            assert!(
+                !same || self.now < at + 500 * MS,
+                "work was sent to one that left"
+            );
+        }
+        let last = &mut self.servers[server].last;
+        if let Some((former, version)) = *last
+            && former != index
+        {
+            assert!(version < in_force.version, "two keepers at a time");
+            self.counts.keeper_changes += 1;
+        }
+        *last = Some((index, in_force.version));
+    }
+
+    pub(super) fn end(&mut self, index: usize, attempt: AttemptId, end: RunEnd) {
+        let Some(run) = self.entries[index].open.remove(&attempt) else {
+            return;
+        };
+        self.counts.answered += u64::from(matches!(end, RunEnd::Answered { .. }));
+        let event = KeeperEvent::Ended { attempt, end };
+        self.step_replica(index, run.server, event.clone());
+        if self.chance(5) {
+            self.step_replica(index, run.server, event);
+        }
+    }
+
+    pub(super) fn hear(&mut self, index: usize, announcement: ReplicaAnnouncement) {
+        let named = |server: &Server| server.announcement.replica == announcement.replica;
+        let server = self.servers.iter().position(named).expect("a server");
+        let (state, incarnation) = (announcement.state, announcement.incarnation);
+        let reply = self.step(index, RosterEvent::Announced(announcement));
+        if reply == Some(ResultCode::Ok) && state == ServerState::Cold {
+            self.entries[index].knows_cold.insert(server, incarnation);
+        }
+    }
+
+    pub(super) fn spread(&mut self, index: usize) {
+        self.push_to(100 * MS, index, Item::Spread);
+        let entry = &self.entries[index];
+        let ask = TableAsk {
+            table: 0,
+            cursor: 0,
+        };
+        let delta = entry.roster.delta(entry.local(self.now), ask);
+        let (vm, table) = (entry.vm.clone(), delta.table);
+        for other in (0..3).filter(|other| *other != index) {
+            let records = delta.crashes.clone();
+            let delay = self.random.random_range(200..2 * MS);
+            self.push_to(
+                delay,
+                other,
+                Item::Crashes {
+                    vm: vm.clone(),
+                    table,
+                    records,
+                },
+            );
+        }
+    }
+
+    pub(super) fn renew(&mut self, index: usize) {
+        let gap = self.random.random_range(400 * MS..600 * MS);
+        self.push_to(gap, index, Item::Renew);
+        if self.chance(5) || self.entries[index].cut > self.now {
+            return;
+        }
+        let entry = &mut self.entries[index];
+        entry.heard = self.now;
+        let asked = entry.local(self.now);
+        let record = crate::support::entry(entry.vm.as_str(), entry.start);
+        let released = entry.roster.is_released();
+        let seen = entry.roster.view().map(|view| view.version);
+        let listed = self
+            .latest()
+            .view
+            .entries
+            .iter()
+            .find(|row| row.vm == record.vm)
+            .cloned();
+        match listed {
+            None => self.commit(|view| view.entries.push(record)),
+            Some(row) if row.incarnation != record.incarnation => self.commit(|view| {
+                let row = view.entries.iter_mut().find(|row| row.vm == record.vm);
+                *row.expect("the entry") = record;
+            }),
+            Some(row) if row.state == EntryState::Leaving => {
+                if released && seen == Some(self.latest().view.version) {
+                    self.depart(index, true);
+                    self.entries[index].alive = false;
+                    self.push(SECOND, None, Item::Revive(index));
+                    return;
+                }
+            }
+            Some(_) => {}
+        }
+        let version = self.versions.len() - 1;
+        let (age, delay) = (self.delay(500 * MS), self.delay(2 * SECOND));
+        let age = age.min(self.now - self.versions[version].committed);
+        let age = Duration::from_micros(age);
+        self.push_to(
+            delay,
+            index,
+            Item::Proof {
+                asked,
+                version,
+                age,
+            },
+        );
+    }
+}
--- /dev/null
+++ b/daisyhinge/tests/keeper/world/server_side.rs
@@ -0,0 +1,217 @@
+//! What happens at backend servers: what they really work on.
+
+use super::*;
+
+impl World {
+    pub(super) fn arrive(&mut self, index: usize, start: u64, run: OpenRun) {
+        let attempt = run.ticket.attempt;
+        let to = Some((index, start));
+        if !self.servers[run.server].up {
+            let end = if self.chance(50) {
+                RunEnd::ConnectFailed
+            } else {
+                RunEnd::Reset
+            };
+            self.push(MS, to, Item::Ended(attempt, end));
+            return;
+        }
+        let drift = self.random.random_range(0..=1_000);
+        let (answer_delay, slow) = (self.random.random_range(2 * MS..8 * MS), self.chance(5));
+        let server = &mut self.servers[run.server];
+        let running = u32::try_from(server.working.len()).expect("a few") + 1;
+        assert!(running <= SLOTS, "a backend server got more than its slots");
+        if run.knew_cold && server.announcement.state == ServerState::Cold {
+            self.counts.cold_arrivals += 1;
+            let bears = server.announcement.cold_allowance.max(1);
+            let strict = server.announcement.cold_allowance > 0;
+            assert!(
+                !strict || running <= bears,
+                "a cold server got more than it bears"
+            );
+        }
+        if running > server.bears {
+            let shed = RunEnd::Shed {
+                retry: Duration::ZERO,
+            };
+            self.push(MS, to, Item::Ended(attempt, shed));
+            return;
+        }
+        server.working.push(Work {
+            attempt,
+            entry: index,
+            start,
+            sent: run.sent,
+        });
+        self.check_power();
+        if run.ticket.digest.0 < POISONS {
+            let count = self.crashed.entry(run.ticket.digest.0).or_default();
+            *count += 1;
+            assert!(
+                self.entry_faults || *count <= 2,
+                "a request crashed three servers"
+            );
+            self.crash(run.server);
+            return;
+        }
+        let left = u64::try_from(run.left.as_micros()).expect("a short time");
+        let stops = left + left * drift / 1_000_000;
+        let done = if slow {
+            answer_delay * 20
+        } else {
+            answer_delay
+        };
+        let item = Item::Stop {
+            server: run.server,
+            attempt,
+            answers: done < stops,
+        };
+        self.push(done.min(stops), None, item);
+    }
+
+    pub(super) fn check_power(&self) {
+        let span = u64::try_from(handover_span().as_micros()).expect("a few seconds") + SECOND;
+        let mut cap = Some(0);
+        for (at, version) in self.versions.iter().enumerate() {
+            let superseded = self.versions.get(at + 1).map(|next| next.committed);
+            if superseded.is_none_or(|superseded| self.now < superseded + span) {
+                let document = &version.view.environments[&ENVIRONMENT.into()];
+                let centre = document
+                    .find_centre(&CENTRE.into())
+                    .expect("the data centre");
+                cap = cap
+                    .zip(centre.power_cap)
+                    .map(|(first, second)| first.max(second));
+            }
+        }
+        let running: usize = self.servers.iter().map(|server| server.working.len()).sum();
+        assert!(
+            cap.is_none_or(|cap| running <= cap as usize),
+            "more runs than the power cap"
+        );
+    }
+
+    pub(super) fn stop(&mut self, server: usize, attempt: AttemptId, answers: bool) {
+        let working = &mut self.servers[server].working;
+        let Some(at) = working.iter().position(|work| work.attempt == attempt) else {
+            return;
+        };
+        let work = working.swap_remove(at);
+        if !answers {
+            return;
+        }
+        let took = Duration::from_micros(self.now - work.sent);
+        let end = match self.random.random_range(0..400) {
+            0 => RunEnd::Reset,
+            1 => RunEnd::BadAnswer(ResultCode::AnswerMismatch),
+            2..5 => RunEnd::Failed,
+            _ => RunEnd::Answered { took },
+        };
+        let delay = self.delay(400 * MS);
+        self.push(
+            delay,
+            Some((work.entry, work.start)),
+            Item::Ended(attempt, end),
+        );
+        if self.chance(5) {
+            // Late repetitions of an end must not free another slot.
+            self.push(
+                delay + MS,
+                Some((work.entry, work.start)),
+                Item::Ended(attempt, end),
+            );
+        }
+    }
+
+    pub(super) fn cancel(&mut self, entry: usize, start: u64, server: usize, attempt: AttemptId) {
+        let row = &mut self.servers[server];
+        let before = row.working.len();
+        row.working.retain(|work| work.attempt != attempt);
+        // One that is not known may still be on its way.
+        let stopped = row.up && row.working.len() < before;
+        self.counts.cancels += u64::from(stopped);
+        let delay = self.delay(100 * MS);
+        self.push(
+            delay,
+            Some((entry, start)),
+            Item::CancelEnd {
+                server,
+                attempt,
+                stopped,
+            },
+        );
+    }
+
+    pub(super) fn announce(&mut self, index: usize) {
+        let gap = self.random.random_range(400 * MS..500 * MS);
+        self.push(gap, None, Item::Announce(index));
+        if !self.servers[index].up {
+            return;
+        }
+        let server = &mut self.servers[index];
+        server.announcement.sequence += 1;
+        let announcement = server.announcement.clone();
+        let left = server.left;
+        let view = Arc::clone(&self.latest().view);
+        let name = &announcement.replica;
+        let keeper = find_keeper(&view, &ENVIRONMENT.into(), &CENTRE.into(), name);
+        let Some(vm) = keeper.map(|entry| entry.vm.clone()) else {
+            return;
+        };
+        let keeper = self
+            .entries
+            .iter()
+            .position(|entry| entry.vm == vm)
+            .expect("an entry");
+        let delay = self.delay(6 * SECOND);
+        self.push_to(delay, keeper, Item::Announced(announcement.clone()));
+        if left {
+            let delay = self.delay(SECOND);
+            self.push_to(delay, keeper, Item::Left(index, announcement.incarnation));
+        }
+        if self.chance(10) {
+            let (delay, other) = (self.delay(6 * SECOND), self.random.random_range(0..3));
+            self.push_to(delay, other, Item::Announced(announcement));
+        }
+    }
+
+    pub(super) fn crash(&mut self, index: usize) {
+        if !self.servers[index].up {
+            return;
+        }
+        self.counts.crashes += 1;
+        let server = &mut self.servers[index];
+        server.up = false;
+        for work in std::mem::take(&mut server.working) {
+            let item = Item::Ended(work.attempt, RunEnd::Reset);
+            self.push(MS, Some((work.entry, work.start)), item);
+        }
+        let down = self.random.random_range(100 * MS..2 * SECOND);
+        self.push(down, None, Item::Restart(index));
+    }
+
+    pub(super) fn restart(&mut self, index: usize) {
+        if self.servers[index].up && !self.servers[index].left {
+            return;
+        }
+        let cut = std::mem::take(&mut self.servers[index].working);
+        for work in cut {
+            let item = Item::Ended(work.attempt, RunEnd::Reset);
+            self.push(MS, Some((work.entry, work.start)), item);
+        }
+        let silent = self.chance(30);
+        let server = &mut self.servers[index];
+        server.up = true;
+        server.left = false;
+        server.announcement.incarnation.0 += 1;
+        server.announcement.sequence = 0;
+        server.announcement.state = if silent {
+            ServerState::Ready
+        } else {
+            ServerState::Cold
+        };
+        server.bears = 1;
+        let item = Item::TurnReady(index, server.announcement.incarnation);
+        let span = self.random.random_range(500 * MS..4 * SECOND);
+        self.push(span, None, item);
+    }
+}
--- /dev/null
+++ b/daisyhinge/tests/keeper_fuzz.rs
@@ -0,0 +1,260 @@
+//! Stateful fuzzing of one keeper against an oracle that counts slots by its own rules.
+//!
+//! `PROPTEST_CASES` sets the number of cases.
+
+#[path = "keeper/support.rs"]
+#[expect(dead_code, reason = "shared by several test files")]
+mod support;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use daisyhinge::keeper::slots::TRANSIT_ALLOWANCE;
+use daisyhinge::keeper::ticket::{RunEnd, SubTicket};
+use daisyhinge::keeper::{KeeperAction, KeeperEvent};
+use daisyhinge::prelude::*;
+use daisyhinge::vocabulary::announcement::ServerState;
+use proptest::prelude::*;
+use support::*;
+
+#[derive(Clone, Debug)]
+enum Step {
+    Advance(u64),
+    Announce {
+        state: ServerState,
+        restarted: bool,
+    },
+    Ask {
+        span_ms: u64,
+        hedge: bool,
+        alone: bool,
+    },
+    End {
+        pick: usize,
+        end: RunEnd,
+    },
+    Drop {
+        pick: usize,
+    },
+    CancelEnd {
+        pick: usize,
+        stopped: bool,
+    },
+    Leave,
+    Gate {
+        lease: bool,
+        centre_in: bool,
+    },
+}
+
+fn any_step() -> impl Strategy<Value = Step> {
+    let state = prop_oneof![
+        6 => Just(ServerState::Ready),
+        2 => Just(ServerState::Cold),
+        1 => Just(ServerState::Draining),
+    ];
+    let end = prop_oneof![
+        8 => (1_u64..30).prop_map(|took| RunEnd::Answered { took: ms(took) }),
+        1 => Just(RunEnd::NotSent),
+        1 => Just(RunEnd::ConnectFailed),
+        1 => Just(RunEnd::Reset),
+        1 => Just(RunEnd::Shed { retry: Duration::ZERO }),
+        1 => Just(RunEnd::NotHeld),
+        1 => Just(RunEnd::Failed),
+        1 => Just(RunEnd::BadAnswer(ResultCode::AnswerMismatch)),
+        2 => Just(RunEnd::Expired),
+    ];
+    prop_oneof![
+        6 => (0_u64..40).prop_map(Step::Advance),
+        1 => (0_u64..4_000).prop_map(Step::Advance),
+        3 => (state, prop::bool::weighted(0.1))
+            .prop_map(|(state, restarted)| Step::Announce { state, restarted }),
+        12 => (1_u64..600, prop::bool::weighted(0.1), prop::bool::weighted(0.1))
+            .prop_map(|(span_ms, hedge, alone)| Step::Ask { span_ms, hedge, alone }),
+        10 => (0_usize..6, end).prop_map(|(pick, end)| Step::End { pick, end }),
+        2 => (0_usize..12).prop_map(|pick| Step::Drop { pick }),
+        2 => (0_usize..6, any::<bool>())
+            .prop_map(|(pick, stopped)| Step::CancelEnd { pick, stopped }),
+        1 => prop::bool::weighted(0.2).prop_filter_map("rare", |leaves| leaves.then_some(Step::Leave)),
+        1 => (prop::bool::weighted(0.8), prop::bool::weighted(0.8))
+            .prop_map(|(lease, centre_in)| Step::Gate { lease, centre_in }),
+    ]
+}
+
+/// A slot as the oracle counts it.
+#[derive(Clone, Copy, Debug)]
+struct OracleSlot {
+    frees: MonotonicTime,
+    connected: bool,
+    cancel_sent: bool,
+}
+
+struct Oracle {
+    bench: KeeperBench,
+    now: MonotonicTime,
+    asked: u64,
+    slots: BTreeMap<u64, OracleSlot>,
+    /// Asks without reply yet, in order.
+    waiting: BTreeMap<u64, SubTicket>,
+}
+
+impl Oracle {
+    fn new() -> Self {
+        let mut announcement = announce("r1", 1);
+        announcement.slots = 3;
+        announcement.connections = 4;
+        announcement.cold_allowance = 1;
+        let mut bench = KeeperBench::new(announcement, at(0));
+        let now = bench.warm_up(at(0));
+        Self {
+            bench,
+            now,
+            asked: 0,
+            slots: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+        }
+    }
+
+    fn apply(&mut self, step: &Step) {
+        let now = self.now;
+        let picked = |pick: usize| self.slots.keys().nth(pick).copied();
+        let attempt = |number: u64| ticket(number, now).attempt;
+        let event = match *step {
+            Step::Advance(span_ms) => {
+                self.now = now + ms(span_ms);
+                KeeperEvent::Tick
+            }
+            Step::Announce { state, restarted } => {
+                let actions = self.bench.announce(now, |next| {
+                    next.state = state;
+                    next.incarnation.0 += u64::from(restarted);
+                });
+                return self.check(&actions);
+            }
+            Step::Ask {
+                span_ms,
+                hedge,
+                alone,
+            } => {
+                self.asked += 1;
+                let mut ticket = ticket(self.asked, now + ms(span_ms));
+                ticket.hedge = hedge;
+                self.waiting.insert(self.asked, ticket);
+                if alone {
+                    KeeperEvent::AskedAlone(ticket)
+                } else {
+                    KeeperEvent::Asked(ticket)
+                }
+            }
+            Step::End { pick, end } => {
+                let Some(number) = picked(pick) else { return };
+                let slot = self.slots.get_mut(&number).expect("a slot");
+                let first = std::mem::replace(&mut slot.connected, false);
+                if first && end.frees_slot() {
+                    self.slots.remove(&number);
+                }
+                let attempt = attempt(number);
+                KeeperEvent::Ended { attempt, end }
+            }
+            Step::Drop { pick } => {
+                let all = self.slots.keys().chain(self.waiting.keys());
+                let Some(number) = all.copied().nth(pick) else {
+                    return;
+                };
+                KeeperEvent::Dropped(attempt(number))
+            }
+            Step::CancelEnd { pick, stopped } => {
+                let Some(number) = picked(pick) else { return };
+                if !self.slots[&number].cancel_sent {
+                    return;
+                }
+                if stopped {
+                    self.slots.remove(&number);
+                }
+                let attempt = attempt(number);
+                KeeperEvent::CancelEnded { attempt, stopped }
+            }
+            Step::Leave => KeeperEvent::Left(self.bench.keeper.announcement().incarnation),
+            Step::Gate { lease, centre_in } => {
+                self.bench.gate.lease_ends = if lease { now + ms(1_000_000) } else { now };
+                self.bench.gate.centre_in = centre_in;
+                KeeperEvent::Tick
+            }
+        };
+        let actions = self.bench.step(self.now, event);
+        self.check(&actions);
+    }
+
+    fn check(&mut self, actions: &[KeeperAction]) {
+        let now = self.now;
+        self.slots.retain(|_, slot| now < slot.frees);
+        let mut last_sent = 0;
+        for action in actions {
+            match action {
+                KeeperAction::Send(attempt) => {
+                    let number = attempt.sequence;
+                    let ticket = self
+                        .waiting
+                        .remove(&number)
+                        .expect("one reply for each ask");
+                    assert!(last_sent < number, "out of turn");
+                    last_sent = number;
+                    assert!(now < ticket.expires && self.bench.gate.refuse_reason(now).is_none());
+                    let left = ticket.expires.since(now);
+                    let slot = OracleSlot {
+                        frees: ticket.expires + TRANSIT_ALLOWANCE + left / 500,
+                        connected: true,
+                        cancel_sent: false,
+                    };
+                    self.slots.insert(number, slot);
+                }
+                KeeperAction::Refuse { attempt, refusal } => {
+                    assert_eq!(refusal.run, RunState::NotRun);
+                    let known = self.waiting.remove(&attempt.sequence);
+                    assert!(known.is_some(), "one reply for each ask");
+                }
+                KeeperAction::SendCancel(attempt) => {
+                    let slot = self.slots.get_mut(&attempt.sequence).expect("a slot");
+                    slot.cancel_sent = true;
+                }
+                KeeperAction::Publish | KeeperAction::Note(_) => {}
+            }
+        }
+        let load = self.bench.keeper.load();
+        let told = self.bench.keeper.announcement();
+        assert_eq!(
+            load.running as usize,
+            self.slots.len(),
+            "slots are counted wrongly"
+        );
+        assert_eq!(
+            load.queued as usize,
+            self.waiting.len(),
+            "an ask was forgotten"
+        );
+        assert!(load.limit >= 1 && load.limit <= told.slots);
+        assert!(told.state != ServerState::Cold || load.limit <= told.cold_allowance);
+        assert!(self.bench.keeper.connections_max() <= told.connections);
+        let wake = self.bench.keeper.next_wake().expect("a wake");
+        let due = self.slots.values().map(|slot| slot.frees);
+        let due = due.chain(self.waiting.values().map(|ticket| ticket.expires));
+        assert!(
+            due.min().is_none_or(|due| wake <= due),
+            "it sleeps too long"
+        );
+        let idle = load.running == 0 && load.queued > 0;
+        assert!(!idle, "asks wait though nothing runs");
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn the_keeper_agrees_with_the_oracle(steps in prop::collection::vec(any_step(), 1..150)) {
+        let mut oracle = Oracle::new();
+        for step in &steps {
+            oracle.apply(step);
+        }
+    }
+}
--- a/daisyhinge/tests/keeper_roster.rs
+++ b/daisyhinge/tests/keeper_roster.rs
@@ -325,6 +325,27 @@
     assert_eq!(bench.reply(), ResultCode::Ok);
 }
 
+#[test]
+fn a_replica_that_left_stays_known_after_it_lapsed() {
+    let mut bench = RosterBench::new("a");
+    let only = view(1, &[entry("a", 1)], &[], None);
+    bench.prove(at(0), &only);
+    bench.prove(at(9_900), &only);
+    bench.announce(at(10_000), announce("r1", 1));
+    let leave = ReplicaLeave {
+        replica: "r1".into(),
+        incarnation: IncarnationNumber(1),
+    };
+    bench.step(at(10_100), RosterEvent::Left(leave));
+    bench.prove(at(19_900), &only);
+    // Announced before it left, and very late.
+    assert_eq!(
+        bench.announce(at(20_000), announce("r1", 2)),
+        ResultCode::Ok
+    );
+    assert_eq!(bench.ask(at(20_000), "r1", 1), ResultCode::ReplicaDraining);
+}
+
 #[test]
 fn a_poisoned_request_is_refused_and_a_suspect_runs_alone_and_is_not_hedged() {
     let mut bench = RosterBench::new("a");
