Give the keeper's oracle rules of its own and moments that matter

Cause: the oracle took RunEnd::frees_slot from the program, and hardly ever looked right when something fell due, so three mechanisms could be taken away without notice.

--- a/daisyhinge/tests/keeper_fuzz.rs
+++ b/daisyhinge/tests/keeper_fuzz.rs
@@ -20,6 +20,10 @@
 #[derive(Clone, Debug)]
 enum Step {
     Advance(u64),
+    /// To the moment at which something is due by time alone, or just before it.
+    AdvanceToDue {
+        early: bool,
+    },
     Announce {
         state: ServerState,
         restarted: bool,
@@ -67,6 +71,7 @@
     prop_oneof![
         6 => (0_u64..40).prop_map(Step::Advance),
         1 => (0_u64..4_000).prop_map(Step::Advance),
+        4 => any::<bool>().prop_map(|early| Step::AdvanceToDue { early }),
         3 => (state, prop::bool::weighted(0.1))
             .prop_map(|(state, restarted)| Step::Announce { state, restarted }),
         12 => (1_u64..600, prop::bool::weighted(0.1), prop::bool::weighted(0.1))
@@ -89,6 +94,12 @@
     cancel_sent: bool,
 }
 
+/// The oracle's own rule: the server certainly does not work on it any more.
+fn frees_slot(end: RunEnd) -> bool {
+    let unsure = matches!(end, RunEnd::Reset | RunEnd::BadAnswer(_) | RunEnd::Expired);
+    !unsure
+}
+
 struct Oracle {
     bench: KeeperBench,
     now: MonotonicTime,
@@ -124,6 +135,12 @@
                 self.now = now + ms(span_ms);
                 KeeperEvent::Tick
             }
+            Step::AdvanceToDue { early } => {
+                let due = self.due().unwrap_or(now).max(now);
+                let before = Duration::from_micros(u64::from(early));
+                self.now = due.before(before).max(now);
+                KeeperEvent::Tick
+            }
             Step::Announce { state, restarted } => {
                 let actions = self.bench.announce(now, |next| {
                     next.state = state;
@@ -150,7 +167,7 @@
                 let Some(number) = picked(pick) else { return };
                 let slot = self.slots.get_mut(&number).expect("a slot");
                 let first = std::mem::replace(&mut slot.connected, false);
-                if first && end.frees_slot() {
+                if first && frees_slot(end) {
                     self.slots.remove(&number);
                 }
                 let attempt = attempt(number);
@@ -185,6 +202,13 @@
         self.check(&actions);
     }
 
+    fn due(&self) -> Option<MonotonicTime> {
+        let slots = self.slots.values().map(|slot| slot.frees);
+        slots
+            .chain(self.waiting.values().map(|ticket| ticket.expires))
+            .min()
+    }
+
     fn check(&mut self, actions: &[KeeperAction]) {
         let now = self.now;
         self.slots.retain(|_, slot| now < slot.frees);
@@ -236,12 +260,9 @@
         assert!(told.state != ServerState::Cold || load.limit <= told.cold_allowance);
         assert!(self.bench.keeper.connections_max() <= told.connections);
         let wake = self.bench.keeper.next_wake().expect("a wake");
-        let due = self.slots.values().map(|slot| slot.frees);
-        let due = due.chain(self.waiting.values().map(|ticket| ticket.expires));
-        assert!(
-            due.min().is_none_or(|due| wake <= due),
-            "it sleeps too long"
-        );
+        let due = self.due();
+        assert!(due.is_none_or(|due| wake <= due), "it sleeps too long");
+        assert!(due.is_none_or(|due| now < due), "something due was left");
         let idle = load.running == 0 && load.queued > 0;
         assert!(!idle, "asks wait though nothing runs");
     }
