--- a/daisyhinge/src/search.rs
+++ b/daisyhinge/src/search.rs
@@ -224,6 +224,13 @@
         self.phase == SearchPhase::Done
     }
 
+    /// Memory that the request holds, in bytes, without names and payloads.
+    pub fn memory_bytes(&self) -> usize {
+        size_of::<Self>()
+            + self.rows.capacity() * size_of::<ShardRow>()
+            + self.owners.capacity() * size_of::<u32>()
+    }
+
     /// Dispatches so far.
     pub fn tally(&self) -> SearchTally {
         self.tally
--- a/daisyhinge/src/search/choice.rs
+++ b/daisyhinge/src/search/choice.rs
@@ -137,10 +137,10 @@
     /// Sub-requests before a new one: as the keeper told, and what this entry sent since.
     fn under_way(&self, state: &RouteState) -> u64 {
         let own = state.estimate.in_flight;
+        let since = own.saturating_sub(state.estimate.in_flight_at_load);
         if self.now.since(state.load_at) >= LOAD_STALE {
-            return own.into();
+            return since.into();
         }
-        let since = own.saturating_sub(state.estimate.in_flight_at_load);
         u64::from(state.load.running) + u64::from(state.load.queued) + u64::from(since)
     }
 
--- a/daisyhinge/src/search/claiming.rs
+++ b/daisyhinge/src/search/claiming.rs
@@ -102,7 +102,8 @@
     }
 
     fn return_late_claim(&self, reply: &ClaimReply, actions: &mut Vec<SearchAction>) {
-        if self.phase == SearchPhase::Done && !self.dispatched_claim && *reply == ClaimReply::Won {
+        let is_unused = self.claims > 0 && !self.dispatched_claim;
+        if self.phase == SearchPhase::Done && is_unused && *reply == ClaimReply::Won {
             return_claim(self.last_attempt(), actions);
         }
     }
@@ -121,7 +122,11 @@
         routes: &mut RouteTable,
         actions: &mut Vec<SearchAction>,
     ) {
-        let refusal = self.prepare_claimed(routes);
+        let is_late = routes.now >= self.answer_by;
+        let refusal = match is_late.then_some(ResultCode::DeadlinePassed) {
+            Some(code) => Some(code),
+            None => self.prepare_claimed(routes),
+        };
         let choice = match refusal {
             Some(_) => None,
             None => self.choose_row(0, false, FAR_DISTANCE, routes),
--- a/daisyhinge/src/search/poison.rs
+++ b/daisyhinge/src/search/poison.rs
@@ -10,7 +10,7 @@
 pub const CRASHES_MAX: u32 = 2;
 
 /// How long a request that crashed servers is remembered.
-pub const CRASH_KEEP: Duration = Duration::from_mins(5);
+pub const CRASH_KEEP: Duration = Duration::from_mins(10);
 
 /// Requests remembered at most; the oldest is forgotten first.
 const DIGESTS_MAX: usize = 4_096;
@@ -33,6 +33,7 @@
 #[derive(Clone, Debug)]
 struct KeeperCount {
     keeper: u32,
+    table: u64,
     crashes: u32,
     last: MonotonicTime,
 }
@@ -44,23 +45,40 @@
 }
 
 impl PoisonTable {
-    /// Takes in what a keeper, known by its index, counted.
-    pub fn apply(&mut self, now: MonotonicTime, keeper: u32, record: CrashRecord) {
-        let row = self.row(now, record.digest);
-        let last = now.before(Duration::from_millis(record.age_ms));
-        let same = row.counts.iter_mut().find(|count| count.keeper == keeper);
-        match same {
-            Some(count) => {
-                count.crashes = record.crashes;
-                // Reports of one crash differ by their travelling times: the earliest is nearest.
-                let renewed = last.since(count.last) > AGE_TOLERANCE;
-                count.last = if renewed { last } else { count.last };
+    /// Takes in all records that a keeper, known by its index, has now, in place of those it had:
+    /// one that is no longer there was no crash. What it told before a restart, under another
+    /// `table`, stays until it is too old.
+    pub fn replace(
+        &mut self,
+        now: MonotonicTime,
+        keeper: u32,
+        table: u64,
+        records: &[CrashRecord],
+    ) {
+        let is_old = |count: &KeeperCount| count.keeper == keeper && count.table == table;
+        for (digest, row) in &mut self.rows {
+            if row.counts.iter().any(is_old) && !records.iter().any(|new| new.digest == *digest) {
+                row.counts.retain(|count| !is_old(count));
+                row.suspected = None;
+            }
+        }
+        for record in records {
+            let last = now.before(Duration::from_millis(record.age_ms));
+            let row = self.row(now, record.digest);
+            let Some(count) = row.counts.iter_mut().find(|count| is_old(count)) else {
+                row.counts.push(KeeperCount {
+                    keeper,
+                    table,
+                    crashes: record.crashes,
+                    last,
+                });
+                continue;
+            };
+            count.crashes = record.crashes;
+            // Reports of one crash differ by their travelling times: the earliest is nearest.
+            if last.since(count.last) > AGE_TOLERANCE {
+                count.last = last;
             }
-            None => row.counts.push(KeeperCount {
-                keeper,
-                crashes: record.crashes,
-                last,
-            }),
         }
     }
 
--- a/daisyhinge/src/search/route.rs
+++ b/daisyhinge/src/search/route.rs
@@ -127,9 +127,6 @@
     /// Takes in what `keeper` replied. A reply that crossed a newer one is ignored.
     pub fn apply_delta(&mut self, keeper: &VmName, delta: TableDelta) {
         let keeper = self.intern_keeper(keeper);
-        for crash in &delta.crashes {
-            self.poison.apply(self.now, keeper, *crash);
-        }
         let held = self.keepers[keeper as usize].cursor;
         let crossed = held.is_some_and(|held| {
             let is_older = held.table == delta.table && delta.cursor < held.cursor;
@@ -138,6 +135,8 @@
         if crossed {
             return;
         }
+        self.poison
+            .replace(self.now, keeper, delta.table, &delta.crashes);
         let mut touched = HashSet::new();
         if delta.whole {
             self.retract_others(keeper, &delta.records, &mut touched);
--- a/daisyhinge/src/search/suspect.rs
+++ b/daisyhinge/src/search/suspect.rs
@@ -165,6 +165,10 @@
             self.retry(now, index, routes, actions);
             return;
         }
+        if now >= self.answer_by {
+            self.miss(index, ResultCode::ShardLate);
+            return;
+        }
         let Some(choice) = self.choose_row(index, false, FAR_DISTANCE, routes) else {
             self.miss(index, ResultCode::NoReplica);
             return;
--- a/daisyhinge/tests/search.rs
+++ b/daisyhinge/tests/search.rs
@@ -2,6 +2,8 @@
 
 #[path = "search/claims.rs"]
 mod claims;
+#[path = "search/events.rs"]
+mod events;
 #[path = "search/fleet.rs"]
 mod fleet;
 #[path = "search/fuzz.rs"]
--- a/daisyhinge/tests/search/claims.rs
+++ b/daisyhinge/tests/search/claims.rs
@@ -5,8 +5,10 @@
 use std::time::Duration;
 
 use daisyhinge::prelude::*;
-use daisyhinge::search::SearchEvent;
 use daisyhinge::search::plan::SearchPlan;
+use daisyhinge::search::{RequestSearch, SearchAction, SearchEvent};
+use daisyhinge::vocabulary::claim::{ClaimEnding, ClaimReply};
+use daisyhinge::vocabulary::subrequest::SubRefusal;
 
 use crate::fleet::{Scripted, plan};
 use crate::policy::{ALLOWED, run_one, runner};
@@ -77,3 +79,64 @@
     let answer = run_one(&mut runner, 2, again).expect("the outcome is on record");
     assert!(answer.resent);
 }
+
+/// Steps a print job by hand.
+fn step_print(
+    search: &mut RequestSearch,
+    runner: &mut Runner,
+    event: SearchEvent,
+) -> Vec<SearchAction> {
+    let mut actions = Vec::new();
+    search.step(runner.now, event, &mut runner.routes, &mut actions);
+    actions.retain(|action| !matches!(action, SearchAction::Note(_)));
+    actions
+}
+
+#[test]
+fn a_claim_won_too_late_is_given_back() {
+    let mut runner = runner(20);
+    let mut search = RequestSearch::new(print_plan(&runner, 1));
+    step_print(&mut search, &mut runner, SearchEvent::Start);
+    runner.now = runner.now + ALLOWED;
+    let won = SearchEvent::Claimed(ClaimReply::Won);
+    let actions = step_print(&mut search, &mut runner, won);
+    let [
+        SearchAction::EndClaim { end, .. },
+        SearchAction::Finish(Err(refusal)),
+    ] = actions.as_slice()
+    else {
+        panic!("given back and refused: {actions:?}");
+    };
+    assert_eq!(*end, ClaimEnding::NotRun);
+    assert_eq!(
+        (refusal.code, refusal.run),
+        (ResultCode::DeadlinePassed, RunState::NotRun)
+    );
+}
+
+#[test]
+fn a_print_job_whose_caller_left_is_not_claimed_again() {
+    let mut runner = runner(21);
+    let mut search = RequestSearch::new(print_plan(&runner, 1)).with_claim_returns();
+    step_print(&mut search, &mut runner, SearchEvent::Start);
+    let won = SearchEvent::Claimed(ClaimReply::Won);
+    let actions = step_print(&mut search, &mut runner, won);
+    let [SearchAction::Dispatch(sub)] = actions.as_slice() else {
+        panic!("one dispatch: {actions:?}");
+    };
+    step_print(&mut search, &mut runner, SearchEvent::CallerGone);
+    let attempt = sub.attempt;
+    let reply = Err(SubRefusal::not_run(ResultCode::SlotsBusy));
+    let refused = SearchEvent::SubEnded { attempt, reply };
+    let mut actions = step_print(&mut search, &mut runner, refused);
+    actions.extend(step_print(
+        &mut search,
+        &mut runner,
+        SearchEvent::ClaimReturned,
+    ));
+    let [SearchAction::EndClaim { end, .. }] = actions.as_slice() else {
+        panic!("given back, no more: {actions:?}");
+    };
+    assert_eq!(*end, ClaimEnding::NotRun);
+    assert!(search.is_done());
+}
--- a/daisyhinge/tests/search/policy.rs
+++ b/daisyhinge/tests/search/policy.rs
@@ -285,9 +285,10 @@
     assert_eq!(crashed.borrow().len(), 2, "{crashed:?}");
 }
 
-fn tell_crashes(runner: &mut Runner, keeper: usize, digest: u64) {
-    let crash = CrashRecord {
-        digest: RequestDigest(digest),
+/// The keeper tells of one crash for each of the digests, and of no other.
+fn tell_crashes(runner: &mut Runner, keeper: usize, digests: &[u64]) {
+    let crash = |digest: &u64| CrashRecord {
+        digest: RequestDigest(*digest),
         crashes: 1,
         age_ms: 10,
     };
@@ -298,15 +299,27 @@
         whole: false,
         records: Vec::new(),
         gone: Vec::new(),
-        crashes: vec![crash],
+        crashes: digests.iter().map(crash).collect(),
     };
     runner.routes.apply_delta(&keeper_name(keeper), delta);
 }
 
+#[test]
+fn a_crash_that_the_keeper_takes_back_does_not_count() {
+    let mut runner = runner(19);
+    tell_crashes(&mut runner, 0, &[5]);
+    tell_crashes(&mut runner, 1, &[5]);
+    assert_eq!(runner.routes.crashes(RequestDigest(5)), 2);
+    tell_crashes(&mut runner, 1, &[]);
+    assert_eq!(runner.routes.crashes(RequestDigest(5)), 1);
+    tell_crashes(&mut runner, 0, &[]);
+    assert_eq!(runner.routes.crashes(RequestDigest(5)), 0);
+}
+
 #[test]
 fn a_search_with_one_crash_on_record_is_probed_and_with_two_refused() {
     let mut runner = runner(12);
-    tell_crashes(&mut runner, 0, 1);
+    tell_crashes(&mut runner, 0, &[1]);
     let probed = plan(1, runner.now, ALLOWED);
     let answer = run_one(&mut runner, 1, probed).expect("it was not its doing");
     assert!(answer.missing.is_empty());
@@ -315,7 +328,7 @@
         "no probe went first"
     );
 
-    tell_crashes(&mut runner, 1, 1);
+    tell_crashes(&mut runner, 1, &[1]);
     let again = plan(9, runner.now, ALLOWED);
     let again = SearchPlan {
         digest: RequestDigest(1),
@@ -323,7 +336,7 @@
     };
     run_one(&mut runner, 9, again).expect("the answer cleared it of the first crash");
 
-    tell_crashes(&mut runner, 0, 2);
+    tell_crashes(&mut runner, 0, &[2]);
     let crashed = crash_all(&mut runner);
     let suspect = plan(2, runner.now, ALLOWED);
     run_one(&mut runner, 2, suspect).expect_err("it crashes servers");
@@ -333,8 +346,8 @@
         "one server more, then it is known"
     );
 
-    tell_crashes(&mut runner, 0, 3);
-    tell_crashes(&mut runner, 1, 3);
+    tell_crashes(&mut runner, 0, &[3]);
+    tell_crashes(&mut runner, 1, &[3]);
     let known = plan(3, runner.now, ALLOWED);
     let refusal = run_one(&mut runner, 3, known).expect_err("two servers are enough");
     assert_eq!(
