Let any answer refute the crashes before it

Cause: an answer cleared a request of earlier crashes only if that request was itself under suspicion, so a common search that servers answered all along was refused as poisoned once two records had come.

Ruled out: ignoring records of several keepers at one moment; a search that crashes all its servers looks the same.

Taken away in a trial: an_answer_refutes_the_crashes_before_it fails.

Keepers still refuse such a digest by their own book; see docs/design/retries.md, limits.

--- a/daisyhinge/src/search/suspect.rs
+++ b/daisyhinge/src/search/suspect.rs
@@ -126,11 +126,11 @@
         routes: &mut RouteTable,
         actions: &mut Vec<SearchAction>,
     ) {
+        routes.poison.absolve(now, self.plan.digest);
         if self.suspicion == Suspicion::Clear {
             return;
         }
         self.suspicion = Suspicion::Clear;
-        routes.poison.absolve(now, self.plan.digest);
         for index in 0..self.rows.len() {
             if self.rows[index].is_held {
                 self.release(now, index, routes, actions);
--- a/daisyhinge/tests/search/policy.rs
+++ b/daisyhinge/tests/search/policy.rs
@@ -316,6 +316,24 @@
     assert_eq!(runner.routes.crashes(RequestDigest(5)), 0);
 }
 
+#[test]
+fn an_answer_refutes_the_crashes_before_it() {
+    let mut runner = runner(22);
+    let plan = plan(5, runner.now, ALLOWED);
+    runner.start(5, plan);
+    tell_crashes(&mut runner, 0, &[5]);
+    tell_crashes(&mut runner, 1, &[5]);
+    let until = runner.now + Duration::from_secs(1);
+    runner.run_until(until);
+    assert!(
+        runner.requests[&5]
+            .result
+            .as_ref()
+            .is_some_and(Result::is_ok)
+    );
+    assert_eq!(runner.routes.crashes(RequestDigest(5)), 0);
+}
+
 #[test]
 fn a_search_with_one_crash_on_record_is_probed_and_with_two_refused() {
     let mut runner = runner(12);
