Expect by the keeper's service time and a queue that drains

Its own latency, which contains the wait in the queue, was multiplied by the queue again; and the queue that a reply had told was held to be as long for a second, though it drains in tens of milliseconds. So the estimate refused all, no reply corrected it, and it stayed.

Ruled out: dropping the refusal by expected time (work would be sent to queues that cannot do it in time); a shorter age for a told load alone (it still refuses in bursts).

Now: expected time is the keeper's service time, times what it told less what was done since at that pace, plus what this entry sent since. How much longer attempts took than expected is smoothed for each replica and only compares replicas, so a slow server is avoided though its keeper's figure does not reach the root; nothing is refused by it.

--- a/daisyhinge/src/search/choice.rs
+++ b/daisyhinge/src/search/choice.rs
@@ -25,9 +25,6 @@
 /// Service time that is assumed where nothing is known, in microseconds.
 const SERVICE_DEFAULT_US: u64 = 5_000;
 
-/// A load told longer ago counts as idle, lest a replica without traffic seem busy for ever.
-const LOAD_STALE: Duration = Duration::from_secs(1);
-
 /// A latency measured longer ago is not held against a replica any more.
 const LATENCY_STALE: Duration = Duration::from_secs(5);
 
@@ -92,21 +89,22 @@
             if centre.distance > need.reach || need.tried.contains(row) {
                 continue;
             }
-            let class = self.classify(state, need);
+            let class = self.classify(state, need, usual_us);
             if need.needs_free_slot && class != RouteClass::Warm {
                 continue;
             }
-            let under_way = self.under_way(state);
+            let service_us = self.service_us(state, usual_us);
+            let under_way = self.under_way(state, service_us);
             if need.needs_free_slot && under_way >= u64::from(state.load.limit) {
                 continue;
             }
-            let service_us = self.service_us(state, usual_us);
             let waits_us = service_us * under_way / u64::from(state.load.limit).max(1);
             let way_us = DISTANCE_US[usize::from(centre.distance.min(FAR_DISTANCE))];
             let expected_us = service_us + waits_us + way_us;
             random_bits = random_bits.rotate_left(13);
             let random = random_bits % 1_024;
-            let score = expected_us + expected_us / SPREAD_DIVISOR * random / 1_024;
+            let likely_us = expected_us + self.excess_us(state);
+            let score = likely_us + likely_us / SPREAD_DIVISOR * random / 1_024;
             if best.is_none_or(|held| (class, score) < (held.0, held.1)) {
                 best = Some((class, score, *row, expected_us));
             }
@@ -117,12 +115,12 @@
         })
     }
 
-    fn classify(&self, state: &RouteState, need: ChoiceNeed<'_>) -> RouteClass {
+    fn classify(&self, state: &RouteState, need: ChoiceNeed<'_>, usual_us: u64) -> RouteClass {
         let keeper = &self.keepers[state.keeper as usize];
         let is_backing_off =
             self.now < state.estimate.backoff_until || self.now < keeper.backoff_until;
         let limit = u64::from(state.load.limit.max(1));
-        let under_way = self.under_way(state);
+        let under_way = self.under_way(state, self.service_us(state, usual_us));
         match state.state {
             UseState::Cold if need.repeatable && !is_backing_off && under_way < limit => {
                 RouteClass::Cold
@@ -134,22 +132,38 @@
         }
     }
 
-    /// Sub-requests before a new one: as the keeper told, and what this entry sent since.
-    fn under_way(&self, state: &RouteState) -> u64 {
+    /// Sub-requests before a new one: what the keeper told, less what was done since at its pace,
+    /// and what this entry sent since.
+    fn under_way(&self, state: &RouteState, service_us: u64) -> u64 {
         let own = state.estimate.in_flight;
         let since = own.saturating_sub(state.estimate.in_flight_at_load);
-        if self.now.since(state.load_at) >= LOAD_STALE {
-            return since.into();
-        }
-        u64::from(state.load.running) + u64::from(state.load.queued) + u64::from(since)
+        let told = u64::from(state.load.running) + u64::from(state.load.queued);
+        let elapsed_us = self.now.0.saturating_sub(state.load_at.0);
+        let done = elapsed_us.saturating_mul(state.load.limit.into()) / service_us.max(1);
+        told.saturating_sub(done) + u64::from(since)
     }
 
+    /// Service time without the wait for a slot: the keeper's figure. This entry's own latency
+    /// contains the wait, which would be counted twice; it stands in until the keeper knows.
     fn service_us(&self, state: &RouteState, usual_us: u64) -> u64 {
+        if state.load.service_us > 0 {
+            return state.load.service_us.into();
+        }
         let is_recent = self.now.since(state.estimate.latency_at) < LATENCY_STALE;
         if is_recent && state.estimate.latency_us > 0 {
-            let told = u64::from(state.load.service_us);
-            return told.max(u64::from(state.estimate.latency_us));
+            return state.estimate.latency_us.into();
         }
         usual_us
     }
+
+    /// Time beyond what was expected, as this entry measured it lately. Only compares replicas:
+    /// nothing is refused by it, since it may be out of date.
+    fn excess_us(&self, state: &RouteState) -> u64 {
+        let is_recent = self.now.since(state.estimate.excess_at) < LATENCY_STALE;
+        if is_recent {
+            state.estimate.excess_us.into()
+        } else {
+            0
+        }
+    }
 }
--- a/daisyhinge/src/search/estimate.rs
+++ b/daisyhinge/src/search/estimate.rs
@@ -124,6 +124,10 @@
     pub latency_us: u32,
     /// When the latency was last measured.
     pub latency_at: MonotonicTime,
+    /// Smoothed time beyond what was expected, in microseconds.
+    pub excess_us: u32,
+    /// When the excess was last measured.
+    pub excess_at: MonotonicTime,
     /// Failures in a row.
     pub failures: u32,
     /// Chosen only if nothing else is left until then.
@@ -131,16 +135,34 @@
 }
 
 impl RouteEstimate {
-    /// Smooths one latency in: an eighth of the difference.
+    /// Smooths one latency in.
     pub fn record_latency(&mut self, now: MonotonicTime, took: Duration) {
         let sample = u32::try_from(span_to_micros(took))
             .unwrap_or(u32::MAX)
             .max(1);
         self.latency_us = match self.latency_us {
             0 => sample,
-            old if sample >= old => old + (sample - old) / 8,
-            old => old - (old - sample) / 8,
+            old => smooth(old, sample),
         };
         self.latency_at = now;
     }
+
+    /// Smooths in by how much an attempt took longer than expected. The expectation contains the
+    /// keeper's queue, so what is left is the replica's or its way's own slowness.
+    pub fn record_excess(&mut self, now: MonotonicTime, took: Duration, expected_us: u64) {
+        if expected_us > 0 {
+            let excess = span_to_micros(took).saturating_sub(expected_us);
+            self.excess_us = smooth(self.excess_us, u32::try_from(excess).unwrap_or(u32::MAX));
+            self.excess_at = now;
+        }
+    }
+}
+
+/// `old` moved towards `sample` by an eighth of the difference.
+fn smooth(old: u32, sample: u32) -> u32 {
+    if sample >= old {
+        old + (sample - old) / 8
+    } else {
+        old - (old - sample) / 8
+    }
 }
--- a/daisyhinge/src/search/outcome.rs
+++ b/daisyhinge/src/search/outcome.rs
@@ -31,6 +31,8 @@
     Answered {
         /// From dispatch to answer.
         took: Duration,
+        /// What was expected in microseconds, 0 if nothing.
+        expected_us: u64,
         /// Load that the answer brought.
         load: KeeperLoad,
     },
@@ -40,6 +42,8 @@
     Cancelled {
         /// How long it had run.
         ran: Duration,
+        /// What was expected in microseconds, 0 if nothing.
+        expected_us: u64,
     },
 }
 
@@ -59,9 +63,14 @@
         };
         state.estimate.in_flight = state.estimate.in_flight.saturating_sub(1);
         match end {
-            DispatchEnd::Answered { took, load } => {
+            DispatchEnd::Answered {
+                took,
+                expected_us,
+                load,
+            } => {
                 state.take_load(now, load);
                 state.estimate.record_latency(now, took);
+                state.estimate.record_excess(now, took, expected_us);
                 state.estimate.failures = 0;
                 state.estimate.backoff_until = MonotonicTime::default();
                 let keeper = state.keeper as usize;
@@ -70,12 +79,10 @@
                 self.services[service as usize].latency.record(took);
             }
             DispatchEnd::Refused(refusal) => self.note_refusal(key, refusal),
-            DispatchEnd::Cancelled { ran } => {
+            DispatchEnd::Cancelled { ran, expected_us } => {
                 // It would have taken longer still: without it, slow replicas would go unseen.
-                if state.estimate.latency_us == 0
-                    || ran > Duration::from_micros(state.estimate.latency_us.into())
-                {
-                    state.estimate.record_latency(now, ran);
+                if ran > Duration::from_micros(expected_us) {
+                    state.estimate.record_excess(now, ran, expected_us);
                 }
                 self.services[service as usize].latency.record(ran);
             }
--- a/daisyhinge/src/search/reply.rs
+++ b/daisyhinge/src/search/reply.rs
@@ -30,7 +30,12 @@
             Ok(answer) => {
                 let took = now.since(ended.started);
                 let load = answer.load;
-                let end = DispatchEnd::Answered { took, load };
+                let expected_us = ended.expected_us;
+                let end = DispatchEnd::Answered {
+                    took,
+                    expected_us,
+                    load,
+                };
                 routes.end_dispatch(self.service, ended.key, end);
                 self.take_answer(now, index, attempt, answer, routes, actions);
             }
--- a/daisyhinge/src/search/scatter.rs
+++ b/daisyhinge/src/search/scatter.rs
@@ -189,6 +189,7 @@
             attempt,
             key: choice.key,
             started: now,
+            expected_us: choice.expected_us,
         });
         row.hedge_at = now + delay;
         row.late_at = now + delay * LATE_DELAYS;
@@ -318,7 +319,8 @@
         for running in self.rows[index].take_tries().into_iter().flatten() {
             self.run = self.run.join(RunState::Unknown);
             let ran = now.since(running.started);
-            let end = DispatchEnd::Cancelled { ran };
+            let expected_us = running.expected_us;
+            let end = DispatchEnd::Cancelled { ran, expected_us };
             routes.end_dispatch(self.service, running.key, end);
             actions.push(SearchAction::Cancel(running.attempt));
             let shard = self.rows[index].pinned.shard;
--- a/daisyhinge/src/search/shard.rs
+++ b/daisyhinge/src/search/shard.rs
@@ -19,6 +19,8 @@
     pub(super) attempt: AttemptId,
     pub(super) key: RouteKey,
     pub(super) started: MonotonicTime,
+    /// How long it was expected to take in microseconds, 0 if not known.
+    pub(super) expected_us: u64,
 }
 
 /// What became of a shard.
--- a/daisyhinge/tests/search.rs
+++ b/daisyhinge/tests/search.rs
@@ -8,6 +8,8 @@
 mod fleet;
 #[path = "search/fuzz.rs"]
 mod fuzz;
+#[path = "search/overload.rs"]
+mod overload;
 #[path = "search/policy.rs"]
 mod policy;
 #[path = "search/random.rs"]
--- a/daisyhinge/tests/search/fleet.rs
+++ b/daisyhinge/tests/search/fleet.rs
@@ -44,6 +44,10 @@
     pub alive: bool,
     pub held: Vec<HeldSnapshot>,
     pub running: u32,
+    /// Smoothed service time as its keeper tells, in microseconds.
+    pub service_us: u32,
+    /// When the work of each dispatch ends, in order; used where slots are modelled.
+    pub busy: Vec<(MonotonicTime, AttemptId)>,
 }
 
 /// Chances of faults, per thousand.
@@ -76,6 +80,8 @@
     pub announced: HashMap<(u64, u32), MonotonicTime>,
     pub rates: FaultRates,
     pub service_us: u64,
+    /// Slots of a replica; dispatches do not wait for one another if unset.
+    pub slots: Option<usize>,
     /// Dispatches that a backend server began to work on.
     pub ran: HashSet<AttemptId>,
     claims: HashMap<RequestId, (AttemptId, Option<ClaimOutcome>)>,
@@ -92,6 +98,7 @@
             announced: HashMap::new(),
             rates: FaultRates::default(),
             service_us: 6_000,
+            slots: None,
             ran: HashSet::new(),
             claims: HashMap::new(),
             cursor: 0,
@@ -106,6 +113,8 @@
                     alive: true,
                     held: vec![fleet.held(1, shard)],
                     running: 0,
+                    service_us: 6_000,
+                    busy: Vec::new(),
                 });
             }
         }
@@ -144,7 +153,7 @@
                 .filter(|replica| replica.keeper == keeper);
             let records: Vec<_> = kept
                 .filter(|replica| replica.alive)
-                .map(|replica| self.record(replica, centre))
+                .map(|replica| Self::record(replica, centre))
                 .collect();
             let delta = TableDelta {
                 table: 1,
@@ -164,7 +173,7 @@
         }
     }
 
-    fn record(&self, replica: &ModelReplica, centre: &str) -> ReplicaRecord {
+    fn record(replica: &ModelReplica, centre: &str) -> ReplicaRecord {
         ReplicaRecord {
             replica: replica.name.clone(),
             service: SERVICE.into(),
@@ -173,16 +182,16 @@
             state: UseState::Warm,
             slots: 2,
             snapshots: Arc::from(replica.held.clone()),
-            load: self.load(replica),
+            load: Self::load(replica),
         }
     }
 
-    fn load(&self, replica: &ModelReplica) -> KeeperLoad {
+    fn load(replica: &ModelReplica) -> KeeperLoad {
         KeeperLoad {
             running: replica.running,
             queued: 0,
             limit: 2,
-            service_us: u32::try_from(self.service_us).expect("a short service time"),
+            service_us: replica.service_us,
         }
     }
 
@@ -193,7 +202,7 @@
             .iter()
             .position(|replica| replica.name == sub.replica);
         let replica = self.replicas[place.expect("dispatches go to known replicas")].clone();
-        let load = self.load(&replica);
+        let load = Self::load(&replica);
         let refuse = |code, run, retry_ms| {
             Err(SubRefusal {
                 code,
@@ -234,12 +243,18 @@
             let code = *CODES.choose(&mut self.rng).expect("there are codes");
             return (short, refuse(code, RunState::NotRun, 3));
         }
+        if let Some(slots) = self.slots {
+            return self.run_in_slot(now, sub, place.expect("found above"), slots);
+        }
         self.ran.insert(sub.attempt);
         let slower = match scripted {
             Some(Scripted::Slow(factor)) => factor,
             _ => 1,
         };
         let span = self.draw_span() * u32::try_from(slower).expect("a small factor");
+        let sample = u32::try_from(span.as_micros()).expect("a short time");
+        let known = &mut self.replicas[place.expect("found above")].service_us;
+        *known = *known - *known / 8 + sample / 8;
         let left = sub.expires.since(now);
         if span > left {
             return (
@@ -267,6 +282,63 @@
         (span, Ok(answer))
     }
 
+    /// Runs a dispatch after those before it, or refuses at once what would end too late.
+    fn run_in_slot(
+        &mut self,
+        now: MonotonicTime,
+        sub: &SubPlan,
+        place: usize,
+        slots: usize,
+    ) -> (Duration, SubReply) {
+        let span = self.draw_span();
+        let service_us = self.replicas[place].service_us;
+        let busy = &mut self.replicas[place].busy;
+        busy.retain(|(until, _)| *until > now);
+        let count = busy.len();
+        let start = if count < slots {
+            now
+        } else {
+            busy[count - slots].0
+        };
+        let load = |busy: usize| KeeperLoad {
+            running: u32::try_from(busy.min(slots)).expect("few"),
+            queued: u32::try_from(busy.saturating_sub(slots)).expect("few"),
+            limit: u32::try_from(slots).expect("few"),
+            service_us,
+        };
+        if start + span > sub.expires {
+            let refusal = SubRefusal {
+                code: ResultCode::SlotsBusy,
+                run: RunState::NotRun,
+                retry_ms: 5,
+                load: load(count),
+            };
+            return (Duration::from_micros(300), Err(refusal));
+        }
+        let end = start + span;
+        busy.push((end, sub.attempt));
+        busy.sort_unstable();
+        self.ran.insert(sub.attempt);
+        let answer = SubAnswer {
+            shard: sub.shard,
+            snapshot: sub.snapshot,
+            body: part_body(sub.snapshot, sub.shard).into(),
+            load: load(count),
+        };
+        (end.since(now), Ok(answer))
+    }
+
+    /// Work that waits and is cancelled is not done.
+    pub fn cancel(&mut self, attempt: AttemptId) {
+        let slots = self.slots.unwrap_or_default();
+        for replica in &mut self.replicas {
+            let place = replica.busy.iter().position(|row| row.1 == attempt);
+            if let Some(place) = place.filter(|place| *place >= slots) {
+                replica.busy.remove(place);
+            }
+        }
+    }
+
     fn draw_span(&mut self) -> Duration {
         let even = self
             .rng
--- a/daisyhinge/tests/search/runner.rs
+++ b/daisyhinge/tests/search/runner.rs
@@ -197,6 +197,7 @@
             SearchAction::Cancel(attempt) => {
                 assert!(request.plan.repeatable, "a claimed dispatch was cancelled");
                 assert!(request.out.remove(&attempt).is_some(), "cancelled twice");
+                self.fleet.cancel(attempt);
             }
             SearchAction::Finish(result) => self.take_result(number, &result),
             SearchAction::Note(event) if event.kind == EventKind::SnapshotPinned => {
