--- a/daisyhinge/tests/search.rs
+++ b/daisyhinge/tests/search.rs
@@ -2,10 +2,14 @@
 
 #[path = "search/claims.rs"]
 mod claims;
+#[path = "search/events.rs"]
+mod events;
 #[path = "search/fleet.rs"]
 mod fleet;
 #[path = "search/fuzz.rs"]
 mod fuzz;
+#[path = "search/overload.rs"]
+mod overload;
 #[path = "search/policy.rs"]
 mod policy;
 #[path = "search/random.rs"]
