Count what a fake has in hand by expiry and cancel; list events that explain a run

The fake took cancelled work out of its count only when its task ran next, and expired work only when its timer fired, while the machine was loaded; it had already told the keeper that the work had stopped. Ruled out: taking the row as a fault of the keeper. Conclusion: work leaves the count when its cancel is answered or its expiry is past. A result lists events of the slowest and of some refused requests.

--- a/daisyhinge-fakes/src/load.rs
+++ b/daisyhinge-fakes/src/load.rs
@@ -16,6 +16,7 @@
 mod caller;
 mod gather;
 mod naive;
+mod narrate;
 mod schedule;
 
 pub use crate::load::result::LoadResult;
--- a/daisyhinge-fakes/src/load/gather.rs
+++ b/daisyhinge-fakes/src/load/gather.rs
@@ -3,6 +3,7 @@
 use daisyhinge::vocabulary::clock::span_to_micros;
 
 use crate::load::fleet::FleetServer;
+use crate::load::narrate::list_events;
 use crate::load::oracle::RunOracle;
 use crate::load::result::{LoadResult, ServerResult};
 use crate::load::run::LoadRun;
@@ -52,6 +53,7 @@
             .map(|(server, record)| build_server(server, record))
             .collect(),
         faults: run.notes.lock().clone(),
+        events: list_events(run, &outcomes),
         marked_servers_max: RunOracle::gather(records.iter()).max_marked_servers(),
     }
 }
--- /dev/null
+++ b/daisyhinge-fakes/src/load/narrate.rs
@@ -0,0 +1,65 @@
+//! Picks the events of the system that explain a result.
+
+use std::collections::HashSet;
+
+use daisyhinge::prelude::*;
+use daisyhinge::vocabulary::event::EventKind;
+
+use crate::load::outcome::{RequestEnd, RequestOutcome};
+use crate::load::run::LoadRun;
+use crate::load::system::SystemEvent;
+
+/// Slow requests, and refused ones, of which the events are listed.
+const REQUESTS_MAX: usize = 5;
+
+/// Events that concern no single request, and those of the slowest and of some refused requests.
+pub(crate) fn list_events(run: &LoadRun, outcomes: &[RequestOutcome]) -> Vec<String> {
+    let Some(system) = &run.system else {
+        return Vec::new();
+    };
+    let start = *run.start.lock();
+    let chosen = choose_requests(outcomes);
+    let is_listed = |event: &&SystemEvent| {
+        let request = event.event.request.as_ref();
+        event.at >= start
+            && request.map_or(is_rare(event.event.kind), |request| {
+                chosen.contains(request)
+            })
+    };
+    let events = system.events.lock();
+    events
+        .iter()
+        .filter(is_listed)
+        .map(|event| {
+            let text = serde_json::to_string(&event.event).unwrap_or_default();
+            let at_ms = event.at.duration_since(start).as_millis();
+            format!("at_ms={at_ms} vm={} {text}", event.vm)
+        })
+        .collect()
+}
+
+fn choose_requests(outcomes: &[RequestOutcome]) -> HashSet<RequestId> {
+    let mut slowest = outcomes.iter().collect::<Vec<_>>();
+    slowest.sort_by_key(|outcome| std::cmp::Reverse(outcome.latency));
+    let refused = outcomes
+        .iter()
+        .filter(|outcome| matches!(outcome.end, RequestEnd::Refused { .. }));
+    slowest
+        .into_iter()
+        .take(REQUESTS_MAX)
+        .chain(refused.take(REQUESTS_MAX))
+        .map(|outcome| outcome.request.clone())
+        .collect()
+}
+
+fn is_rare(kind: EventKind) -> bool {
+    !matches!(
+        kind,
+        EventKind::ChangeCommitted
+            | EventKind::ClaimLost
+            | EventKind::ClaimWon
+            | EventKind::QueueFull
+            | EventKind::SubCancelled
+            | EventKind::SubFailed
+    )
+}
--- a/daisyhinge-fakes/src/load/result.rs
+++ b/daisyhinge-fakes/src/load/result.rs
@@ -26,6 +26,10 @@
     pub servers: Vec<ServerResult>,
     /// Faults as they were brought about.
     pub faults: Vec<FaultNote>,
+    /// Events of the system that concern no single request, and those of the slowest and of some
+    /// refused requests; one line each, in milliseconds from the start.
+    #[serde(default)]
+    pub events: Vec<String>,
     /// Most servers that one crashing request reached.
     pub marked_servers_max: u32,
 }
--- a/daisyhinge-fakes/src/load/start.rs
+++ b/daisyhinge-fakes/src/load/start.rs
@@ -10,6 +10,7 @@
 use daisyhinge::shell::control::ControlShell;
 use daisyhinge::shell::entry::EntryShell;
 use daisyhinge::vocabulary::change::{ChangeAsk, ChangeKind};
+use daisyhinge::vocabulary::event::EventDraft;
 use daisyhinge::vocabulary::setting::{ControlSettings, EntryLimits, EntrySettings, VoterPeer};
 use futures::FutureExt;
 use parking_lot::Mutex;
@@ -17,7 +18,9 @@
 use tempfile::TempDir;
 
 use crate::load::scenario::{CentrePlan, LoadScenario};
-use crate::load::system::{CentreHook, EntryHook, EntryPoint, SystemHandle};
+use crate::load::system::{
+    CentreHook, EntryHook, EntryPoint, SystemEvent, SystemEvents, SystemHandle,
+};
 
 /// Environment of the runs.
 const ENVIRONMENT: &str = "trial";
@@ -47,7 +50,8 @@
 /// `BindFailed` if no port is free, `StorageFailed` without a folder for control, `NoQuorum` if
 /// control does not accept the document.
 pub async fn start_system(scenario: &LoadScenario) -> Result<SystemHandle, ResultCode> {
-    let control = Arc::new(LocalControl::spawn()?);
+    let events = SystemEvents::default();
+    let control = Arc::new(LocalControl::spawn(&events)?);
     let document = Arc::new(scenario.build_document());
     let environment = EnvironmentName::from(ENVIRONMENT);
     let base = Some(VersionNumber(0));
@@ -67,7 +71,7 @@
         for vm in &centre.entries {
             let settings = build_settings(centre, vm, &control.addresses);
             let metrics = EntryMetrics::register(&mut Registry::default());
-            let shell = EntryShell::spawn(settings, metrics, Arc::new(|_event| {})).await?;
+            let shell = EntryShell::spawn(settings, metrics, note_events(vm, &events)).await?;
             entries.push(EntryPoint {
                 vm: vm.clone(),
                 data_centre: centre.name.clone(),
@@ -80,11 +84,12 @@
         entries,
         change_centre: Some(build_centre_hook(control)),
         end_entry: Some(build_entry_hook(shells)),
+        events,
     })
 }
 
 impl LocalControl {
-    fn spawn() -> Result<Self, ResultCode> {
+    fn spawn(events: &SystemEvents) -> Result<Self, ResultCode> {
         let folder = TempDir::new().map_err(|_no_folder| ResultCode::StorageFailed)?;
         let addresses = find_ports(VOTERS)?;
         let voters = (0..).zip(&addresses).map(|(index, address)| VoterPeer {
@@ -105,7 +110,7 @@
             };
             std::fs::create_dir_all(&settings.data_folder)
                 .map_err(|_no_folder| ResultCode::StorageFailed)?;
-            ControlShell::spawn(settings, Arc::new(|_event| {})).map_err(|fault| {
+            ControlShell::spawn(settings, note_events(&voter.vm, events)).map_err(|fault| {
                 eprintln!("event=control-failed fault=\"{fault}\"");
                 fault.code
             })
@@ -147,6 +152,16 @@
     }
 }
 
+/// Notes the events of one VM.
+fn note_events(vm: &VmName, events: &SystemEvents) -> Arc<dyn Fn(EventDraft) + Send + Sync> {
+    let (vm, events) = (vm.clone(), Arc::clone(events));
+    Arc::new(move |event| {
+        let at = tokio::time::Instant::now();
+        let vm = vm.clone();
+        events.lock().push(SystemEvent { at, vm, event });
+    })
+}
+
 /// Ports that are free now. Another process may take one before it is bound: the run then fails
 /// at its start.
 fn find_ports(count: usize) -> Result<Vec<SocketAddr>, ResultCode> {
--- a/daisyhinge-fakes/src/load/system.rs
+++ b/daisyhinge-fakes/src/load/system.rs
@@ -2,10 +2,14 @@
 
 use std::fmt;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use daisyhinge::prelude::*;
 use daisyhinge::vocabulary::environment::CentreState;
+use daisyhinge::vocabulary::event::EventDraft;
 use futures::future::BoxFuture;
+use parking_lot::Mutex;
+use tokio::time::Instant;
 
 /// An entry that callers can reach.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -18,6 +22,20 @@
     pub address: SocketAddr,
 }
 
+/// An event of the system.
+#[derive(Clone, Debug)]
+pub struct SystemEvent {
+    /// When.
+    pub at: Instant,
+    /// VM that it happened on.
+    pub vm: VmName,
+    /// What.
+    pub event: EventDraft,
+}
+
+/// Events of the system, in order.
+pub type SystemEvents = Arc<Mutex<Vec<SystemEvent>>>;
+
 /// Takes a data centre out or returns it; done once the change is accepted.
 pub type CentreHook = Box<
     dyn Fn(CentreName, CentreState) -> BoxFuture<'static, Result<(), ResultCode>> + Send + Sync,
@@ -37,6 +55,8 @@
     pub change_centre: Option<CentreHook>,
     /// Ends entries.
     pub end_entry: Option<EntryHook>,
+    /// Events, noted by whoever started the system.
+    pub events: SystemEvents,
 }
 
 impl fmt::Debug for SystemHandle {
@@ -45,7 +65,7 @@
             .field("entries", &self.entries)
             .field("change_centre", &self.change_centre.is_some())
             .field("end_entry", &self.end_entry.is_some())
-            .finish()
+            .finish_non_exhaustive()
     }
 }
 
@@ -54,8 +74,7 @@
     pub fn from_entries(entries: Vec<EntryPoint>) -> Self {
         Self {
             entries,
-            change_centre: None,
-            end_entry: None,
+            ..Self::default()
         }
     }
 }
--- a/daisyhinge-fakes/src/main.rs
+++ b/daisyhinge-fakes/src/main.rs
@@ -1,5 +1,6 @@
 //! The binary of the stand-ins: a fake backend server, a slow link, and the load tool.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -221,6 +222,12 @@
         result.marked_servers_max,
         result.tool_late_us / 1_000,
     );
+    let mut kinds = BTreeMap::<&str, u32>::new();
+    for event in &result.events {
+        let kind = event.split('"').nth(3).unwrap_or("unknown");
+        *kinds.entry(kind).or_default() += 1;
+    }
+    println!("events={kinds:?}");
     for note in &result.faults {
         println!(
             "fault at_ms={} done_ms={} code={} {} {}",
--- a/daisyhinge-fakes/src/server/core.rs
+++ b/daisyhinge-fakes/src/server/core.rs
@@ -8,6 +8,7 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use crate::server::fault::{ColdSettings, DamageKind, FaultSettings};
@@ -102,6 +103,8 @@
     sequence: u64,
     cold: Option<ColdState>,
     attempts: HashMap<String, AttemptState>,
+    /// Expiry of what is in hand. Past it work no longer counts, however late its timer is.
+    in_hand: HashMap<String, Instant>,
     ended: VecDeque<String>,
     random: ChaCha8Rng,
 }
@@ -118,6 +121,7 @@
             sequence: 0,
             cold: None,
             attempts: HashMap::new(),
+            in_hand: HashMap::new(),
             ended: VecDeque::new(),
             random: ChaCha8Rng::seed_from_u64(settings.seed),
             settings: settings.clone(),
@@ -129,7 +133,8 @@
     }
 
     /// Decides on a sub-request that arrived.
-    pub fn take(&mut self, task: &SubTask) -> TakeOutcome {
+    pub fn take(&mut self, task: &SubTask, expiry: Instant) -> TakeOutcome {
+        self.count_in_hand();
         self.note_arrival(task);
         if task.replica != self.settings.replica || task.service != self.settings.service {
             self.record.misdirected += 1;
@@ -156,10 +161,10 @@
             self.note_sign();
             return TakeOutcome::Shed;
         }
-        self.start(task)
+        self.start(task, expiry)
     }
 
-    fn start(&mut self, task: &SubTask) -> TakeOutcome {
+    fn start(&mut self, task: &SubTask, expiry: Instant) -> TakeOutcome {
         self.record.started += 1;
         if !task.repeatable {
             *self
@@ -177,7 +182,8 @@
             return TakeOutcome::Crash;
         }
         self.record.slots_exceeded += u64::from(self.record.in_hand >= self.settings.slots);
-        self.record.in_hand += 1;
+        self.in_hand.insert(task.attempt.clone(), expiry);
+        self.count_in_hand();
         self.record.peak_in_hand = self.record.peak_in_hand.max(self.record.in_hand);
         let cancel = CancellationToken::new();
         self.attempts
@@ -210,7 +216,8 @@
 
     /// Records how the work on an attempt ended.
     pub fn finish(&mut self, attempt: &str, end: WorkEnd) {
-        self.record.in_hand = self.record.in_hand.saturating_sub(1);
+        self.in_hand.remove(attempt);
+        self.count_in_hand();
         let counter = match end {
             WorkEnd::Answered => &mut self.record.answered,
             WorkEnd::Cancelled => &mut self.record.cancelled,
@@ -234,6 +241,8 @@
         match self.attempts.get(attempt) {
             Some(AttemptState::Running(cancel)) => {
                 cancel.cancel();
+                self.in_hand.remove(attempt);
+                self.count_in_hand();
                 true
             }
             Some(AttemptState::Stopped) => true,
@@ -245,6 +254,18 @@
         }
     }
 
+    /// Forgets what is in hand: the server crashed or collapsed.
+    pub fn lose_work(&mut self) {
+        self.in_hand.clear();
+        self.count_in_hand();
+    }
+
+    fn count_in_hand(&mut self) {
+        let now = Instant::now();
+        self.in_hand.retain(|_attempt, expiry| *expiry > now);
+        self.record.in_hand = u32::try_from(self.in_hand.len()).unwrap_or(u32::MAX);
+    }
+
     fn remember(&mut self, attempt: &str, state: AttemptState) {
         self.attempts.insert(attempt.to_owned(), state);
         self.ended.push_back(attempt.to_owned());
--- a/daisyhinge-fakes/src/server/work.rs
+++ b/daisyhinge-fakes/src/server/work.rs
@@ -28,7 +28,7 @@
         sleep(link).await;
     }
     let life = share.life.lock().clone();
-    let outcome = share.core.lock().take(&task);
+    let outcome = share.core.lock().take(&task, arrived + task.expires);
     let response = match outcome {
         TakeOutcome::Run(plan) => run_apart(share, &life, task, plan, arrived).await,
         TakeOutcome::Crash => {
@@ -157,6 +157,7 @@
 
 fn go_down(share: &Arc<FakeShare>, pause: Duration, restart: bool) {
     share.set_down(true);
+    share.core.lock().lose_work();
     share.end_life();
     let share = Arc::clone(share);
     tokio::spawn(async move {
