--- a/daisyhinge-fakes/src/http.rs
+++ b/daisyhinge-fakes/src/http.rs
@@ -1,6 +1,6 @@
 //! Small helpers around hyper that all stand-ins share.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -40,7 +40,13 @@
 
 /// Makes a caller whose idle connections are kept for a while.
 pub fn build_caller() -> HttpCaller {
+    build_caller_from(None)
+}
+
+/// Makes a caller that connects from `source`, so that it is told apart from others.
+pub fn build_caller_from(source: Option<IpAddr>) -> HttpCaller {
     let mut connector = HttpConnector::new();
+    connector.set_local_address(source);
     connector.set_nodelay(true);
     Client::builder(TokioExecutor::new()).build(connector)
 }
--- a/daisyhinge-fakes/src/load/run.rs
+++ b/daisyhinge-fakes/src/load/run.rs
@@ -89,7 +89,8 @@
             .data_centres
             .iter()
             .flat_map(|centre| (0..scenario.callers.per_centre).map(|_index| &centre.name))
-            .map(|centre| LoadCaller::new(centre, &scenario.callers, &entries))
+            .enumerate()
+            .map(|(index, centre)| LoadCaller::new(index, centre, &scenario.callers, &entries))
             .collect();
         Ok(Self {
             scenario: Arc::new(scenario.clone()),
--- a/daisyhinge-fakes/src/server/core.rs
+++ b/daisyhinge-fakes/src/server/core.rs
@@ -214,8 +214,11 @@
         }
     }
 
-    /// Records how the work on an attempt ended.
+    /// Records how the work on an attempt ended; only the first end of an attempt counts.
     pub fn finish(&mut self, attempt: &str, end: WorkEnd) {
+        if !matches!(self.attempts.get(attempt), Some(AttemptState::Running(_))) {
+            return;
+        }
         self.in_hand.remove(attempt);
         self.count_in_hand();
         let counter = match end {
@@ -241,8 +244,8 @@
         match self.attempts.get(attempt) {
             Some(AttemptState::Running(cancel)) => {
                 cancel.cancel();
-                self.in_hand.remove(attempt);
-                self.count_in_hand();
+                // Ended before the reply says so: the sender may use the slot at once.
+                self.finish(attempt, WorkEnd::Cancelled);
                 true
             }
             Some(AttemptState::Stopped) => true,
--- a/daisyhinge/src/search/conclude.rs
+++ b/daisyhinge/src/search/conclude.rs
@@ -193,7 +193,7 @@
             .map_or(0, |partition| u128::from(partition.usable_ppm()));
         let reachable = u128::from(self.answered_weight + self.open_weight) * 1_000_000;
         let reachable_ppm = reachable / u128::from(pinned.whole_weight.max(1));
-        let usual = routes.hedge_delay(self.service).unwrap_or_default();
+        let usual = routes.hedge_delay(self.service, false).unwrap_or_default();
         newer.key > pinned.key && usable > reachable_ppm && now + usual < self.answer_by
     }
 
@@ -206,15 +206,18 @@
 
     fn merge_answer(&mut self, actions: &mut Vec<SearchAction>) -> QueryAnswer {
         let whole_weight = self.wanted_weight();
+        let snapshot = SnapshotNumber(self.pinned_number());
         let mut parts = Vec::with_capacity(self.answered_count);
         let mut missing = Vec::new();
         let mut weight = 0;
         for row in &mut self.rows {
             let shard = row.pinned.shard;
             let code = match &mut row.state {
-                ShardState::Answered(body) => {
+                ShardState::Answered(answer) => {
+                    assert_eq!(answer.snapshot, snapshot, "one snapshot for each answer");
+                    assert_eq!(answer.shard, shard, "each part is of its own shard");
                     weight += row.pinned.weight;
-                    let body = std::mem::take(body);
+                    let body = std::mem::take(&mut answer.body);
                     parts.push(AnswerPart { shard, body });
                     continue;
                 }
@@ -240,7 +243,7 @@
         }
         QueryAnswer {
             request: self.plan.request.clone(),
-            snapshot: SnapshotNumber(self.pinned_number()),
+            snapshot,
             answered_weight: weight,
             whole_weight,
             missing,
--- a/daisyhinge/src/shell/entry/following.rs
+++ b/daisyhinge/src/shell/entry/following.rs
@@ -200,9 +200,14 @@
         state.peers.table(entry.peer_address, ask).await
     };
     let Some(delta) = delta else { return };
-    if entry.vm != state.settings.vm && !delta.crashes.is_empty() {
-        let (keeper, records) = (entry.vm.clone(), delta.crashes.clone());
-        step_roster(state, RosterEvent::Crashes { keeper, records });
+    if entry.vm != state.settings.vm {
+        // An empty list too: it tells that a record was withdrawn.
+        let event = RosterEvent::Crashes {
+            keeper: entry.vm.clone(),
+            table: delta.table,
+            records: delta.crashes.clone(),
+        };
+        step_roster(state, event);
     }
     let mut routes = state.routes.lock();
     routes.advance(state.now());
--- a/daisyhinge/src/shell/entry/serving.rs
+++ b/daisyhinge/src/shell/entry/serving.rs
@@ -7,9 +7,9 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_TYPE, RETRY_AFTER};
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode, Version};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
 use serde::Serialize;
@@ -18,8 +18,9 @@
 
 use crate::prelude::*;
 use crate::shell::entry::answering::{write_answer, write_refusal};
-use crate::shell::entry::driving::{QueryResult, refuse_query, run_query};
+use crate::shell::entry::driving::{QueryResult, refuse_query};
 use crate::shell::entry::keeping::announcing::{take_announcement, take_leave};
+use crate::shell::entry::metering::run_counted;
 use crate::shell::entry::querying::read_query;
 use crate::shell::entry::state::{EntryPhase, EntryState};
 use crate::vocabulary::announcement::AnnounceReply;
@@ -65,7 +66,17 @@
     let watched = Arc::clone(&state);
     let service = service_fn(move |request| {
         let state = Arc::clone(&state);
-        async move { Ok::<_, Infallible>(answer_request(&state, request).await) }
+        async move {
+            let version = request.version();
+            let mut reply = answer_request(&state, request).await;
+            // A connection that ends with an answer can't be closed under the next request.
+            if state.phase() != EntryPhase::Serving && version == Version::HTTP_11 {
+                reply
+                    .headers_mut()
+                    .insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            Ok::<_, Infallible>(reply)
+        }
     });
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
@@ -123,7 +134,7 @@
     };
     let deadline_max_ms = state.settings.limits.deadline_max_ms;
     match read_query(service, &parts.headers, body, deadline_max_ms) {
-        Ok(query) => query_reply(&run_query(state, query).await),
+        Ok(query) => query_reply(&run_counted(state, query).await),
         Err(code) => refusal_reply(state, code),
     }
 }
@@ -136,6 +147,7 @@
 }
 
 fn refusal_reply(state: &EntryState, code: ResultCode) -> HttpReply {
+    state.metrics.record_front_refusal(code);
     write_refusal_reply(&refuse_query(state, &RequestId::from(""), code))
 }
 
@@ -212,7 +224,7 @@
     };
     let mut reply = Response::new(Full::new(Bytes::from(text.unwrap_or_default())));
     *reply.status_mut() = status;
-    let json = hyper::header::HeaderValue::from_static("application/json");
+    let json = HeaderValue::from_static("application/json");
     reply.headers_mut().insert(CONTENT_TYPE, json);
     reply
 }
