--- a/daisyhinge/benches/control.rs
+++ b/daisyhinge/benches/control.rs
@@ -219,6 +219,7 @@
             state: EntryState::Live,
         },
         holds,
+        released: false,
     })
 }
 
