Free the slot of a hedge that lost the race against its cancel

Cause: a losing hedge often ended before its cancel came. The stand-in then replied false, though nothing ran any more, and the keeper had closed the connection without reading the answer: the slot counted as taken until the expiry, 1.25 s later. On a replica cut to one at a time that refused its whole shard. Found by looking into refusals of an idle system, with the time line. Ruled out: the cold ramp (its cuts are short), the queue, the admission gate.

--- a/daisyhinge/src/shell/entry/keeping.rs
+++ b/daisyhinge/src/shell/entry/keeping.rs
@@ -43,6 +43,8 @@
     expires: MonotonicTime,
     reply: Option<oneshot::Sender<SubReply>>,
     sending: Option<AbortHandle>,
+    /// Dropped with the waiter, which tells a cancel that the dispatch has ended.
+    watch: Option<oneshot::Sender<()>>,
 }
 
 /// What a step brought beside what was done at once.
--- a/daisyhinge/src/shell/entry/keeping/running.rs
+++ b/daisyhinge/src/shell/entry/keeping/running.rs
@@ -58,6 +58,7 @@
         expires: ticket.expires,
         reply: Some(sender),
         sending: None,
+        watch: None,
     };
     if !insert_waiter(state, waiter) {
         return Err(SubRefusal::not_run(ResultCode::MalformedRequest));
--- a/daisyhinge/src/shell/entry/keeping/sending.rs
+++ b/daisyhinge/src/shell/entry/keeping/sending.rs
@@ -1,6 +1,9 @@
 //! Sends sub-requests and cancels to backend servers.
 
 use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::oneshot;
 
 use crate::keeper::event::KeeperEvent;
 use crate::keeper::ticket::RunEnd;
@@ -12,6 +15,9 @@
 use crate::vocabulary::clock::span_to_millis;
 use crate::vocabulary::subrequest::{SubAnswer, SubAsk, SubRefusal, SubReply};
 
+/// How long the answer to a cancelled dispatch may take after the reply to its cancel.
+const END_GRACE: Duration = Duration::from_millis(20);
+
 pub(super) fn spawn_send(state: &Arc<EntryState>, target: SendTarget) {
     let SendTarget { replica, attempt } = target;
     if !start_send(state, attempt) {
@@ -91,7 +97,7 @@
     answer_root(waiter.reply, result);
 }
 
-fn answer_root(sender: Option<tokio::sync::oneshot::Sender<SubReply>>, result: SubReply) {
+fn answer_root(sender: Option<oneshot::Sender<SubReply>>, result: SubReply) {
     if let Some(sender) = sender {
         let _root_may_be_gone = sender.send(result);
     }
@@ -116,17 +122,23 @@
     }
 }
 
-/// Closes the connection of a dispatch and asks the backend server to stop the work.
+/// Asks the backend server to stop the work of a dispatch.
+///
+/// A backend server that stops answers the dispatch as well, so its connection is left open for
+/// a moment: closing it at once would cost a new connection for each hedge that lost.
 pub(super) fn spawn_cancel(state: &Arc<EntryState>, target: SendTarget) {
     let owner = Arc::clone(state);
     tokio::spawn(async move {
         let SendTarget { replica, attempt } = target;
-        close_send(&owner, attempt);
-        let pool = owner.keeping.lock().pools.get(&replica).cloned();
+        let (ended, pool) = watch_end(&owner, &replica, attempt);
         let stopped = match pool {
             Some(pool) => send_cancel(&pool, attempt).await,
             None => false,
         };
+        if let Some(ended) = ended {
+            let _sender_is_dropped_at_the_end = tokio::time::timeout(END_GRACE, ended).await;
+        }
+        close_send(&owner, attempt);
         step_replica(
             &owner,
             &replica,
@@ -135,9 +147,27 @@
     });
 }
 
+/// Lets the root go and watches for the end of a dispatch, if it has not ended yet.
+fn watch_end(
+    state: &EntryState,
+    replica: &ReplicaName,
+    attempt: AttemptId,
+) -> (Option<oneshot::Receiver<()>>, Option<ServerPool>) {
+    let mut keeping = state.keeping.lock();
+    let pool = keeping.pools.get(replica).cloned();
+    let Some(waiter) = keeping.waiters.get_mut(&attempt) else {
+        return (None, pool);
+    };
+    let (sender, ended) = oneshot::channel();
+    waiter.watch = Some(sender);
+    let refusal = SubRefusal::with_run(ResultCode::Cancelled, RunState::Unknown);
+    answer_root(waiter.reply.take(), Err(refusal));
+    (Some(ended), pool)
+}
+
+/// Closes the connection of a dispatch that has not ended.
 fn close_send(state: &Arc<EntryState>, attempt: AttemptId) {
     let waiter = state.keeping.lock().waiters.remove(&attempt);
-    // Without a waiter the dispatch has ended by itself.
     let Some(waiter) = waiter else { return };
     if let Some(sending) = &waiter.sending {
         sending.abort();
@@ -147,11 +177,4 @@
         end: RunEnd::Expired,
     };
     step_replica(state, &waiter.ask.replica, event);
-    answer_root(
-        waiter.reply,
-        Err(SubRefusal::with_run(
-            ResultCode::Cancelled,
-            RunState::Unknown,
-        )),
-    );
 }
