--- a/daisyhinge-fakes/src/load/caller.rs
+++ b/daisyhinge-fakes/src/load/caller.rs
@@ -1,7 +1,7 @@
 //! Callers: they ask which entries to use, keep the answer, and resend after a loss.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,7 +13,7 @@
 use parking_lot::Mutex;
 use tokio::time::{Instant, sleep};
 
-use crate::http::{HttpCaller, WholeResponse, build_caller, get_path, send_request};
+use crate::http::{HttpCaller, WholeResponse, build_caller_from, get_path, send_request};
 use crate::load::oracle::check_answer;
 use crate::load::outcome::RequestEnd;
 use crate::load::scenario::{CallerPlan, ServicePlan};
@@ -69,12 +69,18 @@
 }
 
 impl LoadCaller {
-    pub fn new(data_centre: &CentreName, plan: &CallerPlan, entries: &Arc<[EntryPoint]>) -> Self {
+    /// The caller with that index; each has a loopback address of its own.
+    pub fn new(
+        index: usize,
+        data_centre: &CentreName,
+        plan: &CallerPlan,
+        entries: &Arc<[EntryPoint]>,
+    ) -> Self {
         Self {
             data_centre: data_centre.clone(),
             plan: plan.clone(),
             entries: Arc::clone(entries),
-            http: build_caller(),
+            http: build_caller_from(Some(loopback_source(index))),
             kept: Mutex::new(HashMap::new()),
         }
     }
@@ -234,6 +240,12 @@
     }
 }
 
+/// A loopback address for the caller with that index.
+fn loopback_source(index: usize) -> IpAddr {
+    let [.., high, low] = (index + 1).to_be_bytes();
+    IpAddr::from([127, 1, high, low])
+}
+
 fn build_query(
     service: &ServicePlan,
     request: &CallerRequest,
