Take no earlier start's release for that of the present keeper

Conclusion: a released departure counts only in a view that does not list the VM. Test of its own; the model lists a replaced start as departed, as control does.

--- a/daisyhinge/src/keeper/history.rs
+++ b/daisyhinge/src/keeper/history.rs
@@ -144,17 +144,20 @@
         ends.filter(|end| *end > now).min()
     }
 
+    /// Whether a view since the one at `index` says that `former` left and released all. As long
+    /// as its VM is listed, a released departure is that of an earlier start.
     fn released_since(&self, index: usize, former: &EntryRecord) -> bool {
         let steps = &self.steps[index..];
-        let listed = |released: bool| {
-            steps.iter().any(|step| {
-                step.view
-                    .departed
-                    .iter()
-                    .any(|gone| gone.vm == former.vm && gone.released == released)
-            })
+        let lists = |view: &ControlView, released: bool| {
+            view.departed
+                .iter()
+                .any(|gone| gone.vm == former.vm && gone.released == released)
         };
-        listed(true) && !listed(false)
+        let listed = |view: &ControlView| view.entries.iter().any(|entry| entry.vm == former.vm);
+        steps
+            .iter()
+            .any(|step| lists(&step.view, true) && !listed(&step.view))
+            && !steps.iter().any(|step| lists(&step.view, false))
     }
 
     /// Whether between `former` and `next` there may have been a view with another keeper.
--- a/daisyhinge/tests/keeper/world/entry_side.rs
+++ b/daisyhinge/tests/keeper/world/entry_side.rs
@@ -272,10 +272,10 @@
             .cloned();
         match listed {
             None => self.commit(|view| view.entries.push(record)),
-            Some(row) if row.incarnation != record.incarnation => self.commit(|view| {
-                let row = view.entries.iter_mut().find(|row| row.vm == record.vm);
-                *row.expect("the entry") = record;
-            }),
+            Some(row) if row.incarnation != record.incarnation => {
+                self.depart(index, false);
+                self.commit(|view| view.entries.push(record));
+            }
             Some(row) if row.state == EntryState::Leaving => {
                 if released && seen == Some(self.latest().view.version) {
                     self.depart(index, true);
--- a/daisyhinge/tests/keeper_roster.rs
+++ b/daisyhinge/tests/keeper_roster.rs
@@ -168,6 +168,30 @@
     assert_eq!(bench.ask(at(10_200), &replica, 1), ResultCode::Ok);
 }
 
+#[test]
+fn the_release_of_an_earlier_start_is_not_that_of_the_present_one() {
+    let both = [entry("a", 5), entry("b", 1)];
+    let replica = replica_kept_by("a", "b", &both);
+    let earlier = [gone("a", true)];
+    let mut bench = RosterBench::new("b");
+    bench.prove(at(0), &view(1, &both, &earlier, None));
+    bench.prove(at(10_000), &view(1, &both, &earlier, None));
+    let mut leaving = both.clone();
+    leaving[0].state = EntryState::Leaving;
+    bench.prove(at(10_100), &view(2, &leaving, &earlier, None));
+    assert_eq!(
+        bench.announce(at(10_200), announce(&replica, 1)),
+        ResultCode::Ok
+    );
+    assert_eq!(
+        bench.ask(at(10_200), &replica, 1),
+        ResultCode::KeeperWaiting
+    );
+    // Once it left too, the release is its own.
+    bench.prove(at(10_300), &view(3, &both[1..], &earlier, None));
+    assert_eq!(bench.ask(at(10_300), &replica, 2), ResultCode::Ok);
+}
+
 #[test]
 fn one_that_was_named_and_never_began_does_not_hide_the_one_before() {
     let all = [entry("a", 1), entry("b", 1), entry("c", 1)];
