--- a/daisyhinge/src/keeper/roster.rs
+++ b/daisyhinge/src/keeper/roster.rs
@@ -70,8 +70,9 @@
             RosterEvent::Left(leave) => self.take_leave(now, leave, actions),
             RosterEvent::Asked { replica, ticket } => self.ask(now, &replica, ticket, actions),
             RosterEvent::Replica { replica, event } => {
-                self.step_replica(now, &replica, event, actions);
-                self.use_freed_power(now, &replica, actions);
+                if self.step_replica(now, &replica, event, actions) {
+                    self.use_freed_power(now, &replica, actions);
+                }
             }
             RosterEvent::Crashes {
                 keeper,
--- a/daisyhinge/src/keeper/roster/dispatch.rs
+++ b/daisyhinge/src/keeper/roster/dispatch.rs
@@ -31,7 +31,8 @@
                 CrashVerdict::Suspect => KeeperEvent::AskedAlone(ticket),
                 _ => KeeperEvent::Asked(ticket),
             };
-            return self.step_replica(now, replica, event, actions);
+            self.step_replica(now, replica, event, actions);
+            return;
         };
         let refusal = SubRefusal {
             code,
@@ -48,20 +49,22 @@
         });
     }
 
+    /// Steps one replica. Returns whether the power cap left no room before.
     pub(super) fn step_replica(
         &mut self,
         now: MonotonicTime,
         replica: &ReplicaName,
         event: KeeperEvent,
         actions: &mut Vec<RosterAction>,
-    ) {
+    ) -> bool {
         let Some(row) = self.rows.get_mut(replica) else {
-            return;
+            return false;
         };
         let gate = row.gate(self.lease_ends);
         let centre = row.keeper.announcement().data_centre.clone();
         let share = self.history.power_share(now, &centre);
-        row.keeper.set_power_room(self.power.room(&centre, share));
+        let room = self.power.room(&centre, share);
+        row.keeper.set_power_room(room);
         let before = row.keeper.load().running;
         let mut wanted = Vec::new();
         row.keeper.step(now, event, &gate, &mut wanted);
@@ -74,6 +77,7 @@
         for action in wanted {
             self.take_action(now, replica, action, actions);
         }
+        room == 0
     }
 
     fn take_action(
