Let no suspect hide the request that crashed a server

It ran beside one that had just become suspect, and the crash was laid to that alone. Conclusion: a crash that several share counts for each of them, up to one; only a crash of its own convicts a suspect, which runs alone. The test of the former rule is replaced by one of this rule, as strict: it asserts both counts.

--- a/daisyhinge/src/keeper/crash.rs
+++ b/daisyhinge/src/keeper/crash.rs
@@ -89,18 +89,17 @@
         }
     }
 
-    /// Counts one crash of a backend server that ran `suspects`, and returns those it is laid to:
-    /// the ones that were suspect before, or all where none was.
+    /// Counts one crash of a backend server that ran `suspects`, and returns those whose count
+    /// grew. Where several ran, nobody's count here grows beyond one: a suspect runs alone the
+    /// next time, and only a crash of its own convicts it.
     pub fn note_crash(
         &mut self,
         now: MonotonicTime,
         suspects: &[RequestDigest],
     ) -> Vec<RequestDigest> {
-        let known = |digest: &RequestDigest| self.verdict(now, *digest) != CrashVerdict::Clear;
-        let mut blamed: Vec<_> = suspects.iter().copied().filter(known).collect();
-        if blamed.is_empty() {
-            blamed = suspects.to_vec();
-        }
+        let alone = suspects.len() == 1;
+        let grows = |digest: &RequestDigest| alone || !self.has_own(now, *digest);
+        let blamed: Vec<_> = suspects.iter().copied().filter(grows).collect();
         for digest in &blamed {
             self.add_own(now, *digest);
         }
@@ -196,6 +195,15 @@
         self.rows.is_empty()
     }
 
+    fn has_own(&self, now: MonotonicTime, digest: RequestDigest) -> bool {
+        let row = self.rows.get(&digest);
+        row.is_some_and(|row| {
+            row.sources
+                .iter()
+                .any(|row| row.keeper.is_none() && now.since(row.last) < CRASH_KEEP_SPAN)
+        })
+    }
+
     fn add_own(&mut self, now: MonotonicTime, digest: RequestDigest) {
         let own = self
             .rows
