--- a/daisyhinge/tests/keeper/world/entry_side.rs
+++ b/daisyhinge/tests/keeper/world/entry_side.rs
@@ -129,11 +129,8 @@
             return;
         };
         let replica = self.servers[run.server].announcement.replica.clone();
-        let closed = entry
-            .roster
-            .gate(&replica)
-            .is_none_or(|gate| gate.refuse_reason(local).is_some());
-        if closed || local >= run.ticket.expires {
+        let refusal = entry.roster.last_look(local, &replica, run.ticket.expires);
+        if refusal.is_some() {
             self.counts.not_sent += 1;
             self.end(index, attempt, RunEnd::NotSent);
             return;
@@ -275,10 +272,10 @@
             .cloned();
         match listed {
             None => self.commit(|view| view.entries.push(record)),
-            Some(row) if row.incarnation != record.incarnation => self.commit(|view| {
-                let row = view.entries.iter_mut().find(|row| row.vm == record.vm);
-                *row.expect("the entry") = record;
-            }),
+            Some(row) if row.incarnation != record.incarnation => {
+                self.depart(index, false);
+                self.commit(|view| view.entries.push(record));
+            }
             Some(row) if row.state == EntryState::Leaving => {
                 if released && seen == Some(self.latest().view.version) {
                     self.depart(index, true);
