Answer the cancel of finished work with true in the fake backend server

Events beside the fakes' arrivals show the sub-request waiting at its keeper: a hedge's loser was answered just before its cancel came, the fake said 'false', and the keeper held the slot until the expiry of an attempt that no longer ran. Ruled out: the machine (the tool was at most 9 ms late), the lease (no such event), the connection bound. Conclusion: 'true' means that the work has certainly stopped, and answered work has. A result also lists the arrivals of the requests whose events it lists.

--- a/daisyhinge-fakes/src/load/narrate.rs
+++ b/daisyhinge-fakes/src/load/narrate.rs
@@ -3,11 +3,14 @@
 use std::collections::HashSet;
 
 use daisyhinge::prelude::*;
+use daisyhinge::vocabulary::clock::span_to_micros;
 use daisyhinge::vocabulary::event::EventKind;
 
+use crate::load::fleet::FleetServer;
 use crate::load::outcome::{RequestEnd, RequestOutcome};
 use crate::load::run::LoadRun;
 use crate::load::system::SystemEvent;
+use crate::server::{SubRecord, read_wall_us};
 
 /// Slow requests, and refused ones, of which the events are listed.
 const REQUESTS_MAX: usize = 5;
@@ -35,9 +38,30 @@
             let at_ms = event.at.duration_since(start).as_millis();
             format!("at_ms={at_ms} vm={} {text}", event.vm)
         })
+        .chain(list_arrivals(run, &chosen))
         .collect()
 }
 
+/// Arrivals of the chosen requests at the fakes.
+fn list_arrivals(run: &LoadRun, chosen: &HashSet<RequestId>) -> Vec<String> {
+    let start_us = read_wall_us().saturating_sub(span_to_micros(run.elapsed()));
+    let list_server = |server: &FleetServer| {
+        let replica = server.server.replica().clone();
+        let log = server.server.record().log;
+        log.into_iter()
+            .filter(|sub| chosen.contains(&sub.request))
+            .map(move |sub| {
+                let at_ms = sub.at_us.saturating_sub(start_us) / 1_000;
+                let SubRecord {
+                    request, attempt, ..
+                } = sub;
+                format!("at_ms={at_ms} replica={replica} arrived {request} attempt={attempt}")
+            })
+            .collect::<Vec<_>>()
+    };
+    run.fleet.servers.iter().flat_map(list_server).collect()
+}
+
 fn choose_requests(outcomes: &[RequestOutcome]) -> HashSet<RequestId> {
     let mut slowest = outcomes.iter().collect::<Vec<_>>();
     slowest.sort_by_key(|outcome| std::cmp::Reverse(outcome.latency));
--- a/daisyhinge-fakes/src/server.rs
+++ b/daisyhinge-fakes/src/server.rs
@@ -22,6 +22,7 @@
 use tokio::net::TcpListener;
 
 pub use crate::server::answer::EchoPayload;
+pub(crate) use crate::server::core::read_wall_us;
 pub use crate::server::fault::{ColdSettings, DamageKind, FaultSettings};
 pub use crate::server::record::{FakeRecord, SubRecord};
 pub use crate::server::settings::{FakeSettings, SHARD_WEIGHT, hold_snapshot};
--- a/daisyhinge-fakes/src/server/core.rs
+++ b/daisyhinge-fakes/src/server/core.rs
@@ -248,8 +248,8 @@
                 self.finish(attempt, WorkEnd::Cancelled);
                 true
             }
-            Some(AttemptState::Stopped) => true,
-            Some(AttemptState::Answered) => false,
+            // Work that was answered has stopped too: its slot is free.
+            Some(AttemptState::Stopped | AttemptState::Answered) => true,
             None => {
                 self.remember(attempt, AttemptState::Stopped);
                 true
