--- a/daisyhinge-fakes/src/server/core.rs
+++ b/daisyhinge-fakes/src/server/core.rs
@@ -248,7 +248,7 @@
                 self.finish(attempt, WorkEnd::Cancelled);
                 true
             }
-            // Work that has ended has certainly stopped, whatever became of its answer.
+            // Work that was answered has stopped too: its slot is free.
             Some(AttemptState::Stopped | AttemptState::Answered) => true,
             None => {
                 self.remember(attempt, AttemptState::Stopped);
