--- a/daisyhinge/benches/control.rs
+++ b/daisyhinge/benches/control.rs
@@ -19,7 +19,7 @@
 use daisyhinge::shell::control::ControlShell;
 use daisyhinge::shell::control::codec::BOOK_CODEC;
 use daisyhinge::vocabulary::change::{ChangeAsk, ChangeKind};
-use daisyhinge::vocabulary::claim::{ClaimAsk, ClaimReply};
+use daisyhinge::vocabulary::claim::{ClaimAsk, ClaimEnd, ClaimEnding, ClaimReply};
 use daisyhinge::vocabulary::environment::{AddressPolicy, EnvironmentDocument};
 use daisyhinge::vocabulary::freshness::FreshAsk;
 use daisyhinge::vocabulary::setting::{ControlSettings, VoterPeer};
@@ -110,6 +110,20 @@
     }
 }
 
+/// Claims and gives back: two commits, as each request has. Claims alone would reach their bound.
+async fn claim_and_end(leader: &ControlShell) {
+    let claim = make_claim();
+    let reply = leader.claim(claim.clone()).await;
+    assert!(reply == ClaimReply::Won, "{reply:?}");
+    let end = ClaimEnd {
+        service: claim.service,
+        request: claim.request,
+        attempt: claim.attempt,
+        end: ClaimEnding::NotRun,
+    };
+    assert!(leader.end_claim(end).await);
+}
+
 async fn run_claims(leader: &ControlShell, count: u64, at_a_time: u64) -> Duration {
     let begun = Instant::now();
     let left = Arc::new(AtomicU64::new(count));
@@ -122,8 +136,7 @@
                     .fetch_update(Ordering::Relaxed, Ordering::Relaxed, more)
                     .is_ok()
                 {
-                    let reply = leader.claim(make_claim()).await;
-                    assert!(reply == ClaimReply::Won, "{reply:?}");
+                    claim_and_end(&leader).await;
                 }
             })
         })
@@ -143,8 +156,7 @@
             let _guard = runtime.enter();
             let shells: Vec<ControlShell> = settings.iter().map(start).collect();
             let leader = runtime.block_on(change_at_any(&shells, 0));
-            // Bounded, since claims are.
-            let name = format!("claims/{voters}-voters/{at_a_time}-at-a-time");
+            let name = format!("claim-and-end/{voters}-voters/{at_a_time}-at-a-time");
             criterion.bench_function(&name, |bencher| {
                 bencher.iter_custom(|count| {
                     runtime.block_on(run_claims(&shells[leader], count, at_a_time))
