--- /dev/null
+++ b/daisyhinge-cli/src/control.rs
@@ -0,0 +1,213 @@
+//! `daisyhinge control`.
+
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+use daisyhinge::prelude::*;
+use daisyhinge::shell::operator::OperatorClient;
+use daisyhinge::shell::operator::client::ClientFault;
+use daisyhinge::vocabulary::change::ChangeKind;
+use daisyhinge::vocabulary::control::{ControlRole, ControlStatus, VoterStatus};
+use serde::Serialize;
+
+use crate::arguments::{ChangeArguments, ControlCommand, GroupArguments};
+use crate::connection::{open_client, read_name, read_operators, send_change};
+use crate::exit::{CommandFault, EXIT_NOT_EVERYWHERE};
+use crate::output::Output;
+use crate::wait::POLL_PAUSE;
+
+/// What one of the control VMs answered.
+#[derive(Debug, Serialize)]
+struct StatusReport {
+    operator_address: SocketAddr,
+    status: Option<ControlStatus>,
+}
+
+/// What became of a change of the group.
+#[derive(Debug, Serialize)]
+struct VoterReport {
+    /// Version at which it was accepted.
+    version: VersionNumber,
+    /// Whether the group is as wanted; unset if that was not waited for.
+    settled: Option<bool>,
+    /// The group, if that was waited for.
+    voters: Vec<VoterStatus>,
+}
+
+/// Runs one command.
+pub async fn run(
+    command: &ControlCommand,
+    group: &GroupArguments,
+    output: Output,
+) -> Result<ExitCode, CommandFault> {
+    match command {
+        ControlCommand::Status => show_status(group, output).await,
+        ControlCommand::Add {
+            vm,
+            address,
+            change,
+        } => {
+            let kind = ChangeKind::AddVoter {
+                vm: read_name("VM", vm)?,
+                address: *address,
+            };
+            alter(change, kind, group, output).await
+        }
+        ControlCommand::Remove { vm, change } => {
+            let kind = ChangeKind::RemoveVoter {
+                vm: read_name("VM", vm)?,
+            };
+            alter(change, kind, group, output).await
+        }
+    }
+}
+
+async fn alter(
+    change: &ChangeArguments,
+    kind: ChangeKind,
+    group: &GroupArguments,
+    output: Output,
+) -> Result<ExitCode, CommandFault> {
+    let client = open_client(group)?;
+    let wanted = kind.clone();
+    let done = send_change(&client, change, None, kind, output).await?;
+    let mut report = VoterReport {
+        version: done.version,
+        settled: None,
+        voters: Vec::new(),
+    };
+    if change.wait {
+        let end = Instant::now() + Duration::from_secs(change.wait_s);
+        wait_settled(&client, &wanted, &mut report, end).await;
+    }
+    output.show(&report, |text| write_voters(&report, text));
+    Ok(match report.settled {
+        Some(false) => ExitCode::from(EXIT_NOT_EVERYWHERE),
+        _ => ExitCode::SUCCESS,
+    })
+}
+
+/// Waits until the group is as the change wants it: the added VM votes, the removed one is gone.
+async fn wait_settled(
+    client: &OperatorClient,
+    wanted: &ChangeKind,
+    report: &mut VoterReport,
+    end: Instant,
+) {
+    report.settled = Some(false);
+    loop {
+        if let Ok(status) = client.leader_status().await {
+            report.voters = status.voters;
+            if is_settled(wanted, &report.voters) {
+                report.settled = Some(true);
+                return;
+            }
+        }
+        if Instant::now() + POLL_PAUSE >= end {
+            return;
+        }
+        tokio::time::sleep(POLL_PAUSE).await;
+    }
+}
+
+fn is_settled(wanted: &ChangeKind, voters: &[VoterStatus]) -> bool {
+    match wanted {
+        ChangeKind::AddVoter { vm, .. } => {
+            voters.iter().any(|voter| voter.vm == *vm && !voter.learner)
+        }
+        ChangeKind::RemoveVoter { vm } => voters.iter().all(|voter| voter.vm != *vm),
+        _ => true,
+    }
+}
+
+fn write_voters(report: &VoterReport, text: &mut String) {
+    let _ = writeln!(text, "accepted at version {}", report.version);
+    match report.settled {
+        Some(true) => text.push_str("the group is as wanted\n"),
+        Some(false) => text.push_str("the group is not yet as wanted\n"),
+        None => {}
+    }
+    for voter in &report.voters {
+        write_voter(voter, text);
+    }
+}
+
+async fn show_status(group: &GroupArguments, output: Output) -> Result<ExitCode, CommandFault> {
+    let client = open_client(group)?;
+    let mut reports = Vec::new();
+    for operator_address in read_operators(group)? {
+        let status = match client.status(operator_address).await {
+            Ok(status) => Some(status),
+            Err(ClientFault::Refused(refusal)) => return Err(CommandFault::Refused(refusal)),
+            Err(_) => None,
+        };
+        reports.push(StatusReport {
+            operator_address,
+            status,
+        });
+    }
+    output.show(&reports, |text| {
+        for report in &reports {
+            write_report(report, text);
+        }
+    });
+    if reports.iter().any(|report| report.status.is_some()) {
+        Ok(ExitCode::SUCCESS)
+    } else {
+        Err(CommandFault::Unreachable)
+    }
+}
+
+fn write_report(report: &StatusReport, text: &mut String) {
+    let address = report.operator_address;
+    let Some(status) = &report.status else {
+        let _ = writeln!(text, "operator_address={address} reached=no");
+        return;
+    };
+    let leader = status.leader.as_ref().map_or("-", VmName::as_str);
+    let _ = writeln!(
+        text,
+        "operator_address={address} vm={} role={} leader={leader} confirmed_ms={} term={} \
+         version={} committed={} claims={}",
+        status.vm,
+        name_role(status.role),
+        show_number(status.confirmed_ms),
+        status.term,
+        status.version,
+        status.commit,
+        status.claims
+    );
+    if status.role == ControlRole::Leader {
+        for voter in &status.voters {
+            write_voter(voter, text);
+        }
+    }
+}
+
+fn name_role(role: ControlRole) -> &'static str {
+    match role {
+        ControlRole::Leader => "leader",
+        ControlRole::Follower => "follower",
+        ControlRole::Candidate => "candidate",
+        ControlRole::Learner => "learner",
+        ControlRole::Outside => "outside",
+    }
+}
+
+fn show_number(number: Option<u64>) -> String {
+    number.map_or("-".to_owned(), |number| number.to_string())
+}
+
+fn write_voter(voter: &VoterStatus, text: &mut String) {
+    let _ = writeln!(
+        text,
+        "  vm={} address={} votes={} matched={} heard_ms={}",
+        voter.vm,
+        voter.address,
+        if voter.learner { "not-yet" } else { "yes" },
+        show_number(voter.matched),
+        show_number(voter.heard_ms)
+    );
+}
--- /dev/null
+++ b/daisyhinge-fakes/src/load/start.rs
@@ -0,0 +1,226 @@
+//! Starts control and entries inside this process.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use daisyhinge::metric::EntryMetrics;
+use daisyhinge::prelude::*;
+use daisyhinge::shell::control::ControlShell;
+use daisyhinge::shell::entry::EntryShell;
+use daisyhinge::vocabulary::change::{ChangeAsk, ChangeKind};
+use daisyhinge::vocabulary::event::EventDraft;
+use daisyhinge::vocabulary::setting::{ControlSettings, EntryLimits, EntrySettings, VoterPeer};
+use futures::FutureExt;
+use parking_lot::Mutex;
+use prometheus_client::registry::Registry;
+use tempfile::TempDir;
+
+use crate::load::scenario::{CentrePlan, LoadScenario};
+use crate::load::system::{
+    CentreHook, EntryHook, EntryPoint, SystemEvent, SystemEvents, SystemHandle,
+};
+
+/// Environment of the runs.
+const ENVIRONMENT: &str = "trial";
+/// Control VMs.
+const VOTERS: usize = 3;
+/// Events that each process keeps.
+const EVENTS_MAX: u32 = 1_024;
+/// Longest wait for a change to be accepted.
+const CHANGE_LIMIT: Duration = Duration::from_secs(20);
+/// Wait before a change is sent again.
+const CHANGE_PAUSE: Duration = Duration::from_millis(50);
+
+type EntryTable = Arc<Mutex<HashMap<VmName, EntryShell>>>;
+
+/// Control inside this process; its folders go with it.
+#[derive(Debug)]
+struct LocalControl {
+    shells: Vec<ControlShell>,
+    addresses: Vec<SocketAddr>,
+    _folder: TempDir,
+}
+
+/// Starts control and the entries of `scenario` inside this process.
+///
+/// # Errors
+///
+/// `BindFailed` if no port is free, `StorageFailed` without a folder for control, `NoQuorum` if
+/// control does not accept the document.
+pub async fn start_system(scenario: &LoadScenario) -> Result<SystemHandle, ResultCode> {
+    let events = SystemEvents::default();
+    let control = Arc::new(LocalControl::spawn(&events)?);
+    let document = Arc::new(scenario.build_document());
+    let environment = EnvironmentName::from(ENVIRONMENT);
+    let base = Some(VersionNumber(0));
+    control
+        .change(
+            "apply",
+            base,
+            ChangeKind::Apply {
+                environment,
+                document,
+            },
+        )
+        .await?;
+    let shells = EntryTable::default();
+    let mut entries = Vec::new();
+    for centre in &scenario.data_centres {
+        for vm in &centre.entries {
+            let settings = build_settings(centre, vm, &control.addresses);
+            let metrics = EntryMetrics::register(&mut Registry::default());
+            let shell = EntryShell::spawn(settings, metrics, note_events(vm, &events)).await?;
+            entries.push(EntryPoint {
+                vm: vm.clone(),
+                data_centre: centre.name.clone(),
+                address: shell.caller_address(),
+            });
+            shells.lock().insert(vm.clone(), shell);
+        }
+    }
+    Ok(SystemHandle {
+        entries,
+        change_centre: Some(build_centre_hook(control)),
+        end_entry: Some(build_entry_hook(shells)),
+        events,
+    })
+}
+
+impl LocalControl {
+    fn spawn(events: &SystemEvents) -> Result<Self, ResultCode> {
+        let folder = TempDir::new().map_err(|_no_folder| ResultCode::StorageFailed)?;
+        let addresses = find_ports(VOTERS)?;
+        let voters = (0..).zip(&addresses).map(|(index, address)| VoterPeer {
+            vm: name_voter(index),
+            address: *address,
+        });
+        let voters = voters.collect::<Vec<_>>();
+        let shells = voters.iter().map(|voter| {
+            let settings = ControlSettings {
+                vm: voter.vm.clone(),
+                address: voter.address,
+                operator_address: free_address(),
+                metrics_address: free_address(),
+                data_folder: folder.path().join(voter.vm.as_str()),
+                token_file: folder.path().join("token"),
+                voters: voters.clone(),
+                events_max: EVENTS_MAX,
+            };
+            std::fs::create_dir_all(&settings.data_folder)
+                .map_err(|_no_folder| ResultCode::StorageFailed)?;
+            ControlShell::spawn(settings, note_events(&voter.vm, events)).map_err(|fault| {
+                eprintln!("event=control-failed fault=\"{fault}\"");
+                fault.code
+            })
+        });
+        let shells = shells.collect::<Result<Vec<_>, _>>()?;
+        Ok(Self {
+            shells,
+            addresses,
+            _folder: folder,
+        })
+    }
+
+    /// Makes a change through whichever VM leads.
+    async fn change(
+        &self,
+        name: &str,
+        base: Option<VersionNumber>,
+        kind: ChangeKind,
+    ) -> Result<(), ResultCode> {
+        let ask = ChangeAsk {
+            change: ChangeId::from(format!("{name}-{:x}", rand::random::<u64>())),
+            base,
+            operator: Arc::from("load"),
+            made_ms: 0,
+            kind,
+        };
+        let started = Instant::now();
+        let mut last = ResultCode::NoQuorum;
+        while started.elapsed() < CHANGE_LIMIT {
+            for shell in &self.shells {
+                match shell.change(ask.clone()).await {
+                    Ok(_done) => return Ok(()),
+                    Err(refusal) => last = refusal.code,
+                }
+            }
+            tokio::time::sleep(CHANGE_PAUSE).await;
+        }
+        Err(last)
+    }
+}
+
+/// Notes the events of one VM.
+fn note_events(vm: &VmName, events: &SystemEvents) -> Arc<dyn Fn(EventDraft) + Send + Sync> {
+    let (vm, events) = (vm.clone(), Arc::clone(events));
+    Arc::new(move |event| {
+        let at = tokio::time::Instant::now();
+        let vm = vm.clone();
+        events.lock().push(SystemEvent { at, vm, event });
+    })
+}
+
+/// Ports that are free now. Another process may take one before it is bound: the run then fails
+/// at its start.
+fn find_ports(count: usize) -> Result<Vec<SocketAddr>, ResultCode> {
+    let listeners = (0..count).map(|_index| std::net::TcpListener::bind(free_address()));
+    let listeners = listeners
+        .collect::<Result<Vec<_>, _>>()
+        .map_err(|_none_free| ResultCode::BindFailed)?;
+    let addresses = listeners.iter().map(std::net::TcpListener::local_addr);
+    addresses
+        .collect::<Result<_, _>>()
+        .map_err(|_gone| ResultCode::BindFailed)
+}
+
+fn free_address() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn name_voter(index: usize) -> VmName {
+    VmName::from(format!("control-{index}"))
+}
+
+fn build_settings(centre: &CentrePlan, vm: &VmName, control: &[SocketAddr]) -> EntrySettings {
+    EntrySettings {
+        vm: vm.clone(),
+        environment: EnvironmentName::from(ENVIRONMENT),
+        data_centre: centre.name.clone(),
+        caller_address: free_address(),
+        peer_address: free_address(),
+        metrics_address: free_address(),
+        control: control.to_vec(),
+        limits: EntryLimits::default(),
+    }
+}
+
+fn build_centre_hook(control: Arc<LocalControl>) -> CentreHook {
+    Box::new(move |data_centre, state| {
+        let control = Arc::clone(&control);
+        let environment = EnvironmentName::from(ENVIRONMENT);
+        let kind = ChangeKind::SetCentre {
+            environment,
+            data_centre,
+            state,
+        };
+        async move { control.change("centre", None, kind).await }.boxed()
+    })
+}
+
+fn build_entry_hook(shells: EntryTable) -> EntryHook {
+    Box::new(move |vm, at_once| {
+        let shell = shells.lock().remove(&vm);
+        async move {
+            let shell = shell.ok_or(ResultCode::UnknownReference)?;
+            if at_once {
+                shell.stop().await;
+            } else {
+                shell.shutdown().await;
+            }
+            Ok(())
+        }
+        .boxed()
+    })
+}
--- a/daisyhinge/benches/control.rs
+++ b/daisyhinge/benches/control.rs
@@ -231,6 +231,7 @@
             state: EntryState::Live,
         },
         holds,
+        released: false,
     })
 }
 
--- a/daisyhinge/src/lib.rs
+++ b/daisyhinge/src/lib.rs
@@ -5,8 +5,17 @@
 //! actions into bytes. Imports run one way: shells import decisions, decisions import
 //! [`vocabulary`], never back.
 
+pub mod address;
+pub mod check;
 pub mod control;
+pub mod environment;
+pub mod keeper;
+pub mod lease;
+pub mod metric;
 pub mod prelude;
-pub mod vocabulary;
-
+pub mod rendezvous;
+pub mod search;
+pub mod setting;
 pub mod shell;
+pub mod timeline;
+pub mod vocabulary;
--- a/daisyhinge/src/vocabulary.rs
+++ b/daisyhinge/src/vocabulary.rs
@@ -9,6 +9,7 @@
 pub mod control;
 pub mod environment;
 pub mod event;
+pub mod fault;
 pub mod freshness;
 pub mod name;
 pub mod query;
--- /dev/null
+++ b/daisyhinge/tests/keeper/world.rs
@@ -0,0 +1,461 @@
+//! A model of entries, control and backend servers around the machines, driven by one seed.
+//!
+//! The model knows the true time and what every backend server really works on, and asserts what
+//! must hold. Entries see drifting clocks, late and repeated messages, freezes and restarts.
+
+#[path = "world/control_side.rs"]
+mod control_side;
+#[path = "world/entry_side.rs"]
+mod entry_side;
+#[path = "world/server_side.rs"]
+mod server_side;
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use daisyhinge::keeper::history::{EntryIdentity, handover_span};
+use daisyhinge::keeper::roster::{KeeperRoster, RosterAction, RosterEvent};
+use daisyhinge::keeper::ticket::{RunEnd, SubTicket};
+use daisyhinge::keeper::{KeeperAction, KeeperEvent};
+use daisyhinge::lease::FreshnessLease;
+use daisyhinge::prelude::*;
+use daisyhinge::rendezvous::find_keeper;
+use daisyhinge::vocabulary::announcement::{ReplicaAnnouncement, ReplicaLeave, ServerState};
+use daisyhinge::vocabulary::environment::{CentreState, EnvironmentDocument};
+use daisyhinge::vocabulary::freshness::LEASE_SPAN;
+use daisyhinge::vocabulary::replica::{CrashRecord, TableAsk};
+use daisyhinge::vocabulary::view::{ControlView, DepartedEntry, EntryState};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::support::{CENTRE, ENVIRONMENT, announce, entry, ticket, view};
+
+const MS: u64 = 1_000;
+const SECOND: u64 = 1_000 * MS;
+const SLOTS: u32 = 2;
+const SILENCE_MAX: u64 = 3 * SECOND;
+const POISONS: u64 = 3;
+
+/// What one run did, to see that it was worth something.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct WorldCounts {
+    pub asked: u64,
+    pub answered: u64,
+    pub refused: u64,
+    pub not_sent: u64,
+    pub cold_arrivals: u64,
+    pub keeper_changes: u64,
+    pub crashes: u64,
+    pub poison_refusals: u64,
+    pub cancels: u64,
+    pub capped: u64,
+}
+
+impl WorldCounts {
+    pub fn add(&mut self, other: Self) {
+        self.asked += other.asked;
+        self.answered += other.answered;
+        self.refused += other.refused;
+        self.not_sent += other.not_sent;
+        self.cold_arrivals += other.cold_arrivals;
+        self.keeper_changes += other.keeper_changes;
+        self.crashes += other.crashes;
+        self.poison_refusals += other.poison_refusals;
+        self.cancels += other.cancels;
+        self.capped += other.capped;
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Item {
+    Renew,
+    Proof {
+        asked: MonotonicTime,
+        version: usize,
+        age: Duration,
+    },
+    Announce(usize),
+    Announced(ReplicaAnnouncement),
+    Left(usize, IncarnationNumber),
+    Ask,
+    Write(AttemptId),
+    Arrive {
+        entry: usize,
+        start: u64,
+        run: OpenRun,
+    },
+    Stop {
+        server: usize,
+        attempt: AttemptId,
+        answers: bool,
+    },
+    Timeout(AttemptId),
+    Ended(AttemptId, RunEnd),
+    Drop(usize, AttemptId),
+    CancelArrive {
+        entry: usize,
+        start: u64,
+        server: usize,
+        attempt: AttemptId,
+    },
+    CancelEnd {
+        server: usize,
+        attempt: AttemptId,
+        stopped: bool,
+    },
+    Tick,
+    Spread,
+    Crashes {
+        vm: VmName,
+        table: u64,
+        records: Vec<CrashRecord>,
+    },
+    Control,
+    Fault,
+    Restart(usize),
+    TurnReady(usize, IncarnationNumber),
+    Revive(usize),
+}
+
+/// A start of an entry, by its place.
+type Recipient = Option<(usize, u64)>;
+
+#[derive(Clone, Debug)]
+struct QueuedItem {
+    to: Recipient,
+    item: Item,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct OpenRun {
+    server: usize,
+    ticket: SubTicket,
+    left: Duration,
+    sent: u64,
+    knew_cold: bool,
+}
+
+struct Entry {
+    vm: VmName,
+    /// Counts starts; messages to an earlier one are lost.
+    start: u64,
+    roster: KeeperRoster,
+    lease: FreshnessLease,
+    frozen: u64,
+    /// Cut off from control until then.
+    cut: u64,
+    alive: bool,
+    offset: u64,
+    drift_ppm: i64,
+    heard: u64,
+    open: HashMap<AttemptId, OpenRun>,
+    /// Cold incarnation that each server announced here.
+    knows_cold: HashMap<usize, IncarnationNumber>,
+    left: HashMap<usize, (IncarnationNumber, u64)>,
+}
+
+impl Entry {
+    fn local(&self, now: u64) -> MonotonicTime {
+        let drift = i128::from(now) * i128::from(self.drift_ppm) / 1_000_000;
+        let local = i128::from(now) + drift + i128::from(self.offset);
+        MonotonicTime(u64::try_from(local).expect("a positive time"))
+    }
+}
+
+struct Work {
+    attempt: AttemptId,
+    entry: usize,
+    start: u64,
+    sent: u64,
+}
+
+struct Server {
+    announcement: ReplicaAnnouncement,
+    up: bool,
+    left: bool,
+    /// What it really bears now.
+    bears: u32,
+    working: Vec<Work>,
+    /// Entry and version of the last dispatch.
+    last: Option<(usize, VersionNumber)>,
+}
+
+struct Version {
+    committed: u64,
+    view: Arc<ControlView>,
+}
+
+pub struct World {
+    random: ChaCha8Rng,
+    now: u64,
+    sequence: u64,
+    queue: BTreeMap<(u64, u64), QueuedItem>,
+    versions: Vec<Version>,
+    entries: Vec<Entry>,
+    servers: Vec<Server>,
+    pending: HashMap<AttemptId, (usize, u64)>,
+    written: HashSet<AttemptId>,
+    crashed: HashMap<u64, u64>,
+    gone: Vec<(u64, DepartedEntry)>,
+    entry_faults: bool,
+    pub counts: WorldCounts,
+}
+
+impl World {
+    pub fn new(seed: u64, entry_faults: bool) -> Self {
+        let records: Vec<_> = (0..3)
+            .map(|number| entry(&format!("vm-{number}"), 1))
+            .collect();
+        let mut world = Self {
+            random: ChaCha8Rng::seed_from_u64(seed),
+            now: 0,
+            sequence: 0,
+            queue: BTreeMap::new(),
+            versions: vec![Version {
+                committed: 0,
+                view: view(1, &records, &[], None),
+            }],
+            entries: Vec::new(),
+            servers: Vec::new(),
+            pending: HashMap::new(),
+            written: HashSet::new(),
+            crashed: HashMap::new(),
+            gone: Vec::new(),
+            entry_faults,
+            counts: WorldCounts::default(),
+        };
+        for index in 0..3 {
+            let offset = world.random.random_range(0..100 * SECOND);
+            let drift_ppm = world.random.random_range(-1_000..=1_000);
+            let vm: VmName = format!("vm-{index}").as_str().into();
+            world.entries.push(Entry {
+                roster: new_roster(&vm, 1),
+                vm,
+                start: 1,
+                lease: FreshnessLease::default(),
+                frozen: 0,
+                cut: 0,
+                alive: true,
+                offset,
+                drift_ppm,
+                heard: 0,
+                open: HashMap::new(),
+                knows_cold: HashMap::new(),
+                left: HashMap::new(),
+            });
+            world.start_entry(index);
+        }
+        for index in 0..4 {
+            let mut announcement = announce(&format!("r{index}"), 0);
+            announcement.cold_allowance = u32::from(index % 2 == 0);
+            world.servers.push(Server {
+                announcement,
+                up: true,
+                left: false,
+                bears: SLOTS,
+                working: Vec::new(),
+                last: None,
+            });
+            world.push(0, None, Item::Announce(index));
+        }
+        world.push(0, None, Item::Ask);
+        world.push(0, None, Item::Control);
+        world.push(6 * SECOND, None, Item::Fault);
+        world
+    }
+
+    /// Runs until `end`, in seconds.
+    pub fn run(&mut self, end: u64) {
+        while self.now < end * SECOND {
+            let ((at, _), QueuedItem { to, item }) = self.queue.pop_first().expect("an item");
+            self.now = at;
+            if let Some((index, start)) = to {
+                let entry = &self.entries[index];
+                if entry.start != start || !entry.alive {
+                    continue;
+                }
+                if entry.frozen > at {
+                    let (delay, start) = (entry.frozen - at, entry.start);
+                    self.push(delay, Some((index, start)), item);
+                    continue;
+                }
+                self.take_at_entry(index, item);
+            } else {
+                self.take(item);
+            }
+        }
+        self.check_replies();
+    }
+
+    fn push(&mut self, delay: u64, to: Recipient, item: Item) {
+        self.sequence += 1;
+        self.queue
+            .insert((self.now + delay, self.sequence), QueuedItem { to, item });
+    }
+
+    fn push_to(&mut self, delay: u64, index: usize, item: Item) {
+        let start = self.entries[index].start;
+        self.push(delay, Some((index, start)), item);
+    }
+
+    fn chance(&mut self, percent: u32) -> bool {
+        self.random.random_range(0..100) < percent
+    }
+
+    /// A delay that is mostly short and sometimes up to `late`.
+    fn delay(&mut self, late: u64) -> u64 {
+        if self.chance(1) {
+            self.random.random_range(0..late)
+        } else {
+            self.random.random_range(200..2 * MS)
+        }
+    }
+
+    fn start_entry(&mut self, index: usize) {
+        self.push_to(0, index, Item::Renew);
+        self.push_to(0, index, Item::Tick);
+        self.push_to(0, index, Item::Spread);
+    }
+
+    fn latest(&self) -> &Version {
+        self.versions.last().expect("a version")
+    }
+
+    fn take(&mut self, item: Item) {
+        match item {
+            Item::Announce(server) => self.announce(server),
+            Item::Ask => self.ask(),
+            Item::Arrive { entry, start, run } => self.arrive(entry, start, run),
+            Item::Stop {
+                server,
+                attempt,
+                answers,
+            } => self.stop(server, attempt, answers),
+            Item::CancelArrive {
+                entry,
+                start,
+                server,
+                attempt,
+            } => {
+                self.cancel(entry, start, server, attempt);
+            }
+            Item::Control => self.control(),
+            Item::Fault => self.fault(),
+            Item::Restart(server) => self.restart(server),
+            Item::TurnReady(server, incarnation) => {
+                let server = &mut self.servers[server];
+                if server.announcement.incarnation == incarnation {
+                    server.announcement.state = ServerState::Ready;
+                    server.bears = SLOTS;
+                }
+            }
+            Item::Revive(index) => self.revive(index),
+            item => unreachable!("{item:?} is for an entry"),
+        }
+    }
+
+    fn take_at_entry(&mut self, index: usize, item: Item) {
+        match item {
+            Item::Renew => self.renew(index),
+            Item::Proof {
+                asked,
+                version,
+                age,
+            } => {
+                let view = Arc::clone(&self.versions[version].view);
+                let number = view.version;
+                self.step(index, RosterEvent::View(view));
+                self.entries[index].lease.renew(number, asked, age);
+                let lease = self.entries[index].lease;
+                self.step(index, RosterEvent::Lease(lease));
+            }
+            Item::Announced(announcement) => self.hear(index, announcement),
+            Item::Left(server, incarnation) => {
+                let replica = self.servers[server].announcement.replica.clone();
+                let leave = ReplicaLeave {
+                    replica,
+                    incarnation,
+                };
+                if self.step(index, RosterEvent::Left(leave)) == Some(ResultCode::Ok) {
+                    let known = self.entries[index]
+                        .left
+                        .entry(server)
+                        .or_insert((incarnation, 0));
+                    if known.1 == 0 || known.0 != incarnation {
+                        *known = (incarnation, self.now);
+                    }
+                }
+            }
+            Item::Write(attempt) => self.write(index, attempt),
+            Item::Timeout(attempt) => {
+                if self.entries[index].open.contains_key(&attempt) {
+                    self.end(index, attempt, RunEnd::Expired);
+                }
+            }
+            Item::Ended(attempt, end) => self.end(index, attempt, end),
+            Item::Drop(server, attempt) => {
+                self.step_replica(index, server, KeeperEvent::Dropped(attempt));
+            }
+            Item::CancelEnd {
+                server,
+                attempt,
+                stopped,
+            } => {
+                let event = KeeperEvent::CancelEnded { attempt, stopped };
+                self.step_replica(index, server, event);
+            }
+            Item::Tick => {
+                self.step(index, RosterEvent::Tick);
+                self.push_to(5 * MS, index, Item::Tick);
+            }
+            Item::Spread => self.spread(index),
+            Item::Crashes { vm, table, records } => {
+                let event = RosterEvent::Crashes {
+                    keeper: vm,
+                    table,
+                    records,
+                };
+                self.step(index, event);
+            }
+            item => unreachable!("{item:?} is not for an entry"),
+        }
+    }
+
+    /// A view that a root may act on: mostly the newest, sometimes one of the last seconds.
+    fn stale_version(&mut self) -> Arc<ControlView> {
+        let mut at = self.versions.len() - 1;
+        if self.chance(15) {
+            let since = self.now.saturating_sub(8 * SECOND);
+            let old = self
+                .versions
+                .iter()
+                .filter(|version| version.committed < since)
+                .count();
+            at = self.random.random_range(old.saturating_sub(1)..=at);
+        }
+        Arc::clone(&self.versions[at].view)
+    }
+}
+
+fn new_roster(vm: &VmName, start: u64) -> KeeperRoster {
+    let identity = EntryIdentity {
+        vm: vm.clone(),
+        incarnation: IncarnationNumber(start),
+        environment: ENVIRONMENT.into(),
+    };
+    KeeperRoster::new(identity, start, 100)
+}
+
+fn change_centre(
+    view: &mut ControlView,
+    change: impl FnOnce(&mut daisyhinge::vocabulary::environment::CentreEntry),
+) {
+    let document = view
+        .environments
+        .get_mut(&ENVIRONMENT.into())
+        .expect("the document");
+    let mut next = EnvironmentDocument::clone(document);
+    change(&mut next.regions[0].data_centres[0]);
+    *document = Arc::new(next);
+}
--- /dev/null
+++ b/daisyhinge/tests/search.rs
@@ -0,0 +1,20 @@
+//! Requests as their root entry runs them.
+
+#[path = "search/claims.rs"]
+mod claims;
+#[path = "search/events.rs"]
+mod events;
+#[path = "search/fleet.rs"]
+mod fleet;
+#[path = "search/fuzz.rs"]
+mod fuzz;
+#[path = "search/overload.rs"]
+mod overload;
+#[path = "search/policy.rs"]
+mod policy;
+#[path = "search/random.rs"]
+mod random;
+#[path = "search/routes.rs"]
+mod routes;
+#[path = "search/runner.rs"]
+mod runner;
