Count servers lost at once as one crash; name entries by rank; see callers go

Cause: each keeper's crash record added up, so the loss of a rack under one search, or under many with the same body, refused them everywhere for ten minutes: two records from one loss looked like a request that crashes servers. Ruled out: a shorter time of refusal (a real one would crash a server each time), withdrawing by time alone (a retry follows within milliseconds), the sum over a window of time (clocks and travelling times blur it). Now the highest count holds, a first crash counts one, and only the crash of a probe, which the root marks as such in the sub-request, counts the second. Also: callers are told entries by choose_addresses, with reachability from the table polls; a request whose caller is gone steps CallerGone, so that nothing counts as under way for ever; a watch on the phase replaces 50 wake-ups a second for each idle connection. Conclusion: a search that crashes servers still costs one server a shard and one probe more; a lookup two servers.

--- a/daisyhinge/src/keeper.rs
+++ b/daisyhinge/src/keeper.rs
@@ -231,12 +231,13 @@
     /// A new incarnation: whatever was under way on a connection was cut by a crash. Its slots
     /// stay occupied, for a sub-request may have reached the new process; cancels clear that up.
     fn take_restart(&mut self, now: MonotonicTime, actions: &mut Vec<KeeperAction>) {
+        let probe = self.slots.runs_alone();
         let mut suspects = self.slots.blame_all(now, None);
         if let Some(watch) = &self.watch {
             suspects.retain(|digest| !watch.suspects().contains(digest));
         }
         self.confirm_crash(actions);
-        self.suspect(now, suspects);
+        self.suspect(now, suspects, probe);
         self.confirm_crash(actions);
         self.ramp.take_bad_sign(now);
         self.slots.renew_cancels();
@@ -269,7 +270,7 @@
             }
             RunEnd::Reset => {
                 let suspects = self.slots.blame_all(now, Some(slot));
-                self.suspect(now, suspects);
+                self.suspect(now, suspects, slot.alone);
                 self.ramp.take_bad_sign(now);
             }
             RunEnd::NotSent | RunEnd::NotHeld | RunEnd::BadAnswer(_) | RunEnd::Expired => {}
@@ -284,10 +285,13 @@
         }
     }
 
-    fn suspect(&mut self, now: MonotonicTime, suspects: Vec<RequestDigest>) {
-        if !suspects.is_empty() {
-            self.watch = Some(CrashWatch::new(now, suspects.clone()));
-            self.crash_notes.push(CrashNote::Suspected(suspects));
+    fn suspect(&mut self, now: MonotonicTime, digests: Vec<RequestDigest>, probe: bool) {
+        if !digests.is_empty() {
+            // What was given up before a probe began may stand beside it on the list.
+            let probe = probe && digests.len() == 1;
+            self.watch = Some(CrashWatch::new(now, digests.clone(), probe));
+            self.crash_notes
+                .push(CrashNote::Suspected { digests, probe });
         }
     }
 
--- a/daisyhinge/src/keeper/crash.rs
+++ b/daisyhinge/src/keeper/crash.rs
@@ -53,7 +53,9 @@
         let counts = self.sources.iter().filter(|row| {
             now.since(row.last) < CRASH_KEEP_SPAN && self.cleared.is_none_or(|at| row.last > at)
         });
-        counts.map(|row| row.crashes).fold(0, u32::saturating_add)
+        // Not the sum: crashes at several keepers may be one loss, such as of a rack. A probe's
+        // crash carries the count of the one before it.
+        counts.map(|row| row.crashes).max().unwrap_or(0)
     }
 
     fn last(&self) -> MonotonicTime {
@@ -90,18 +92,20 @@
     }
 
     /// Counts one crash of a backend server that ran `suspects`, and returns those whose count
-    /// grew. Where several ran, nobody's count here grows beyond one: a suspect runs alone the
-    /// next time, and only a crash of its own convicts it.
+    /// grew. A first crash counts one, however many servers fall at once: a rack that is lost
+    /// takes servers from under innocent requests too. Only a `probe`, a request that was suspect
+    /// before and ran alone, is convicted by the crash that follows it.
     pub fn note_crash(
         &mut self,
         now: MonotonicTime,
         suspects: &[RequestDigest],
+        probe: bool,
     ) -> Vec<RequestDigest> {
-        let alone = suspects.len() == 1;
-        let grows = |digest: &RequestDigest| alone || !self.has_own(now, *digest);
+        let count = if probe { POISON_CRASHES } else { 1 };
+        let grows = |digest: &RequestDigest| self.own_count(now, *digest) < count;
         let blamed: Vec<_> = suspects.iter().copied().filter(grows).collect();
         for digest in &blamed {
-            self.add_own(now, *digest);
+            self.raise_own(now, *digest, count);
         }
         blamed
     }
@@ -195,29 +199,27 @@
         self.rows.is_empty()
     }
 
-    fn has_own(&self, now: MonotonicTime, digest: RequestDigest) -> bool {
+    fn own_count(&self, now: MonotonicTime, digest: RequestDigest) -> u32 {
         let row = self.rows.get(&digest);
-        row.is_some_and(|row| {
-            row.sources
-                .iter()
-                .any(|row| row.keeper.is_none() && now.since(row.last) < CRASH_KEEP_SPAN)
-        })
+        let own = row.and_then(|row| row.sources.iter().find(|row| row.keeper.is_none()));
+        own.filter(|row| now.since(row.last) < CRASH_KEEP_SPAN)
+            .map_or(0, |row| row.crashes)
     }
 
-    fn add_own(&mut self, now: MonotonicTime, digest: RequestDigest) {
+    fn raise_own(&mut self, now: MonotonicTime, digest: RequestDigest, crashes: u32) {
         let own = self
             .rows
             .get_mut(&digest)
             .and_then(|row| row.sources.iter_mut().find(|row| row.keeper.is_none()));
         if let Some(source) = own {
-            source.crashes = source.crashes.saturating_add(1);
+            source.crashes = crashes;
             source.last = now;
             return;
         }
         let source = SourceRow {
             keeper: None,
             table: 0,
-            crashes: 1,
+            crashes,
             last: now,
         };
         self.add_source(now, digest, source);
--- a/daisyhinge/src/keeper/roster/dispatch.rs
+++ b/daisyhinge/src/keeper/roster/dispatch.rs
@@ -19,7 +19,13 @@
         ticket: SubTicket,
         actions: &mut Vec<RosterAction>,
     ) {
-        let verdict = self.crashes.verdict(now, ticket.digest);
+        // The root may know of a crash before this keeper does.
+        let told = if ticket.suspect {
+            CrashVerdict::Suspect
+        } else {
+            CrashVerdict::Clear
+        };
+        let verdict = self.crashes.verdict(now, ticket.digest).max(told);
         let code = if !self.rows.contains_key(replica) {
             ResultCode::NotKeeper
         } else if verdict == CrashVerdict::Poisoned {
@@ -121,8 +127,8 @@
             return;
         };
         match note {
-            CrashNote::Suspected(digests) => {
-                let blamed = self.crashes.note_crash(now, &digests);
+            CrashNote::Suspected { digests, probe } => {
+                let blamed = self.crashes.note_crash(now, &digests, probe);
                 for digest in &blamed {
                     if self.crashes.verdict(now, *digest) == CrashVerdict::Poisoned {
                         let draft = EventDraft::new(EventKind::RequestPoisoned);
--- a/daisyhinge/src/keeper/ticket.rs
+++ b/daisyhinge/src/keeper/ticket.rs
@@ -21,6 +21,8 @@
     pub repeatable: bool,
     /// Whether another attempt for the same shard is under way.
     pub hedge: bool,
+    /// Whether the root knows of a crash that was laid to the request.
+    pub suspect: bool,
 }
 
 /// How a dispatch to a backend server ended.
--- a/daisyhinge/src/keeper/watch.rs
+++ b/daisyhinge/src/keeper/watch.rs
@@ -17,7 +17,12 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum CrashNote {
     /// A connection was lost while these ran. Counts as a crash from now on.
-    Suspected(Vec<RequestDigest>),
+    Suspected {
+        /// The requests.
+        digests: Vec<RequestDigest>,
+        /// Whether the one that ran was a probe: a request that was suspect before.
+        probe: bool,
+    },
     /// The backend server seems alive: what was suspected last was no crash.
     Withdrawn,
     /// The backend server did crash.
@@ -31,16 +36,18 @@
 pub struct CrashWatch {
     since: MonotonicTime,
     suspects: Vec<RequestDigest>,
+    probe: bool,
     heard: u32,
     refuted: bool,
 }
 
 impl CrashWatch {
     /// A watch after a connection was lost while `suspects` ran.
-    pub fn new(now: MonotonicTime, suspects: Vec<RequestDigest>) -> Self {
+    pub fn new(now: MonotonicTime, suspects: Vec<RequestDigest>, probe: bool) -> Self {
         Self {
             since: now,
             suspects,
+            probe,
             heard: 0,
             refuted: false,
         }
@@ -59,7 +66,10 @@
 
     /// Ends the watch, since there was a crash: what was withdrawn counts again.
     pub fn confirm(self) -> Vec<CrashNote> {
-        let again = self.refuted.then_some(CrashNote::Suspected(self.suspects));
+        let again = self.refuted.then_some(CrashNote::Suspected {
+            digests: self.suspects,
+            probe: self.probe,
+        });
         again.into_iter().chain([CrashNote::Confirmed]).collect()
     }
 
--- a/daisyhinge/src/search.rs
+++ b/daisyhinge/src/search.rs
@@ -66,6 +66,8 @@
     pub expires: MonotonicTime,
     /// Whether another attempt for the shard is under way.
     pub hedge: bool,
+    /// Whether a crash was laid to the request before.
+    pub suspect: bool,
 }
 
 /// What a request wants done.
--- a/daisyhinge/src/search/poison.rs
+++ b/daisyhinge/src/search/poison.rs
@@ -100,8 +100,10 @@
             .iter()
             .filter(|count| is_recent(&count.last))
             .filter(|count| row.absolved.is_none_or(|absolved| absolved < count.last))
+            // Not the sum: crashes at several keepers may be one loss, such as of a rack.
             .map(|count| count.crashes)
-            .fold(0, u32::saturating_add);
+            .max()
+            .unwrap_or(0);
         told.max(own)
     }
 
--- a/daisyhinge/src/search/scatter.rs
+++ b/daisyhinge/src/search/scatter.rs
@@ -203,6 +203,7 @@
             snapshot: SnapshotNumber(self.pinned_number()),
             expires: self.answer_by,
             hedge: is_hedge,
+            suspect: self.suspicion != Suspicion::Clear,
         }));
     }
 
--- a/daisyhinge/src/shell/entry/driving.rs
+++ b/daisyhinge/src/shell/entry/driving.rs
@@ -126,6 +126,37 @@
     RequestDigest(hasher.finish())
 }
 
+/// A search that hears of its caller's leave when it is dropped before its end.
+#[derive(Debug)]
+struct SearchGuard {
+    state: Arc<EntryState>,
+    search: RequestSearch,
+}
+
+impl SearchGuard {
+    fn step(&mut self, event: SearchEvent) -> Vec<SearchAction> {
+        let mut actions = Vec::new();
+        let mut routes = self.state.routes.lock();
+        self.search
+            .step(self.state.now(), event, &mut routes, &mut actions);
+        actions
+    }
+}
+
+impl Drop for SearchGuard {
+    fn drop(&mut self) {
+        if self.search.is_done() {
+            return;
+        }
+        // What runs is cancelled with the calls that are dropped beside this.
+        for action in self.step(SearchEvent::CallerGone) {
+            if let SearchAction::Note(draft) = action {
+                self.state.note(draft);
+            }
+        }
+    }
+}
+
 /// Runs one request: turns replies into events and actions into calls.
 #[derive(Debug)]
 struct SearchDriver {
@@ -174,21 +205,20 @@
 
     /// Runs the request to its end and hands its result to `finish`, once.
     async fn run(mut self, mut finish: impl FnMut(QueryResult)) {
-        let mut search = RequestSearch::new(self.plan.clone()).with_claim_returns();
+        let search = RequestSearch::new(self.plan.clone()).with_claim_returns();
+        let mut guard = SearchGuard {
+            state: Arc::clone(&self.state),
+            search,
+        };
         let mut event = SearchEvent::Start;
         loop {
-            let mut actions = Vec::new();
-            {
-                let mut routes = self.state.routes.lock();
-                search.step(self.state.now(), event, &mut routes, &mut actions);
-            };
-            if let Some(result) = self.perform(actions) {
+            if let Some(result) = self.perform(guard.step(event)) {
                 finish(result);
             }
-            if search.is_done() {
+            if guard.search.is_done() {
                 return;
             }
-            event = self.next_event(&search).await;
+            event = self.next_event(&guard.search).await;
         }
     }
 
@@ -284,6 +314,7 @@
             expires_us: span_to_micros(sub.expires.since(self.state.now())),
             repeatable: self.plan.repeatable,
             hedge: sub.hedge,
+            suspect: sub.suspect,
             body: self.body.clone(),
         }
     }
--- a/daisyhinge/src/shell/entry/following.rs
+++ b/daisyhinge/src/shell/entry/following.rs
@@ -200,6 +200,7 @@
         state.peers.table(entry.peer_address, ask).await
     };
     let Some(delta) = delta else { return };
+    state.note_heard(&entry.vm);
     if entry.vm != state.settings.vm {
         // An empty list too: it tells that a record was withdrawn.
         let event = RosterEvent::Crashes {
@@ -215,6 +216,7 @@
 }
 
 fn forget_departed(state: &EntryState, entries: &[EntryRecord]) {
+    state.retain_heard(|vm| entries.iter().any(|entry| entry.vm == *vm));
     let mut routes = state.routes.lock();
     for keeper in routes.keepers() {
         if !entries.iter().any(|entry| entry.vm == keeper) {
--- a/daisyhinge/src/shell/entry/keeping/running.rs
+++ b/daisyhinge/src/shell/entry/keeping/running.rs
@@ -102,5 +102,6 @@
         expires: asked.min(state.lease().ends() + RUN_TAIL),
         repeatable: ask.repeatable,
         hedge: ask.hedge,
+        suspect: ask.suspect,
     }
 }
--- a/daisyhinge/src/shell/entry/serving.rs
+++ b/daisyhinge/src/shell/entry/serving.rs
@@ -1,10 +1,12 @@
 //! HTTP for callers and backend servers.
 
 use std::convert::Infallible;
+use std::hash::BuildHasher;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use foldhash::quality::FixedState;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
@@ -16,6 +18,7 @@
 use serde::de::DeserializeOwned;
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::address::{AddressAsk, choose_addresses};
 use crate::prelude::*;
 use crate::shell::entry::answering::{write_answer, write_refusal};
 use crate::shell::entry::driving::{QueryResult, refuse_query};
@@ -24,8 +27,7 @@
 use crate::shell::entry::querying::read_query;
 use crate::shell::entry::state::{EntryPhase, EntryState};
 use crate::vocabulary::announcement::AnnounceReply;
-use crate::vocabulary::answer::{AddressAnswer, QueryRefusal};
-use crate::vocabulary::clock::span_to_millis;
+use crate::vocabulary::answer::QueryRefusal;
 
 /// Longest wait for the headers of a request.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
@@ -63,12 +65,16 @@
         .timer(TokioTimer::new())
         .header_read_timeout(HEADER_TIMEOUT);
     builder.http2().timer(TokioTimer::new());
-    let watched = Arc::clone(&state);
+    let mut phases = state.watch_phase();
+    // Connections of one caller may go to several entries; that spreads it as well.
+    let caller_key = stream
+        .peer_addr()
+        .map_or(0, |peer| FixedState::default().hash_one(peer));
     let service = service_fn(move |request| {
         let state = Arc::clone(&state);
         async move {
             let version = request.version();
-            let mut reply = answer_request(&state, request).await;
+            let mut reply = answer_request(&state, request, caller_key).await;
             // A connection that ends with an answer can't be closed under the next request.
             if state.phase() != EntryPhase::Serving && version == Version::HTTP_11 {
                 reply
@@ -82,19 +88,17 @@
     let mut connection = std::pin::pin!(connection);
     tokio::select! {
         _ended = connection.as_mut() => return,
-        () = wait_closed(&watched) => {}
+        _closed = phases.wait_for(|phase| *phase == EntryPhase::Closed) => {}
     }
     connection.as_mut().graceful_shutdown();
     let _ended = connection.await;
 }
 
-async fn wait_closed(state: &EntryState) {
-    while state.phase() != EntryPhase::Closed {
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
-}
-
-async fn answer_request(state: &Arc<EntryState>, request: Request<Incoming>) -> HttpReply {
+async fn answer_request(
+    state: &Arc<EntryState>,
+    request: Request<Incoming>,
+    caller_key: u64,
+) -> HttpReply {
     let path = request.uri().path().to_owned();
     let service = path
         .strip_prefix("/v1/services/")
@@ -108,7 +112,7 @@
         return refusal_reply(state, ResultCode::BadMethod);
     }
     match (path.as_str(), service) {
-        ("/v1/addresses", _) => answer_addresses(state, &request),
+        ("/v1/addresses", _) => answer_addresses(state, &request, caller_key),
         ("/v1/announce", _) => match read_json(state, request).await {
             Ok(announcement) => announce_reply(&take_announcement(state, announcement, true).await),
             Err(code) => refusal_reply(state, code),
@@ -161,7 +165,7 @@
     reply
 }
 
-fn answer_addresses(state: &EntryState, request: &Request<Incoming>) -> HttpReply {
+fn answer_addresses(state: &EntryState, request: &Request<Incoming>, caller_key: u64) -> HttpReply {
     let wanted = request.uri().query().and_then(|query| {
         query
             .split('&')
@@ -176,13 +180,17 @@
     if document.find_service(&service).is_none() {
         return refusal_reply(state, ResultCode::UnknownService);
     }
-    let mut addresses = state.other_addresses();
-    if state.phase() == EntryPhase::Serving && state.may_dispatch() {
-        addresses.insert(0, state.settings.caller_address);
-    }
-    addresses.truncate(document.addresses.count as usize);
-    let keep_ms = span_to_millis(state.address_keep());
-    json_reply(StatusCode::OK, &AddressAnswer { addresses, keep_ms })
+    let keepers = state.routes.lock().service_keepers(&service);
+    let ask = AddressAsk {
+        view: &state.view(),
+        environment: &state.settings.environment,
+        vm: &state.settings.vm,
+        data_centre: &state.settings.data_centre,
+        takes_requests: state.phase() == EntryPhase::Serving && state.may_dispatch(),
+        caller_key,
+    };
+    let answer = choose_addresses(ask, &keepers, |vm| state.is_reachable(vm));
+    json_reply(StatusCode::OK, &answer)
 }
 
 fn announce_reply(reply: &AnnounceReply) -> HttpReply {
--- a/daisyhinge/src/shell/entry/state.rs
+++ b/daisyhinge/src/shell/entry/state.rs
@@ -3,14 +3,15 @@
 //! Lock order: none of these locks is taken while another is held, but for `keeping`, under
 //! which `view` and `lease` may be read.
 
+use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
 use parking_lot::{Mutex, RwLock};
-use tokio::sync::Semaphore;
+use tokio::sync::{Semaphore, watch};
 
 use crate::lease::FreshnessLease;
 use crate::metric::EntryMetrics;
@@ -27,19 +28,21 @@
 use crate::vocabulary::setting::EntrySettings;
 use crate::vocabulary::view::{ControlView, EntryRecord, EntryState as MemberState};
 
+/// An entry that was heard of within this time is named to callers before others.
+const HEARD_SPAN: Duration = Duration::from_secs(2);
+
 /// Takes events for the time line.
 pub type NoteSink = Arc<dyn Fn(EventDraft) + Send + Sync>;
 
 /// How far an entry is in its life.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-#[repr(u8)]
 pub enum EntryPhase {
     /// Serves.
-    Serving = 0,
+    Serving,
     /// Leaves: keeps nothing, still answers callers.
-    Leaving = 1,
+    Leaving,
     /// Refuses callers.
-    Closed = 2,
+    Closed,
 }
 
 /// Shared state of one entry.
@@ -63,7 +66,8 @@
     incarnation: IncarnationNumber,
     view: RwLock<Arc<ControlView>>,
     lease: Mutex<FreshnessLease>,
-    phase: AtomicU8,
+    phase: watch::Sender<EntryPhase>,
+    heard: Mutex<HashMap<VmName, MonotonicTime>>,
     released: AtomicBool,
     admission: Mutex<AdmissionGate>,
     recording: AtomicU32,
@@ -95,7 +99,8 @@
             incarnation,
             view: RwLock::default(),
             lease: Mutex::default(),
-            phase: AtomicU8::new(EntryPhase::Serving as u8),
+            phase: watch::Sender::new(EntryPhase::Serving),
+            heard: Mutex::default(),
             released: AtomicBool::new(false),
             admission: Mutex::default(),
             recording: AtomicU32::new(0),
@@ -155,15 +160,31 @@
 
     /// How far this entry is in its life.
     pub fn phase(&self) -> EntryPhase {
-        match self.phase.load(Ordering::Acquire) {
-            0 => EntryPhase::Serving,
-            1 => EntryPhase::Leaving,
-            _ => EntryPhase::Closed,
-        }
+        *self.phase.borrow()
     }
 
     pub(super) fn set_phase(&self, phase: EntryPhase) {
-        self.phase.store(phase as u8, Ordering::Release);
+        self.phase.send_replace(phase);
+    }
+
+    /// Tells of changes of the phase.
+    pub(super) fn watch_phase(&self) -> watch::Receiver<EntryPhase> {
+        self.phase.subscribe()
+    }
+
+    pub(super) fn note_heard(&self, vm: &VmName) {
+        self.heard.lock().insert(vm.clone(), self.now());
+    }
+
+    /// Forgets entries that are no members any more.
+    pub(super) fn retain_heard(&self, keeps: impl Fn(&VmName) -> bool) {
+        self.heard.lock().retain(|vm, _| keeps(vm));
+    }
+
+    /// Whether another entry was heard of lately.
+    pub fn is_reachable(&self, vm: &VmName) -> bool {
+        let heard = self.heard.lock().get(vm).copied();
+        heard.is_some_and(|heard| self.now().since(heard) < HEARD_SPAN)
     }
 
     /// Whether a leaving entry has given up all that it kept.
--- a/daisyhinge/src/vocabulary/subrequest.rs
+++ b/daisyhinge/src/vocabulary/subrequest.rs
@@ -31,6 +31,8 @@
     pub repeatable: bool,
     /// Whether another attempt for the same shard is already under way.
     pub hedge: bool,
+    /// Whether a crash was laid to the request before: it is sent as a probe, alone.
+    pub suspect: bool,
     /// Payload for the backend server.
     pub body: Bytes,
 }
--- a/daisyhinge/tests/keeper/support.rs
+++ b/daisyhinge/tests/keeper/support.rs
@@ -65,6 +65,7 @@
         expires,
         repeatable: true,
         hedge: false,
+        suspect: false,
     }
 }
 
