Lay a crash to the suspect that ran alone and was given up

A suspect that ran alone was given up 17 us before its server crashed; the crash was laid to nobody, since its connection was closed and an earlier one was under watch. Conclusion: what ran alone is blamed alone, also if given up, and a failed connect counts as a restart does while nothing has a connection.

--- a/daisyhinge/src/keeper.rs
+++ b/daisyhinge/src/keeper.rs
@@ -34,7 +34,7 @@
 use publish::PublishedState;
 use queue::{QueueRow, TicketQueue};
 use ramp::ColdRamp;
-use slots::{EndedSlot, SlotTable};
+use slots::{BlamedRuns, EndedSlot, SlotTable};
 use ticket::RunEnd;
 use watch::{CrashNote, CrashWatch};
 
@@ -231,15 +231,23 @@
     /// A new incarnation: whatever was under way on a connection was cut by a crash. Its slots
     /// stay occupied, for a sub-request may have reached the new process; cancels clear that up.
     fn take_restart(&mut self, now: MonotonicTime, actions: &mut Vec<KeeperAction>) {
-        let mut suspects = self.slots.blame_all(now, None);
-        if let Some(watch) = &self.watch {
-            suspects.retain(|digest| !watch.suspects().contains(digest));
+        self.blame_crash(now, actions);
+        self.ramp.take_bad_sign(now);
+        self.slots.renew_cancels();
+    }
+
+    /// Lays a crash that is certain to all that may have caused it.
+    fn blame_crash(&mut self, now: MonotonicTime, actions: &mut Vec<KeeperAction>) {
+        let BlamedRuns { mut digests, alone } = self.slots.blame_all(now, None);
+        if let Some(watch) = &self.watch
+            && !alone
+        {
+            // The crash under watch is this one; a suspect that ran alone since made another.
+            digests.retain(|digest| !watch.suspects().contains(digest));
         }
         self.confirm_crash(actions);
-        self.suspect(now, suspects);
+        self.suspect(now, digests);
         self.confirm_crash(actions);
-        self.ramp.take_bad_sign(now);
-        self.slots.renew_cancels();
     }
 
     fn take_leave(&mut self, incarnation: IncarnationNumber, actions: &mut Vec<KeeperAction>) {
@@ -265,11 +273,14 @@
             RunEnd::Failed => self.ramp.take_error(now),
             RunEnd::ConnectFailed => {
                 self.ramp.take_bad_sign(now);
+                if self.slots.is_cut_off() {
+                    self.blame_crash(now, actions);
+                }
                 self.confirm_crash(actions);
             }
             RunEnd::Reset => {
-                let suspects = self.slots.blame_all(now, Some(slot));
-                self.suspect(now, suspects);
+                let blamed = self.slots.blame_all(now, Some(slot));
+                self.suspect(now, blamed.digests);
                 self.ramp.take_bad_sign(now);
             }
             RunEnd::NotSent | RunEnd::NotHeld | RunEnd::BadAnswer(_) | RunEnd::Expired => {}
--- a/daisyhinge/src/keeper/slots.rs
+++ b/daisyhinge/src/keeper/slots.rs
@@ -58,10 +58,35 @@
     pub blamed: bool,
 }
 
+/// A run that a crash may be laid to.
+#[derive(Clone, Copy, Debug)]
+struct SuspectRun {
+    digest: RequestDigest,
+    alone: bool,
+}
+
+impl SuspectRun {
+    fn new(ticket: &SubTicket, alone: bool) -> Self {
+        Self {
+            digest: ticket.digest,
+            alone,
+        }
+    }
+}
+
+/// What a crash is laid to.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct BlamedRuns {
+    /// The requests.
+    pub digests: Vec<RequestDigest>,
+    /// Whether they were suspect before and ran alone.
+    pub alone: bool,
+}
+
 /// A sub-request whose slot was freed by time alone.
 #[derive(Clone, Copy, Debug)]
 struct GivenUpRow {
-    digest: RequestDigest,
+    run: SuspectRun,
     until: MonotonicTime,
 }
 
@@ -92,6 +117,11 @@
         self.rows.iter().any(|row| row.alone)
     }
 
+    /// Whether no sub-request has a connection.
+    pub fn is_cut_off(&self) -> bool {
+        !self.rows.iter().any(|row| row.connected)
+    }
+
     /// Whether `attempt` occupies a slot.
     pub fn contains(&self, attempt: AttemptId) -> bool {
         self.rows.iter().any(|row| row.ticket.attempt == attempt)
@@ -210,35 +240,27 @@
         self.rows.iter().map(|row| row.frees).min()
     }
 
-    /// Lays a crash to all that may have run and to `ended`, unless done before. After a restart,
-    /// where `ended` is unset, also to what was given up a short while ago: its connection was
-    /// closed already, so the crash cut none.
-    pub fn blame_all(
-        &mut self,
-        now: MonotonicTime,
-        ended: Option<EndedSlot>,
-    ) -> Vec<RequestDigest> {
-        let mut digests: Vec<_> = self
-            .rows
-            .iter_mut()
-            .filter(|row| !row.blamed)
-            .map(|row| {
-                row.blamed = true;
-                row.ticket.digest
-            })
-            .collect();
-        digests.extend(
-            ended
-                .filter(|slot| !slot.blamed)
-                .map(|slot| slot.ticket.digest),
-        );
+    /// Lays a crash to all that may have run and to `ended`, unless done before. Where `ended`
+    /// is unset, after a restart, also to what was given up a short while ago: its connection was closed
+    /// already, so the crash cut none. What ran alone is blamed alone.
+    pub fn blame_all(&mut self, now: MonotonicTime, ended: Option<EndedSlot>) -> BlamedRuns {
+        let mut suspects: Vec<SuspectRun> = Vec::new();
+        for row in self.rows.iter_mut().filter(|row| !row.blamed) {
+            row.blamed = true;
+            suspects.push(SuspectRun::new(&row.ticket, row.alone));
+        }
+        let ended_run = ended.filter(|slot| !slot.blamed);
+        suspects.extend(ended_run.map(|slot| SuspectRun::new(&slot.ticket, slot.alone)));
         if ended.is_none() {
-            let given_up = self.given_up.drain(..);
-            digests.extend(given_up.filter(|row| now < row.until).map(|row| row.digest));
+            let given_up = self.given_up.drain(..).filter(|row| now < row.until);
+            suspects.extend(given_up.map(|row| row.run));
         }
+        let alone = suspects.iter().any(|run| run.alone);
+        suspects.retain(|run| run.alone || !alone);
+        let mut digests: Vec<_> = suspects.iter().map(|run| run.digest).collect();
         digests.sort_unstable();
         digests.dedup();
-        digests
+        BlamedRuns { digests, alone }
     }
 
     fn remember(&mut self, now: MonotonicTime) {
@@ -247,7 +269,7 @@
             .iter()
             .filter(|row| now >= row.frees && !row.blamed);
         let rows = freed.map(|row| GivenUpRow {
-            digest: row.ticket.digest,
+            run: SuspectRun::new(&row.ticket, row.alone),
             until: row.frees + GIVEN_UP_SPAN,
         });
         self.given_up.extend(rows);
--- a/daisyhinge/tests/keeper_crash.rs
+++ b/daisyhinge/tests/keeper_crash.rs
@@ -221,6 +221,28 @@
     assert_eq!(notes, [suspected, CrashNote::Confirmed]);
 }
 
+#[test]
+fn a_suspect_that_was_given_up_is_blamed_alone() {
+    let mut bench = KeeperBench::new(announce("r1", 1), at(0));
+    let now = bench.warm_up(at(0));
+    let expired = |number| KeeperEvent::Ended {
+        attempt: ticket(number, now).attempt,
+        end: RunEnd::Expired,
+    };
+    bench.ask(now, ticket(1, now + ms(50)));
+    bench.step(now + ms(50), expired(1));
+    let alone = KeeperEvent::AskedAlone(ticket(2, now + ms(500)));
+    assert_eq!(sent(&bench.step(now + ms(400), alone)), [2]);
+    bench.step(now + ms(500), expired(2));
+    bench.step(now + ms(900), KeeperEvent::Tick);
+    bench.announce(now + ms(1_500), |next| {
+        next.incarnation = IncarnationNumber(2);
+    });
+    let suspected = CrashNote::Suspected(vec![RequestDigest(2)]);
+    let notes = bench.keeper.take_crash_notes();
+    assert_eq!(notes, [suspected, CrashNote::Confirmed]);
+}
+
 #[test]
 fn a_suspect_runs_alone() {
     let mut bench = KeeperBench::new(announce("r1", 1), at(0));
--- a/daisyhinge/tests/keeper_roster.rs
+++ b/daisyhinge/tests/keeper_roster.rs
@@ -7,14 +7,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use daisyhinge::keeper::KeeperAction;
 use daisyhinge::keeper::history::{EntryIdentity, handover_span};
 use daisyhinge::keeper::roster::{KeeperRoster, RosterAction, RosterEvent};
+use daisyhinge::keeper::{KeeperAction, KeeperEvent};
 use daisyhinge::lease::FreshnessLease;
 use daisyhinge::prelude::*;
 use daisyhinge::rendezvous::find_keeper;
 use daisyhinge::vocabulary::announcement::{ReplicaAnnouncement, ReplicaLeave};
 use daisyhinge::vocabulary::event::EventKind;
+use daisyhinge::vocabulary::freshness::LEASE_SPAN;
 use daisyhinge::vocabulary::replica::{CrashRecord, TableAsk, UseState};
 use daisyhinge::vocabulary::view::{ControlView, DepartedEntry, EntryRecord, EntryState};
 use support::*;
@@ -168,6 +169,22 @@
     assert_eq!(bench.ask(at(10_200), &replica, 1), ResultCode::Ok);
 }
 
+#[test]
+fn a_new_keeper_begins_after_the_last_work_of_the_former_one() {
+    // The former keeper's last proof was at 0, and its last work expires with its lease.
+    let ends = at(0) + LEASE_SPAN;
+    let mut former = KeeperBench::new(announce("r1", 1), at(0));
+    former.warm_up(at(0));
+    former.gate.lease_ends = ends;
+    let now = ends.before(ms(100));
+    former.announce(now, |_| {});
+    assert_eq!(sent(&former.ask(now, ticket(1, ends))), [1]);
+    let opens = at(0) + handover_span();
+    former.step(opens.before(ms(1)), KeeperEvent::Tick);
+    let load = former.keeper.load();
+    assert_eq!(load.running, 0, "the next keeper's work would meet it");
+}
+
 #[test]
 fn the_release_of_an_earlier_start_is_not_that_of_the_present_one() {
     let both = [entry("a", 5), entry("b", 1)];
