Raise a silently cold server only on its warm time; give cold servers a share

Cause: after a bad sign the limit rose on two answers or one quiet second, far before the server was warm: a crowd restarted its fall about once a second. And a cold replica got work only when warm ones could not take it, so it never became warm. Ruled out: a fixed longer wait (no server tells its warm-up time); keeping the limit at the bottom for good. Now a silent turn ends when answers take at most 1.5 times the smoothed time from before, or after 64 answers without a bad sign; the answers waited for double with each relapse (8 to 64). One first choice in eight prefers an idle cold replica.

--- a/daisyhinge/src/keeper/ramp.rs
+++ b/daisyhinge/src/keeper/ramp.rs
@@ -19,6 +19,21 @@
 /// bad sign, so that warming up ends also where hardly any work comes.
 pub const RAISE_SPAN: Duration = Duration::from_secs(1);
 
+/// Ordinary answers after which a backend server that turned cold in silence may run one step
+/// more. Doubles each time such a step is followed by a bad sign.
+pub const SILENT_ANSWERS: u32 = 8;
+
+/// Most answers that a step is waited for.
+pub const SILENT_ANSWERS_MAX: u32 = 64;
+
+/// Time without work and without a bad sign after which a backend server that turned cold in
+/// silence may run one step more, so that warming up ends also where no work comes.
+pub const SILENT_SPAN: Duration = Duration::from_secs(10);
+
+/// While a server that turned cold in silence takes longer than this share of its warm service
+/// time, in percent, it is still cold.
+const ORDINARY_PERCENT: u64 = 150;
+
 /// Steps from the first sub-request to all slots, at most.
 pub const RAISE_STEPS: u32 = 8;
 
@@ -41,6 +56,20 @@
     good_answers: u32,
     quiet: MonotonicTime,
     service_us: u64,
+    /// Smoothed service time while it was warm; 0 if not known.
+    warm_us: u64,
+    silent: Option<SilentCold>,
+    /// Answers that the next step after a silent turn is waited for.
+    silent_answers: u32,
+}
+
+/// A cold state that showed only by bad signs.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+struct SilentCold {
+    answers: u32,
+    /// Smoothed service time since the last bad sign.
+    service_us: u64,
+    raised: bool,
 }
 
 impl ColdRamp {
@@ -57,6 +86,9 @@
             good_answers: 0,
             quiet: now,
             service_us: 0,
+            warm_us: 0,
+            silent: None,
+            silent_answers: SILENT_ANSWERS,
         };
         ramp.announce(now, announcement);
         ramp.limit = ramp.bottom();
@@ -101,7 +133,13 @@
         let took_us = span_to_micros(took).max(1);
         let slow_us = self.service_us * SLOW_FACTOR + SLOW_EXTRA_US;
         let slow = self.service_us > 0 && took_us > slow_us;
-        self.smooth_service(took_us.min(slow_us));
+        self.service_us = smooth_time(self.service_us, took_us.min(slow_us));
+        if let Some(silent) = &mut self.silent {
+            silent.answers += 1;
+            silent.service_us = smooth_time(silent.service_us, took_us);
+        } else if !self.cold && !slow {
+            self.warm_us = self.service_us;
+        }
         if slow {
             self.take_slow_answer(now);
         } else {
@@ -112,8 +150,20 @@
 
     /// Takes in a reset, a shed, a failed connect or a new incarnation: down to the bottom.
     pub fn take_bad_sign(&mut self, now: MonotonicTime) {
+        let was_cold = self.cold;
         self.cold = true;
         self.doubted = false;
+        let relapse = match self.silent {
+            Some(silent) => silent.raised,
+            // It counted as warm, but not for long.
+            None => !was_cold && self.good_answers < SILENT_ANSWERS_MAX,
+        };
+        self.silent_answers = if relapse {
+            (self.silent_answers * 2).min(SILENT_ANSWERS_MAX)
+        } else {
+            self.silent_answers
+        };
+        self.silent = Some(SilentCold::default());
         self.cut(now, self.bottom());
     }
 
@@ -135,7 +185,12 @@
     /// When time alone raises the limit next.
     pub fn next_raise(&self) -> Option<MonotonicTime> {
         let waits = (self.cold || self.doubted) && !self.announced_cold;
-        waits.then(|| self.quiet + RAISE_SPAN)
+        let span = match self.silent {
+            None => Some(RAISE_SPAN),
+            // Its answers tell more than time does.
+            Some(silent) => (silent.answers == 0 || self.is_ordinary()).then_some(SILENT_SPAN),
+        };
+        span.filter(|_| waits).map(|span| self.quiet + span)
     }
 
     fn take_slow_answer(&mut self, now: MonotonicTime) {
@@ -158,17 +213,37 @@
 
     fn take_good_answer(&mut self) {
         self.slow_answers = 0;
-        self.good_answers += 1;
+        self.good_answers = self.good_answers.saturating_add(1);
+        if !self.cold && self.good_answers >= SILENT_ANSWERS_MAX {
+            self.silent_answers = SILENT_ANSWERS;
+        }
         if self.doubted {
             // It was a straggler: back quickly, but never all at once.
             self.raise(self.limit);
-        } else if self.cold && self.good_answers >= RAISE_ANSWERS {
+        } else if self.cold && self.is_ordinary() {
             self.raise(self.step_size());
         }
     }
 
+    /// Whether the answers since the last step allow another.
+    ///
+    /// One that turned cold in silence must also answer in about its warm time again. If it does
+    /// not for [`SILENT_ANSWERS_MAX`] answers without a bad sign, that is its new time.
+    fn is_ordinary(&self) -> bool {
+        let Some(silent) = self.silent else {
+            return self.good_answers >= RAISE_ANSWERS;
+        };
+        let usual = self.warm_us == 0
+            || silent.service_us * 100 <= self.warm_us * ORDINARY_PERCENT
+            || silent.answers >= SILENT_ANSWERS_MAX;
+        usual && self.good_answers >= self.silent_answers
+    }
+
     fn raise(&mut self, step: u32) {
         self.good_answers = 0;
+        if let Some(silent) = &mut self.silent {
+            silent.raised = true;
+        }
         self.limit = self.limit.saturating_add(step).min(self.ceiling());
         self.finish_raise();
         self.check();
@@ -178,6 +253,8 @@
         if self.limit == self.slots && !self.announced_cold {
             self.cold = false;
             self.doubted = false;
+            self.silent = None;
+            self.good_answers = 0;
         }
     }
 
@@ -188,15 +265,6 @@
         self.check();
     }
 
-    fn smooth_service(&mut self, took_us: u64) {
-        self.service_us = if self.service_us == 0 {
-            took_us
-        } else {
-            let weight = (1_u64 << SMOOTH_SHIFT) - 1;
-            ((self.service_us * weight + took_us) >> SMOOTH_SHIFT).max(1)
-        };
-    }
-
     /// Where a cold backend server starts: its allowance, or one at a time.
     fn bottom(&self) -> u32 {
         self.allowance.clamp(1, self.slots)
@@ -221,3 +289,11 @@
         );
     }
 }
+
+fn smooth_time(smoothed_us: u64, took_us: u64) -> u64 {
+    if smoothed_us == 0 {
+        return took_us;
+    }
+    let weight = (1_u64 << SMOOTH_SHIFT) - 1;
+    ((smoothed_us * weight + took_us) >> SMOOTH_SHIFT).max(1)
+}
--- a/daisyhinge/src/search/choice.rs
+++ b/daisyhinge/src/search/choice.rs
@@ -34,6 +34,10 @@
 /// A warm replica with more than this many times its limit under way is full.
 const FULL_FACTOR: u64 = 2;
 
+/// One choice in so many prefers an idle cold replica, so that it warms up in bounded time though
+/// warm ones could take the work.
+const WARM_UP_ONE_IN: u64 = 8;
+
 /// What a choice is made for.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ChoiceNeed<'tried> {
@@ -59,6 +63,8 @@
 /// How suitable a replica is; the lowest class is chosen from.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 enum RouteClass {
+    /// Cold, idle, and its turn to get a little work.
+    WarmingUp,
     Warm,
     /// Bears a little; gets work that may be repeated, when no warm replica can take it.
     Cold,
@@ -81,6 +87,10 @@
         let median = self.services[service as usize].latency.median();
         let usual_us = median.map_or(SERVICE_DEFAULT_US, span_to_micros);
         let mut random_bits: u64 = self.generator.random();
+        let warms_up = need.repeatable
+            && !need.needs_free_slot
+            && need.tried.is_empty()
+            && random_bits.is_multiple_of(WARM_UP_ONE_IN);
         let mut best: Option<(RouteClass, u64, u32, u64)> = None;
         let partition = self.find_partition(service, key)?;
         for row in partition.replicas(shard) {
@@ -89,7 +99,10 @@
             if centre.distance > need.reach || need.tried.contains(row) {
                 continue;
             }
-            let class = self.classify(state, need, usual_us);
+            let mut class = self.classify(state, need, usual_us);
+            if warms_up && class == RouteClass::Cold && self.is_idle(state, usual_us) {
+                class = RouteClass::WarmingUp;
+            }
             if need.needs_free_slot && class != RouteClass::Warm {
                 continue;
             }
@@ -132,6 +145,10 @@
         }
     }
 
+    fn is_idle(&self, state: &RouteState, usual_us: u64) -> bool {
+        self.under_way(state, self.service_us(state, usual_us)) == 0
+    }
+
     /// Sub-requests before a new one: what the keeper told, less what was done since at its pace,
     /// and what this entry sent since.
     fn under_way(&self, state: &RouteState, service_us: u64) -> u64 {
--- a/daisyhinge/tests/keeper_cold.rs
+++ b/daisyhinge/tests/keeper_cold.rs
@@ -5,7 +5,9 @@
 mod support;
 
 use daisyhinge::keeper::KeeperEvent;
-use daisyhinge::keeper::ramp::{ColdRamp, RAISE_SPAN, RAISE_STEPS};
+use daisyhinge::keeper::ramp::{
+    ColdRamp, RAISE_SPAN, RAISE_STEPS, SILENT_ANSWERS, SILENT_ANSWERS_MAX,
+};
 use daisyhinge::keeper::ticket::RunEnd;
 use daisyhinge::prelude::*;
 use daisyhinge::vocabulary::announcement::{ReplicaAnnouncement, ServerState};
@@ -78,13 +80,47 @@
     assert_eq!(restarted.limit(), 1);
 }
 
+/// A server that bears one at a time and says nothing: steps must not come before it is warm.
+#[test]
+fn a_silent_cold_turn_is_over_once_answers_take_their_warm_time_again() {
+    let mut ramp = warm_ramp(8);
+    ramp.take_bad_sign(at(2_000));
+    // Three times its warm time is no slow answer, but not its warm time either.
+    for step in 0..u64::from(SILENT_ANSWERS_MAX) - 1 {
+        ramp.take_answer(at(2_001 + step), ms(15));
+        ramp.tick(at(2_001 + step * 1_000));
+        assert_eq!(ramp.limit(), 1, "raised after {step} answers");
+    }
+    // In the end that is its new time.
+    ramp.take_answer(at(100_000), ms(15));
+    assert_eq!(ramp.limit(), 2);
+}
+
+#[test]
+fn a_step_that_made_a_silent_server_fall_is_waited_for_twice_as_long() {
+    let mut ramp = warm_ramp(8);
+    ramp.take_bad_sign(at(2_000));
+    let mut now = 2_001;
+    for answers in [8, 16, 32, 64, 64] {
+        for _ in 0..answers - 1 {
+            ramp.take_answer(at(now), ms(5));
+            now += 1;
+        }
+        assert_eq!(ramp.limit(), 1);
+        ramp.take_answer(at(now), ms(5));
+        assert_eq!(ramp.limit(), 2);
+        ramp.take_bad_sign(at(now));
+        assert_eq!(ramp.limit(), 1);
+    }
+}
+
 #[test]
 fn an_error_of_its_own_counts_while_cold_only() {
     let mut ramp = warm_ramp(8);
     ramp.take_error(at(2_000));
     assert_eq!(ramp.limit(), 8);
     ramp.take_bad_sign(at(2_000));
-    for step in 0..4 {
+    for step in 0..u64::from(SILENT_ANSWERS) {
         ramp.take_answer(at(2_001 + step), ms(5));
     }
     assert!(ramp.limit() > 1);
