Remove a VM's former identity before its new one votes

With the former identity still listed, two of three sound VMs were two of four. Ruled out: a wider pause before promotion (it only narrows the moment). Conclusion: the former identity leaves first; it is dead, so no quorum gets smaller by it.

--- a/daisyhinge/src/control/core.rs
+++ b/daisyhinge/src/control/core.rs
@@ -270,7 +270,7 @@
         }
     }
 
-    /// Takes a VM in under its new identity; its former one leaves once the new one votes.
+    /// Takes a VM in under its new identity; its former one leaves.
     fn replace_member(
         &mut self,
         now: MonotonicTime,
--- a/daisyhinge/src/control/member.rs
+++ b/daisyhinge/src/control/member.rs
@@ -32,7 +32,7 @@
     pub address: SocketAddr,
     /// Whether it receives the log without voting.
     pub learner: bool,
-    /// Number of the former identity of the same VM, which leaves once this one votes.
+    /// Number of the former identity of the same VM, which leaves.
     pub replaces: Option<u64>,
 }
 
@@ -59,13 +59,12 @@
         self.members.iter().filter(|member| !member.learner)
     }
 
-    /// A former identity of a VM whose present one votes. A VM may have several: its disk may be
-    /// lost again before it votes.
+    /// A former identity of a VM that is a member again under a new one. It is of no use any
+    /// more, and while it stays it counts against the quorum.
     pub fn find_replaced(&self) -> Option<VoterId> {
         self.members.iter().enumerate().find_map(|(place, member)| {
             let mut later = self.members[place + 1..].iter();
-            let replaced = later
-                .any(|new| new.id.vm == member.id.vm && new.replaces.is_some() && !new.learner);
+            let replaced = later.any(|new| new.id.vm == member.id.vm && new.replaces.is_some());
             replaced.then(|| member.id.clone())
         })
     }
--- a/daisyhinge/src/control/voter/lead.rs
+++ b/daisyhinge/src/control/voter/lead.rs
@@ -350,7 +350,8 @@
         self.voters_index() <= self.commit && !self.voters().has_voter(&self.id)
     }
 
-    /// Lets learners vote that have caught up, and removes identities that were replaced.
+    /// Removes identities that were replaced, then lets learners vote that have caught up: were
+    /// it the other way round, a new identity that is lost too would count against the quorum.
     fn tend_members(&mut self, now: MonotonicTime, actions: &mut Vec<VoterAction>) {
         if self.check_members_free().is_err() {
             return;
