--- a/daisyhinge-fakes/src/server.rs
+++ b/daisyhinge-fakes/src/server.rs
@@ -9,6 +9,7 @@
 mod announce;
 mod core;
 mod listen;
+mod plan;
 mod share;
 mod sub;
 mod work;
--- a/daisyhinge-fakes/src/server/core.rs
+++ b/daisyhinge-fakes/src/server/core.rs
@@ -12,6 +12,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::server::fault::{ColdSettings, DamageKind, FaultSettings};
+use crate::server::plan::{TakeOutcome, WorkEnd, WorkPlan};
 use crate::server::record::{FakeRecord, SubRecord};
 use crate::server::settings::FakeSettings;
 use crate::server::sub::SubTask;
@@ -21,53 +22,6 @@
 /// A sub-request slower than this many times the mean shows that the server is cold.
 const SIGN_TIMES: f64 = 1.9;
 
-/// What is to be done with a sub-request that arrived.
-#[derive(Debug)]
-pub(crate) enum TakeOutcome {
-    /// Work on it.
-    Run(WorkPlan),
-    /// Shed it.
-    Shed,
-    /// The snapshot or shard is not held.
-    NotHeld,
-    /// Another replica is meant.
-    Misdirected,
-    /// Fail with an error of the server's own.
-    Fail,
-    /// It was cancelled before it arrived.
-    Cancelled,
-    /// The server crashes.
-    Crash,
-    /// The server collapses under more than it bears.
-    Collapse,
-}
-
-/// How a sub-request is worked on.
-#[derive(Clone, Debug)]
-pub(crate) struct WorkPlan {
-    /// Time that the work takes.
-    pub service: Duration,
-    /// Fires when it is cancelled.
-    pub cancel: CancellationToken,
-    /// Damage to the answer.
-    pub damage: DamageKind,
-    /// How late a late answer is.
-    pub late: Duration,
-}
-
-/// How work ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum WorkEnd {
-    /// Answered.
-    Answered,
-    /// Cancelled by its sender.
-    Cancelled,
-    /// Expired.
-    Expired,
-    /// Lost in a crash or collapse.
-    Lost,
-}
-
 #[derive(Debug)]
 enum AttemptState {
     Running(CancellationToken),
--- a/daisyhinge-fakes/src/server/work.rs
+++ b/daisyhinge-fakes/src/server/work.rs
@@ -11,8 +11,8 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::server::answer::{build_answer, build_plain};
-use crate::server::core::{TakeOutcome, WorkEnd, WorkPlan};
 use crate::server::fault::DamageKind;
+use crate::server::plan::{TakeOutcome, WorkEnd, WorkPlan};
 use crate::server::share::{FakeShare, ServerLife};
 use crate::server::sub::SubTask;
 
