--- a/daisyhinge/src/keeper.rs
+++ b/daisyhinge/src/keeper.rs
@@ -246,7 +246,7 @@
             digests.retain(|digest| !watch.suspects().contains(digest));
         }
         self.confirm_crash(actions);
-        self.suspect(now, digests);
+        self.suspect(now, digests, alone);
         self.confirm_crash(actions);
     }
 
@@ -280,7 +280,7 @@
             }
             RunEnd::Reset => {
                 let blamed = self.slots.blame_all(now, Some(slot));
-                self.suspect(now, blamed.digests);
+                self.suspect(now, blamed.digests, blamed.alone);
                 self.ramp.take_bad_sign(now);
             }
             RunEnd::NotSent | RunEnd::NotHeld | RunEnd::BadAnswer(_) | RunEnd::Expired => {}
@@ -295,10 +295,13 @@
         }
     }
 
-    fn suspect(&mut self, now: MonotonicTime, suspects: Vec<RequestDigest>) {
-        if !suspects.is_empty() {
-            self.watch = Some(CrashWatch::new(now, suspects.clone()));
-            self.crash_notes.push(CrashNote::Suspected(suspects));
+    fn suspect(&mut self, now: MonotonicTime, digests: Vec<RequestDigest>, probe: bool) {
+        if !digests.is_empty() {
+            // What was given up before a probe began may stand beside it on the list.
+            let probe = probe && digests.len() == 1;
+            self.watch = Some(CrashWatch::new(now, digests.clone(), probe));
+            self.crash_notes
+                .push(CrashNote::Suspected { digests, probe });
         }
     }
 
--- a/daisyhinge/tests/control_voter.rs
+++ b/daisyhinge/tests/control_voter.rs
@@ -31,7 +31,7 @@
     now: MonotonicTime,
     voters: Vec<VoterMachine>,
     cut: Option<usize>,
-    /// A voter that is heard and hears nothing.
+    /// A voter that hears nothing of a leader's appends.
     deaf: Option<usize>,
     /// Messages to and from the voter that is cut off are lost, or held for later.
     held: Vec<VoterMessage>,
@@ -111,7 +111,7 @@
             self.held.push(message);
             return;
         }
-        if self.deaf == Some(to) {
+        if self.deaf == Some(to) && matches!(message.body, VoterBody::Append(_)) {
             return;
         }
         self.step(to, VoterEvent::Received(message));
@@ -185,7 +185,7 @@
 }
 
 #[test]
-fn a_voter_that_hears_nothing_and_is_heard_takes_the_lead_from_nobody() {
+fn a_voter_that_misses_the_leader_takes_the_lead_from_nobody_who_hears_it() {
     let mut trio = VoterTrio::new();
     let leader = trio.leader().unwrap();
     let term = trio.voters[leader].term();
@@ -508,3 +508,33 @@
     trio.run(Duration::from_secs(1));
     assert_eq!(trio.applied[leader], 1);
 }
+
+#[test]
+fn every_former_identity_of_a_vm_leaves_once_its_present_one_votes() {
+    let make = |number: u64, learner: bool, replaces: Option<u64>| VoterMember {
+        id: VoterId {
+            number,
+            ..make_id(0)
+        },
+        address: make_address(),
+        learner,
+        replaces,
+    };
+    // Its disk was lost again while its second identity still learned.
+    let mut set = VoterSet {
+        members: vec![
+            make(1, false, None),
+            make(2, true, Some(1)),
+            make(3, true, Some(2)),
+        ],
+    };
+    assert_eq!(set.find_replaced(), None);
+    set.members[2].learner = false;
+    for former in [1, 2] {
+        let found = set.find_replaced().unwrap();
+        assert_eq!(found.number, former);
+        set = set.apply_change(&MemberChange::Remove(found)).unwrap();
+    }
+    assert_eq!(set.find_replaced(), None);
+    assert_eq!(set.members, [make(3, false, Some(2))]);
+}
