--- a/daisyhinge/tests/control_schedules/cluster.rs
+++ b/daisyhinge/tests/control_schedules/cluster.rs
@@ -69,6 +69,13 @@
     pub asked: u64,
 }
 
+/// A reply that was given to an ask.
+#[derive(Debug)]
+pub struct SimReply {
+    pub ticket: u64,
+    pub reply: CoreReply,
+}
+
 #[derive(Debug)]
 pub struct SimCluster {
     pub now: u64,
@@ -82,6 +89,9 @@
     pub disk_lost: u64,
     network: Vec<SimMessage>,
     ticket: u64,
+    /// Replies that were given, by ticket, while `keeps_replies` is set.
+    pub replies: Vec<SimReply>,
+    pub keeps_replies: bool,
     /// Versions that changes got, as told.
     pub versions: BTreeMap<EnvironmentName, u64>,
 }
@@ -120,6 +130,8 @@
             disk_lost: 0,
             network: Vec::new(),
             ticket: 0,
+            replies: Vec::new(),
+            keeps_replies: false,
             versions: BTreeMap::new(),
         };
         for place in 0..VMS {
@@ -246,9 +258,10 @@
                 .all(|member| !member.learner && current.contains(&member.id))
     }
 
-    pub fn ask(&mut self, place: usize, ask: CoreAsk) {
+    /// Asks a VM; no ticket if it is down or frozen.
+    pub fn ask(&mut self, place: usize, ask: CoreAsk) -> Option<u64> {
         if self.vms[place].core.is_none() || self.vms[place].frozen_until > self.now {
-            return;
+            return None;
         }
         self.ticket += 1;
         let ticket = self.ticket;
@@ -261,6 +274,7 @@
             },
         );
         self.step(place, CoreEvent::Asked { ticket, ask });
+        Some(ticket)
     }
 
     pub fn step(&mut self, place: usize, event: CoreEvent) {
@@ -287,7 +301,12 @@
                     let job = DiskJob::Snapshot(sequence, snapshot, reset);
                     self.vms[place].jobs.push_back(job);
                 }
-                CoreAction::Reply { ticket, reply } => self.take_reply(ticket, &reply),
+                CoreAction::Reply { ticket, reply } => {
+                    self.take_reply(ticket, &reply);
+                    if self.keeps_replies {
+                        self.replies.push(SimReply { ticket, reply });
+                    }
+                }
                 CoreAction::Note(draft) => {
                     if draft.kind == EventKind::LeaderElected {
                         let id = self.id_of(place);
--- a/daisyhinge/tests/control_schedules/oracle.rs
+++ b/daisyhinge/tests/control_schedules/oracle.rs
@@ -1,6 +1,7 @@
 //! What the log must bring, by a plain map, and what was seen of it.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
 use daisyhinge::control::book::{BookCommand, BookKind, ChangeReply};
 use daisyhinge::control::log::LogEntry;
@@ -9,6 +10,7 @@
 use daisyhinge::shell::control::codec::{BOOK_CODEC, decode};
 use daisyhinge::vocabulary::change::{ChangeAsk, ChangeKind};
 use daisyhinge::vocabulary::claim::{ClaimAsk, ClaimEnding, ClaimReply};
+use daisyhinge::vocabulary::environment::EnvironmentDocument;
 use daisyhinge::vocabulary::view::ControlView;
 
 /// Documents are told apart by this number alone.
@@ -25,6 +27,8 @@
     entries: BTreeMap<u64, LogEntry>,
     /// Document and version of each environment.
     environments: BTreeMap<EnvironmentName, (u32, u64)>,
+    /// Documents as they are with the states that operators gave data centres.
+    documents: BTreeMap<EnvironmentName, Arc<EnvironmentDocument>>,
     changes: BTreeMap<ChangeId, (ChangeAsk, Result<u64, ResultCode>)>,
     claims: BTreeMap<RequestId, AttemptId>,
     given_back: BTreeSet<(RequestId, AttemptId)>,
@@ -90,9 +94,59 @@
     /// The version of an accepted change is checked where it is told, not computed here, since
     /// entries raise it too.
     fn change(&mut self, ask: &ChangeAsk) -> Result<u64, ResultCode> {
-        let ChangeKind::Apply { environment, .. } = &ask.kind else {
+        let environment = match &ask.kind {
+            ChangeKind::Apply {
+                environment,
+                document,
+            } => {
+                let reply = self.apply_document(ask, environment);
+                if reply.is_ok() {
+                    self.documents.insert(environment.clone(), document.clone());
+                }
+                return reply;
+            }
+            ChangeKind::SetCentre { environment, .. } => environment,
+            _ => return Ok(0),
+        };
+        self.set_centre(ask, environment)
+    }
+
+    /// A data centre's state; the document keeps its number.
+    fn set_centre(
+        &mut self,
+        ask: &ChangeAsk,
+        environment: &EnvironmentName,
+    ) -> Result<u64, ResultCode> {
+        let ChangeKind::SetCentre {
+            data_centre, state, ..
+        } = &ask.kind
+        else {
             return Ok(0);
         };
+        let Some(document) = self.documents.get_mut(environment) else {
+            return Err(ResultCode::UnknownEnvironment);
+        };
+        let mut centres = Arc::make_mut(document)
+            .regions
+            .iter_mut()
+            .flat_map(|region| &mut region.data_centres);
+        let Some(centre) = centres.find(|centre| centre.name == *data_centre) else {
+            return Err(ResultCode::UnknownCentre);
+        };
+        if centre.state == *state {
+            return Err(ResultCode::NothingChanged);
+        }
+        centre.state = *state;
+        let known = self.environments.get_mut(environment);
+        known.expect("an environment has a version").1 = u64::MAX;
+        Ok(0)
+    }
+
+    fn apply_document(
+        &mut self,
+        ask: &ChangeAsk,
+        environment: &EnvironmentName,
+    ) -> Result<u64, ResultCode> {
         let number = document_number(&ask.kind).unwrap();
         let present = self.environments.get(environment);
         let (document, version) = present.copied().unwrap_or((u32::MAX, 0));
--- /dev/null
+++ b/daisyhinge/tests/mixed/record.rs
@@ -0,0 +1,60 @@
+//! What a run did, to see that it was worth something.
+
+use std::fmt;
+
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RunCounts {
+    pub asked: u64,
+    pub whole: u64,
+    pub partial: u64,
+    pub refused: u64,
+    pub not_run: u64,
+    pub claimed_runs: u64,
+    pub resends: u64,
+    pub dispatched: u64,
+    pub not_sent: u64,
+    pub cold_arrivals: u64,
+    pub crashes: u64,
+    /// Crashes by a poison request before its first crash was known to any entry.
+    pub crashes_unknown: u64,
+    pub crashes_known: u64,
+    pub accepted: u64,
+    pub take_outs: u64,
+    pub faults: u64,
+    pub restarts: u64,
+    pub leaves: u64,
+    /// Leaves that lasted as long as a shutdown may.
+    pub slow_leaves: u64,
+    pub settle_ms_max: u64,
+}
+
+impl RunCounts {
+    pub fn add(&mut self, other: &Self) {
+        self.asked += other.asked;
+        self.whole += other.whole;
+        self.partial += other.partial;
+        self.refused += other.refused;
+        self.not_run += other.not_run;
+        self.claimed_runs += other.claimed_runs;
+        self.resends += other.resends;
+        self.dispatched += other.dispatched;
+        self.not_sent += other.not_sent;
+        self.cold_arrivals += other.cold_arrivals;
+        self.crashes += other.crashes;
+        self.crashes_unknown += other.crashes_unknown;
+        self.crashes_known += other.crashes_known;
+        self.accepted += other.accepted;
+        self.take_outs += other.take_outs;
+        self.faults += other.faults;
+        self.leaves += other.leaves;
+        self.slow_leaves += other.slow_leaves;
+        self.restarts += other.restarts;
+        self.settle_ms_max = self.settle_ms_max.max(other.settle_ms_max);
+    }
+}
+
+impl fmt::Display for RunCounts {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{self:?}")
+    }
+}
--- /dev/null
+++ b/daisyhinge/tests/mixed/world.rs
@@ -0,0 +1,472 @@
+//! The parts of a run, and the queue by which its virtual time goes on.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use daisyhinge::control::core::{CoreAsk, CoreReply};
+use daisyhinge::keeper::roster::KeeperRoster;
+use daisyhinge::keeper::ticket::{RunEnd, SubTicket};
+use daisyhinge::lease::FreshnessLease;
+use daisyhinge::prelude::*;
+use daisyhinge::search::plan::SearchPlan;
+use daisyhinge::search::route::RouteTable;
+use daisyhinge::search::{RequestSearch, SubPlan};
+use daisyhinge::vocabulary::announcement::{HeldSnapshot, ReplicaAnnouncement, ReplicaLeave};
+use daisyhinge::vocabulary::change::ChangeAsk;
+use daisyhinge::vocabulary::replica::{TableAsk, TableDelta};
+use daisyhinge::vocabulary::subrequest::{SubAsk, SubReply};
+use daisyhinge::vocabulary::view::ControlView;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::cluster::SimCluster;
+use crate::record::RunCounts;
+
+pub const MS: u64 = 1_000;
+pub const SECOND: u64 = 1_000 * MS;
+pub const ENVIRONMENT: &str = "production";
+pub const CENTRES: [&str; 2] = ["lagos-1", "abuja-1"];
+pub const SEARCH: &str = "label-desk";
+pub const PRINT: &str = "print-queue";
+pub const ENTRIES: usize = 4;
+pub const SEARCH_SERVERS: usize = 6;
+pub const SERVERS: usize = 8;
+pub const SLOTS: u32 = 2;
+pub const POISONS: u64 = 20;
+/// Length of the part with faults.
+pub const FAULT_SPAN: u64 = 40 * SECOND;
+/// Within this all must be whole again once the faults end.
+pub const SETTLE_SPAN: u64 = 90 * SECOND;
+
+/// Where a message comes from or goes to, for cuts.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Place {
+    Control(usize),
+    Entry(usize),
+    Server(usize),
+}
+
+/// A start of an entry, by its place.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct EntryStart {
+    pub index: usize,
+    pub start: u64,
+}
+
+/// Why control was asked.
+#[derive(Clone, Copy, Debug)]
+pub enum CallKind {
+    Fresh,
+    Claim { search: u64 },
+    EndClaim { search: u64, returned: bool },
+}
+
+/// An ask of an entry to control that is under way.
+#[derive(Clone, Debug)]
+pub struct ControlCall {
+    pub kind: CallKind,
+    pub ask: CoreAsk,
+    pub asked: MonotonicTime,
+    pub tries_left: u32,
+}
+
+/// Who waits for a reply of control.
+#[derive(Clone, Debug)]
+pub enum Asker {
+    Entry { to: EntryStart, call: u64, from: usize },
+    Operator(ChangeAsk),
+}
+
+/// A sub-request on its way to a backend server.
+#[derive(Clone, Copy, Debug)]
+pub struct SentRun {
+    pub server: usize,
+    pub ticket: SubTicket,
+    pub by: EntryStart,
+    pub left: u64,
+    pub sent: u64,
+    pub knew_cold: bool,
+}
+
+/// What happens next.
+#[derive(Clone, Debug)]
+pub enum Item {
+    // At entries.
+    Renew,
+    Tick,
+    Tables,
+    CallTimeout(u64),
+    ControlReply { call: u64, reply: CoreReply },
+    AskTable { from: EntryStart, ask: TableAsk },
+    Table { from: usize, delta: TableDelta },
+    Announced(ReplicaAnnouncement),
+    Left { leave: ReplicaLeave, server: usize },
+    Query { submission: u64 },
+    Wake(u64),
+    CallKeeper { search: u64, sub: SubPlan },
+    SubTimeout { search: u64, attempt: AttemptId },
+    Sub { from: EntryStart, search: u64, ask: SubAsk },
+    SubReplied { search: u64, attempt: AttemptId, reply: SubReply },
+    Dropped { replica: ReplicaName, attempt: AttemptId },
+    Write(AttemptId),
+    Expired(AttemptId),
+    Ended { attempt: AttemptId, end: RunEnd, body: Option<Bytes> },
+    CancelEnded { replica: ReplicaName, attempt: AttemptId, stopped: bool },
+    // At control.
+    Control { place: usize, ask: CoreAsk, asker: Asker },
+    // At backend servers.
+    Arrive(SentRun),
+    Stop { server: usize, attempt: AttemptId, answers: bool },
+    CancelArrive { by: EntryStart, server: usize, attempt: AttemptId },
+    Announce(usize),
+    Restart(usize),
+    TurnReady { server: usize, incarnation: IncarnationNumber },
+    Hold { server: usize, snapshot: u64 },
+    // Elsewhere.
+    Ask,
+    Resend(u64),
+    Operate,
+    Fault,
+    Heal(Place, Place),
+    Revive(usize),
+    StartControl(usize),
+    Check,
+}
+
+/// A sub-request that waits at its keeper, or was sent.
+#[derive(Clone, Debug)]
+pub struct Waiter {
+    pub from: EntryStart,
+    pub search: u64,
+    pub ask: SubAsk,
+    pub ticket: SubTicket,
+    pub sending: bool,
+}
+
+/// A request that runs at an entry.
+pub struct RunningSearch {
+    pub machine: RequestSearch,
+    pub plan: SearchPlan,
+    /// Dispatches under way, with who keeps the replica.
+    pub out: HashMap<AttemptId, SubPlan>,
+}
+
+/// One entry: its machines and the fakes around them.
+pub struct Entry {
+    pub vm: VmName,
+    pub centre: CentreName,
+    pub start: u64,
+    pub alive: bool,
+    pub frozen: u64,
+    pub offset: u64,
+    pub drift_ppm: i64,
+    pub roster: KeeperRoster,
+    pub routes: RouteTable,
+    pub lease: FreshnessLease,
+    pub view: Arc<ControlView>,
+    pub leaving: bool,
+    pub released: bool,
+    pub left_at: u64,
+    pub control: usize,
+    pub calls: HashMap<u64, ControlCall>,
+    pub searches: BTreeMap<u64, RunningSearch>,
+    pub waiters: HashMap<AttemptId, Waiter>,
+    pub sequence: u64,
+    pub origin: u64,
+    pub knows_cold: HashMap<usize, IncarnationNumber>,
+}
+
+impl Entry {
+    pub fn local(&self, now: u64) -> MonotonicTime {
+        let drift = i128::from(now) * i128::from(self.drift_ppm) / 1_000_000;
+        let local = i128::from(now) + drift + i128::from(self.offset);
+        MonotonicTime(u64::try_from(local).expect("a positive time"))
+    }
+}
+
+/// Work that a backend server really does.
+#[derive(Clone, Copy, Debug)]
+pub struct Work {
+    pub run: SentRun,
+}
+
+pub struct Server {
+    pub announcement: ReplicaAnnouncement,
+    pub up: bool,
+    pub left: bool,
+    /// What it really bears now.
+    pub bears: u32,
+    pub working: Vec<Work>,
+    /// When an entry accepted its leave.
+    pub leave_accepted: Option<u64>,
+}
+
+/// A snapshot of the search index as the model cut it.
+#[derive(Clone, Debug)]
+pub struct ModelSnapshot {
+    pub generation: u64,
+    pub weights: Vec<u64>,
+}
+
+impl ModelSnapshot {
+    pub fn held(&self, number: u64, server: usize) -> HeldSnapshot {
+        let shard = server % self.weights.len();
+        HeldSnapshot {
+            snapshot: SnapshotNumber(number),
+            generation: self.generation,
+            shard: ShardNumber(u32::try_from(shard).expect("a few")),
+            shards: u32::try_from(self.weights.len()).expect("a few"),
+            weight: self.weights[shard],
+            whole_weight: self.weights.iter().sum(),
+        }
+    }
+}
+
+/// A request as a caller sent it to one entry.
+#[derive(Clone, Debug)]
+pub struct Submission {
+    pub request: RequestId,
+    pub service: ServiceName,
+    pub digest: RequestDigest,
+    pub minimum_ppm: u32,
+    pub latency: bool,
+    pub span: u64,
+    pub to: EntryStart,
+    pub arrived: bool,
+    pub finished: bool,
+    /// Told that nothing ran.
+    pub told_not_run: bool,
+    /// A backend server began to work for it.
+    pub ran: bool,
+    pub resends_left: u32,
+}
+
+/// When what was accepted.
+#[derive(Clone, Debug)]
+pub struct AcceptedChange {
+    pub at: u64,
+    pub version: VersionNumber,
+    pub taken_out: Option<CentreName>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PoisonRecord {
+    /// When an entry first learned that a server was reset under it.
+    pub known: Option<u64>,
+    pub crashes_known: u64,
+    pub crashes: u64,
+}
+
+pub struct World {
+    pub random: ChaCha8Rng,
+    pub now: u64,
+    pub sequence: u64,
+    pub queue: BTreeMap<(u64, u64), (Option<EntryStart>, Item)>,
+    pub cluster: SimCluster,
+    pub askers: HashMap<u64, Asker>,
+    pub entries: Vec<Entry>,
+    pub servers: Vec<Server>,
+    pub snapshots: BTreeMap<u64, ModelSnapshot>,
+    pub submissions: BTreeMap<u64, Submission>,
+    /// Submissions of each request.
+    pub sent: HashMap<RequestId, Vec<u64>>,
+    pub owners: HashMap<AttemptId, u64>,
+    pub print_runs: HashMap<RequestId, u64>,
+    pub poisons: BTreeMap<u64, PoisonRecord>,
+    pub accepted: Vec<AcceptedChange>,
+    pub answered_changes: BTreeMap<ChangeId, VersionNumber>,
+    pub recent_changes: Vec<ChangeAsk>,
+    pub views: BTreeMap<VersionNumber, Arc<ControlView>>,
+    pub cuts: BTreeSet<(Place, Place)>,
+    pub written: HashSet<AttemptId>,
+    pub calm_since: Option<u64>,
+    /// Entries that answered a search and a print whole since all faults ended.
+    pub well: BTreeSet<(usize, ServiceName)>,
+    pub document_number: u32,
+    pub counts: RunCounts,
+}
+
+impl World {
+    pub fn new(seed: u64) -> Self {
+        let mut cluster = SimCluster::new(seed);
+        cluster.keeps_replies = true;
+        let now = cluster.now;
+        let mut world = Self {
+            random: ChaCha8Rng::seed_from_u64(seed ^ 0x6d69_7865_6400),
+            now,
+            sequence: 0,
+            queue: BTreeMap::new(),
+            cluster,
+            askers: HashMap::new(),
+            entries: Vec::new(),
+            servers: Vec::new(),
+            snapshots: BTreeMap::new(),
+            submissions: BTreeMap::new(),
+            sent: HashMap::new(),
+            owners: HashMap::new(),
+            print_runs: HashMap::new(),
+            poisons: BTreeMap::new(),
+            accepted: Vec::new(),
+            answered_changes: BTreeMap::new(),
+            recent_changes: Vec::new(),
+            views: BTreeMap::new(),
+            cuts: BTreeSet::new(),
+            written: HashSet::new(),
+            calm_since: None,
+            well: BTreeSet::new(),
+            document_number: 0,
+            counts: RunCounts::default(),
+        };
+        world.cut_snapshot(3, true);
+        (0..ENTRIES).for_each(|index| world.add_entry(index));
+        (0..SERVERS).for_each(|index| world.add_server(index));
+        for item in [Item::Operate, Item::Check] {
+            world.push(0, None, item);
+        }
+        world.push(SECOND, None, Item::Ask);
+        world.push(9 * SECOND, None, Item::Fault);
+        world
+    }
+
+    /// Runs to the end, where all must be whole again.
+    pub fn run(mut self) -> RunCounts {
+        let faults_end = self.now + FAULT_SPAN;
+        let mut settled = None;
+        loop {
+            self.cluster.advance();
+            self.take_control_replies();
+            let until = self.cluster.now;
+            self.run_until(until);
+            if self.calm_since.is_none() && self.now >= faults_end {
+                self.end_faults();
+            }
+            let Some(calm) = self.calm_since else {
+                continue;
+            };
+            if settled.is_none() && self.is_whole() {
+                self.counts.settle_ms_max = (self.now - calm) / MS;
+                settled = Some(self.now);
+            }
+            if settled.is_some_and(|at| self.now > at + 4 * SECOND) {
+                self.judge_end();
+                return self.counts;
+            }
+            assert!(
+                settled.is_some() || self.now < calm + SETTLE_SPAN,
+                "not whole again though all faults have ended: {:?} {}",
+                self.well,
+                self.describe()
+            );
+        }
+    }
+
+    fn run_until(&mut self, until: u64) {
+        while let Some(next) = self.queue.first_entry() {
+            if next.key().0 > until {
+                break;
+            }
+            let ((at, _), (to, item)) = next.remove_entry();
+            self.now = self.now.max(at);
+            let Some(to) = to else {
+                self.take(item);
+                continue;
+            };
+            let entry = &self.entries[to.index];
+            if entry.start != to.start || !entry.alive {
+                continue;
+            }
+            if entry.frozen > self.now {
+                let delay = entry.frozen - self.now;
+                self.push(delay, Some(to), item);
+                continue;
+            }
+            self.take_at_entry(to.index, item);
+        }
+        self.now = until;
+    }
+
+    pub fn push(&mut self, delay: u64, to: Option<EntryStart>, item: Item) {
+        self.sequence += 1;
+        self.queue
+            .insert((self.now + delay, self.sequence), (to, item));
+    }
+
+    pub fn start_of(&self, index: usize) -> EntryStart {
+        EntryStart {
+            index,
+            start: self.entries[index].start,
+        }
+    }
+
+    /// Pushes something that happens at the entry's present start.
+    pub fn push_at(&mut self, delay: u64, index: usize, item: Item) {
+        let to = self.start_of(index);
+        self.push(delay, Some(to), item);
+    }
+
+    /// Pushes something for when the entry's own clock shows `at`.
+    pub fn push_when(&mut self, at: MonotonicTime, index: usize, item: Item) {
+        let left = at.since(self.entries[index].local(self.now));
+        let left = u64::try_from(left.as_micros()).expect("a short time");
+        self.push_at(left + left / 900 + 1, index, item);
+    }
+
+    pub fn chance(&mut self, per_thousand: u32) -> bool {
+        self.random.random_range(0..1_000) < per_thousand
+    }
+
+    /// A delay on the way from one place to another; unset if the message is lost.
+    pub fn transit(&mut self, from: Place, to: Place) -> Option<u64> {
+        if self.cuts.contains(&(from, to)) {
+            return None;
+        }
+        let calm = self.calm_since.is_some();
+        if !calm && self.chance(3) {
+            return None;
+        }
+        let late = !calm && self.chance(10);
+        let range = if late { 200..400 * MS } else { 200..2 * MS };
+        Some(self.random.random_range(range))
+    }
+
+    fn take(&mut self, item: Item) {
+        match item {
+            Item::Control { place, ask, asker } => self.ask_control(place, ask, asker),
+            Item::Arrive(run) => self.arrive(run),
+            Item::Stop {
+                server,
+                attempt,
+                answers,
+            } => self.stop(server, attempt, answers),
+            Item::CancelArrive {
+                by,
+                server,
+                attempt,
+            } => self.cancel_at_server(by, server, attempt),
+            Item::Announce(server) => self.announce(server),
+            Item::Restart(server) => self.restart(server),
+            Item::TurnReady {
+                server,
+                incarnation,
+            } => self.turn_ready(server, incarnation),
+            Item::Hold { server, snapshot } => self.hold(server, snapshot),
+            Item::Ask => self.ask(),
+            Item::Resend(submission) => self.resend(submission),
+            Item::Operate => self.operate(),
+            Item::Fault => self.fault(),
+            Item::Heal(from, to) => {
+                self.cuts.remove(&(from, to));
+            }
+            Item::Revive(index) => self.revive(index),
+            Item::StartControl(place) => self.start_control(place),
+            Item::Check => self.check(),
+            item => unreachable!("{item:?} is for an entry"),
+        }
+    }
+
+    pub fn span(micros: u64) -> Duration {
+        Duration::from_micros(micros)
+    }
+}
