--- a/daisyhinge/tests/mixed.rs
+++ b/daisyhinge/tests/mixed.rs
@@ -13,6 +13,8 @@
 mod entry_side;
 #[path = "mixed/fault_side.rs"]
 mod fault_side;
+#[path = "mixed/item.rs"]
+mod item;
 #[path = "mixed/judge.rs"]
 mod judge;
 #[path = "mixed/keeping_side.rs"]
@@ -22,6 +24,8 @@
 #[path = "control_schedules/oracle.rs"]
 #[expect(dead_code, reason = "shared with the schedules of control VMs")]
 mod oracle;
+#[path = "mixed/parts.rs"]
+mod parts;
 #[path = "mixed/record.rs"]
 mod record;
 #[path = "mixed/search_side.rs"]
--- a/daisyhinge/tests/mixed/keeping_side.rs
+++ b/daisyhinge/tests/mixed/keeping_side.rs
@@ -181,7 +181,15 @@
             self.step_replica(index, replica.clone(), KeeperEvent::Ended { attempt, end });
         }
         let load = self.entries[index].roster.load(&replica);
+        let crossed = self.calm_since.is_none() && self.chance(3);
         let reply = match (end, body) {
+            (RunEnd::Answered { .. }, Some(body)) if crossed => Ok(SubAnswer {
+                shard: waiter.ask.shard,
+                // An answer that crossed with one from another snapshot.
+                snapshot: SnapshotNumber(waiter.ask.snapshot.0 + 1),
+                body,
+                load,
+            }),
             (RunEnd::Answered { .. }, Some(body)) => Ok(SubAnswer {
                 shard: waiter.ask.shard,
                 snapshot: waiter.ask.snapshot,
