--- a/daisyhinge/src/shell/entry/keeping/sending.rs
+++ b/daisyhinge/src/shell/entry/keeping/sending.rs
@@ -64,7 +64,10 @@
     let look = || {
         let now = state.now();
         let keeping = state.keeping.lock();
-        let refusal = keeping.roster().last_look(now, &ask.replica, expires);
+        let roster = keeping.roster();
+        let refusal = roster
+            .last_look(now, &ask.replica, expires)
+            .or_else(|| roster.stop_reason(now, &ask.replica, ask.digest));
         drop(keeping);
         let left = expires.since(now);
         let open = state.may_dispatch() && refusal.is_none();
