--- a/daisyhinge/tests/mixed/keeping_side.rs
+++ b/daisyhinge/tests/mixed/keeping_side.rs
@@ -10,6 +10,7 @@
 use daisyhinge::vocabulary::subrequest::{SubAnswer, SubAsk, SubRefusal, SubReply};
 use rand::RngExt;
 
+use crate::server_side::part_body;
 use crate::world::{EntryStart, Item, MS, Place, SentRun, Waiter, World};
 
 impl World {
@@ -183,13 +184,18 @@
         let load = self.entries[index].roster.load(&replica);
         let crossed = self.calm_since.is_none() && self.chance(3);
         let reply = match (end, body) {
-            (RunEnd::Answered { .. }, Some(body)) if crossed => Ok(SubAnswer {
-                shard: waiter.ask.shard,
+            (RunEnd::Answered { .. }, Some(_)) if crossed => {
                 // An answer that crossed with one from another snapshot.
-                snapshot: SnapshotNumber(waiter.ask.snapshot.0 + 1),
-                body,
-                load,
-            }),
+                let (shard, snapshot) = (waiter.ask.shard, waiter.ask.snapshot);
+                let snapshot = SnapshotNumber(snapshot.0 + 1);
+                let submission = self.dispatches[&attempt].submission;
+                Ok(SubAnswer {
+                    shard,
+                    snapshot,
+                    body: part_body(submission, snapshot, shard),
+                    load,
+                })
+            }
             (RunEnd::Answered { .. }, Some(body)) => Ok(SubAnswer {
                 shard: waiter.ask.shard,
                 snapshot: waiter.ask.snapshot,
