Measure what grows with the size of the system

Cause: the page on capacity needs slopes over several sizes. Ruled out: criterion for these, which gives the spread at one size. Before: none. After: benches/slopes prints points and fits; run for the page. Conclusion: none yet.

--- /dev/null
+++ b/daisyhinge/benches/slopes.rs
@@ -0,0 +1,356 @@
+//! Costs that grow with the size of the system, at several sizes each, with a straight line
+//! fitted through them. `docs/CAPACITY.md` works out the target from these.
+//!
+//! Prints one line a point and one a fit. Not a criterion bench: the sizes matter, not the spread.
+
+use std::hint::black_box;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use daisyhinge::keeper::history::EntryIdentity;
+use daisyhinge::keeper::roster::{KeeperRoster, RosterEvent};
+use daisyhinge::lease::FreshnessLease;
+use daisyhinge::prelude::*;
+use daisyhinge::rendezvous::find_keeper;
+use daisyhinge::search::route::RouteTable;
+use daisyhinge::vocabulary::announcement::{HeldSnapshot, ReplicaAnnouncement, ServerState};
+use daisyhinge::vocabulary::environment::EnvironmentDocument;
+use daisyhinge::vocabulary::replica::{KeeperLoad, ReplicaRecord, TableAsk, TableDelta, UseState};
+use daisyhinge::vocabulary::view::{ControlView, EntryRecord, EntryState};
+use serde::Serialize;
+use serde_json::json;
+use tarpc::tokio_serde::Serializer;
+use tarpc::tokio_serde::formats::Bincode;
+
+const ENVIRONMENT: &str = "production";
+const CENTRES: usize = 17;
+const SHARDS: u32 = 200;
+const ROUNDS: u32 = 20;
+const LEASE: Duration = Duration::from_secs(3);
+
+/// One measured size.
+#[derive(Clone, Copy, Debug)]
+struct SlopePoint {
+    size: f64,
+    cost: f64,
+}
+
+fn main() {
+    show_views();
+    show_routes();
+    show_rosters();
+}
+
+fn show_views() {
+    let entries = [219, 875, 3_500];
+    show("view bytes by entries", &entries, |size| {
+        encoded_len(&*make_view(size))
+    });
+    show("view adoption at a root, us by entries", &entries, |size| {
+        let mut routes = filled_routes(5_000, &make_view(16));
+        let view = make_view(size);
+        time_us(|| routes.adopt_view(Arc::clone(&view), ENVIRONMENT.into(), centre(0)))
+    });
+    show("choice of a keeper, us by entries", &entries, |size| {
+        let view = make_view(size);
+        let (environment, replica) = (ENVIRONMENT.into(), ReplicaName::from("r-1"));
+        time_us(|| {
+            black_box(find_keeper(&view, &environment, &centre(3), &replica));
+        })
+    });
+    show(
+        "view adoption at a keeper of 29 replicas, us by entries",
+        &entries,
+        |size| {
+            let mut roster = filled_roster(29, &make_view(16));
+            let view = make_view(size);
+            let mut version = 10;
+            time_us(|| {
+                version += 1;
+                let view = ControlView {
+                    version: VersionNumber(version),
+                    ..ControlView::clone(&view)
+                };
+                roster.step(
+                    MonotonicTime(9_000_000),
+                    RosterEvent::View(Arc::new(view)),
+                    &mut Vec::new(),
+                );
+            })
+        },
+    );
+}
+
+fn show_routes() {
+    let replicas = [1_000, 4_000, 16_000];
+    show(
+        "route table bytes by replicas (resident)",
+        &replicas,
+        |size| {
+            let before = resident_bytes();
+            let routes = filled_routes(size, &make_view(64));
+            let after = resident_bytes();
+            black_box(&routes);
+            after.saturating_sub(before) as f64
+        },
+    );
+    show("table delta bytes by replicas", &replicas, |size| {
+        let records = (0..size).map(make_record).collect();
+        encoded_len(&make_delta(1, 1, records))
+    });
+    show(
+        "table delta of one replica, us by replicas known",
+        &replicas,
+        |size| {
+            let mut routes = filled_routes(size, &make_view(64));
+            let mut cursor = 1;
+            time_us(|| {
+                cursor += 1;
+                let mut record = make_record(7);
+                record.incarnation.0 = cursor;
+                routes.apply_delta(&vm(7), make_delta(cursor, cursor, vec![record]));
+            })
+        },
+    );
+}
+
+fn show_rosters() {
+    let kept = [8, 29, 116];
+    show(
+        "announcement at its keeper, us by replicas kept",
+        &kept,
+        |size| {
+            let mut roster = filled_roster(size, &make_view(16));
+            let mut sequence = 100;
+            time_us(|| {
+                sequence += 1;
+                let next = ReplicaAnnouncement {
+                    sequence,
+                    ..make_announcement(0)
+                };
+                roster.step(now(), RosterEvent::Announced(next), &mut Vec::new());
+            })
+        },
+    );
+    show("tick of a roster, us by replicas kept", &kept, |size| {
+        let mut roster = filled_roster(size, &make_view(16));
+        time_us(|| roster.step(now(), RosterEvent::Tick, &mut Vec::new()))
+    });
+    show("empty table poll, us by replicas kept", &kept, |size| {
+        let roster = filled_roster(size, &make_view(16));
+        let cursor = roster
+            .delta(
+                now(),
+                TableAsk {
+                    table: 0,
+                    cursor: 0,
+                },
+            )
+            .cursor;
+        time_us(|| {
+            black_box(roster.delta(now(), TableAsk { table: 5, cursor }));
+        })
+    });
+}
+
+fn show(name: &str, sizes: &[usize], measure: impl Fn(usize) -> f64) {
+    let points: Vec<SlopePoint> = sizes
+        .iter()
+        .map(|size| SlopePoint {
+            size: *size as f64,
+            cost: measure(*size),
+        })
+        .collect();
+    for point in &points {
+        println!(
+            "point name={name:?} size={} cost={:.2}",
+            point.size, point.cost
+        );
+    }
+    let count = points.len() as f64;
+    let mean_size = points.iter().map(|point| point.size).sum::<f64>() / count;
+    let mean_cost = points.iter().map(|point| point.cost).sum::<f64>() / count;
+    let spread: f64 = points
+        .iter()
+        .map(|point| (point.size - mean_size).powi(2))
+        .sum();
+    let joint: f64 = points
+        .iter()
+        .map(|point| (point.size - mean_size) * (point.cost - mean_cost))
+        .sum();
+    let slope = joint / spread;
+    println!(
+        "fit name={name:?} slope={slope:.4} base={:.2}",
+        mean_cost - slope * mean_size
+    );
+}
+
+/// Microseconds of one call, the least of several rounds.
+fn time_us(mut call: impl FnMut()) -> f64 {
+    let mut least = f64::MAX;
+    for _ in 0..ROUNDS {
+        let begun = Instant::now();
+        call();
+        least = least.min(begun.elapsed().as_secs_f64() * 1e6);
+    }
+    least
+}
+
+fn encoded_len<T: Serialize + Unpin>(value: &T) -> f64 {
+    let mut codec = Bincode::<(), T>::default();
+    Pin::new(&mut codec)
+        .serialize(value)
+        .map_or(0.0, |bytes| bytes.len() as f64)
+}
+
+/// Memory of this process that is resident, in bytes.
+fn resident_bytes() -> usize {
+    const PAGE_BYTES: usize = 4_096;
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split(' ').nth(1).and_then(|pages| pages.parse().ok());
+    pages.unwrap_or(0) * PAGE_BYTES
+}
+
+fn now() -> MonotonicTime {
+    MonotonicTime(8_000_000)
+}
+
+fn vm(index: usize) -> VmName {
+    VmName::from(format!("entry-{index:04}"))
+}
+
+fn centre(index: usize) -> CentreName {
+    CentreName::from(format!("centre-{}", index % CENTRES))
+}
+
+fn make_document() -> EnvironmentDocument {
+    let region = |index: usize| {
+        let centres: Vec<_> = (0..CENTRES)
+            .filter(|place| place % 7 == index)
+            .map(|place| json!({"name": centre(place)}))
+            .collect();
+        json!({"name": format!("region-{index}"), "data_centres": centres})
+    };
+    let regions: Vec<_> = (0..7).map(region).collect();
+    let services: Vec<_> = (0..40)
+        .map(|index| json!({"name": format!("service-{index}"), "repeatable": true}))
+        .collect();
+    let document = json!({"regions": regions, "services": services});
+    serde_json::from_value(document).unwrap_or_default()
+}
+
+fn make_view(entries: usize) -> Arc<ControlView> {
+    let make_entry = |index: usize| EntryRecord {
+        vm: vm(index),
+        environment: ENVIRONMENT.into(),
+        data_centre: centre(index),
+        incarnation: IncarnationNumber(1),
+        caller_address: ([10, 0, 0, 1], 8_000).into(),
+        peer_address: ([10, 0, 0, 1], 8_001).into(),
+        state: EntryState::Live,
+    };
+    let mut view = ControlView {
+        version: VersionNumber(2),
+        ..ControlView::default()
+    };
+    view.environments
+        .insert(ENVIRONMENT.into(), Arc::new(make_document()));
+    view.entries = (0..entries).map(make_entry).collect();
+    Arc::new(view)
+}
+
+fn make_held(index: usize) -> Arc<[HeldSnapshot]> {
+    let shard = ShardNumber(u32::try_from(index).unwrap_or(0) % SHARDS);
+    let held = |snapshot| HeldSnapshot {
+        snapshot: SnapshotNumber(snapshot),
+        generation: 1,
+        shard,
+        shards: SHARDS,
+        weight: 100,
+        whole_weight: u64::from(SHARDS) * 100,
+    };
+    Arc::from([held(2), held(1)])
+}
+
+fn make_record(index: usize) -> ReplicaRecord {
+    ReplicaRecord {
+        replica: ReplicaName::from(format!("replica-{index}")),
+        service: ServiceName::from(format!("service-{}", index / (3 * SHARDS as usize))),
+        data_centre: centre(index),
+        incarnation: IncarnationNumber(1),
+        state: UseState::Warm,
+        slots: 2,
+        snapshots: make_held(index),
+        load: KeeperLoad::default(),
+    }
+}
+
+fn make_delta(table: u64, cursor: u64, records: Vec<ReplicaRecord>) -> TableDelta {
+    TableDelta {
+        table: table.min(1),
+        cursor,
+        whole: false,
+        records,
+        gone: Vec::new(),
+        crashes: Vec::new(),
+    }
+}
+
+fn filled_routes(replicas: usize, view: &Arc<ControlView>) -> RouteTable {
+    let mut routes = RouteTable::seeded(1);
+    routes.advance(now());
+    routes.adopt_view(Arc::clone(view), ENVIRONMENT.into(), centre(0));
+    for keeper in 0..64 {
+        let records = (0..replicas)
+            .filter(|index| index % 64 == keeper)
+            .map(make_record);
+        routes.apply_delta(&vm(keeper), make_delta(1, 1, records.collect()));
+    }
+    routes
+}
+
+fn make_announcement(index: usize) -> ReplicaAnnouncement {
+    ReplicaAnnouncement {
+        replica: ReplicaName::from(format!("replica-{index}")),
+        service: "service-0".into(),
+        data_centre: centre(0),
+        address: ([10, 0, 0, 2], 9_000).into(),
+        slots: 2,
+        connections: 25,
+        state: ServerState::Ready,
+        incarnation: IncarnationNumber(1),
+        sequence: 1,
+        cold_allowance: 0,
+        snapshots: make_held(index),
+    }
+}
+
+/// A roster whose entry is the only one of its data centre, so that it keeps all.
+fn filled_roster(replicas: usize, view: &Arc<ControlView>) -> KeeperRoster {
+    let identity = EntryIdentity {
+        vm: vm(0),
+        incarnation: IncarnationNumber(1),
+        environment: ENVIRONMENT.into(),
+    };
+    let mut roster = KeeperRoster::new(identity, 5, 4_096);
+    let mut actions = Vec::new();
+    roster.step(
+        MonotonicTime(1),
+        RosterEvent::View(Arc::clone(view)),
+        &mut actions,
+    );
+    let mut lease = FreshnessLease::default();
+    lease.renew(view.version, now(), Duration::ZERO);
+    roster.step(now(), RosterEvent::Lease(lease), &mut actions);
+    for index in 0..replicas {
+        roster.step(
+            now(),
+            RosterEvent::Announced(make_announcement(index)),
+            &mut actions,
+        );
+    }
+    assert_eq!(roster.len(), replicas, "every announcement was taken");
+    assert!(lease.ends() > now() + LEASE);
+    roster
+}
