--- a/daisyhinge/src/keeper/ramp.rs
+++ b/daisyhinge/src/keeper/ramp.rs
@@ -26,10 +26,6 @@
 /// Most answers that a step is waited for.
 pub const SILENT_ANSWERS_MAX: u32 = 64;
 
-/// Time without work and without a bad sign after which a backend server that turned cold in
-/// silence may run one step more, so that warming up ends also where no work comes.
-pub const SILENT_SPAN: Duration = Duration::from_secs(10);
-
 /// While a server that turned cold in silence takes longer than this share of its warm service
 /// time, in percent, it is still cold.
 const ORDINARY_PERCENT: u64 = 150;
@@ -185,12 +181,9 @@
     /// When time alone raises the limit next.
     pub fn next_raise(&self) -> Option<MonotonicTime> {
         let waits = (self.cold || self.doubted) && !self.announced_cold;
-        let span = match self.silent {
-            None => Some(RAISE_SPAN),
-            // Its answers tell more than time does.
-            Some(silent) => (silent.answers == 0 || self.is_ordinary()).then_some(SILENT_SPAN),
-        };
-        span.filter(|_| waits).map(|span| self.quiet + span)
+        // After a silent turn only answers raise it: no time that passes tells that it is warm, and
+        // where no work comes a limit of one is no loss.
+        (waits && self.silent.is_none()).then(|| self.quiet + RAISE_SPAN)
     }
 
     fn take_slow_answer(&mut self, now: MonotonicTime) {
