Make one last look of two

Cause: two lanes each wrote a last look before the write; the shell asked both, each model only its own. Ruled out: keeping both, since a driver that forgets one sends what it must not. Before: last_look and stop_reason. After: last_look takes the ticket and checks gate, expiry, crash records and limit; both models use it. One test now expects the more exact code (server cold in place of slots busy).

--- a/daisyhinge/src/keeper/roster.rs
+++ b/daisyhinge/src/keeper/roster.rs
@@ -15,6 +15,7 @@
 use crate::keeper::partition::PartitionBook;
 use crate::keeper::power::PowerBook;
 use crate::keeper::table::KeeperTable;
+use crate::keeper::ticket::SubTicket;
 use crate::lease::FreshnessLease;
 use crate::prelude::*;
 use crate::vocabulary::announcement::ReplicaAnnouncement;
@@ -88,19 +89,25 @@
 
     /// The last look immediately before a sub-request is written to the connection: why it must
     /// not be, if so. It then ends as [`crate::keeper::ticket::RunEnd::NotSent`].
+    ///
+    /// Since the decision the gate may have closed, the request may have turned out to crash
+    /// backend servers, and the backend server to bear less.
     pub fn last_look(
         &self,
         now: MonotonicTime,
         replica: &ReplicaName,
-        expires: MonotonicTime,
+        ticket: &SubTicket,
     ) -> Option<ResultCode> {
-        match self.rows.get(replica) {
-            None => Some(ResultCode::NotKeeper),
-            Some(row) => {
-                let gate = row.gate(self.lease_ends);
-                row.keeper.last_look(now, expires, &gate)
-            }
-        }
+        let Some(row) = self.rows.get(replica) else {
+            return Some(ResultCode::NotKeeper);
+        };
+        let gate = row.gate(self.lease_ends);
+        let stopped = row.keeper.last_look(now, ticket.expires, &gate);
+        let poisoned = self.crashes.verdict(now, ticket.digest) == CrashVerdict::Poisoned;
+        let load = row.keeper.load();
+        stopped
+            .or_else(|| poisoned.then_some(ResultCode::RequestPoisoned))
+            .or_else(|| (load.running > load.limit).then_some(ResultCode::SlotsBusy))
     }
 
     /// The gate of a replica.
@@ -109,32 +116,6 @@
         Some(row.gate(self.lease_ends))
     }
 
-    /// Why a sub-request that the keeper decided to send must not go out at `now` after all. The
-    /// last look before the first byte: since the decision the gate may have closed, the request
-    /// may have turned out to crash backend servers, and the backend server to bear less.
-    pub fn stop_reason(
-        &self,
-        now: MonotonicTime,
-        replica: &ReplicaName,
-        digest: RequestDigest,
-    ) -> Option<ResultCode> {
-        let Some(row) = self.rows.get(replica) else {
-            return Some(ResultCode::NotKeeper);
-        };
-        let closed = row.gate(self.lease_ends).refuse_reason(now);
-        if closed.is_some() {
-            return closed;
-        }
-        let load = row.keeper.load();
-        if self.crashes.verdict(now, digest) == CrashVerdict::Poisoned {
-            Some(ResultCode::RequestPoisoned)
-        } else if load.running > load.limit {
-            Some(ResultCode::SlotsBusy)
-        } else {
-            None
-        }
-    }
-
     /// Load of a replica, carried back in every reply.
     pub fn load(&self, replica: &ReplicaName) -> KeeperLoad {
         let row = self.rows.get(replica);
--- a/daisyhinge/src/shell/entry/keeping.rs
+++ b/daisyhinge/src/shell/entry/keeping.rs
@@ -14,6 +14,7 @@
 use crate::keeper::event::{KeeperAction, KeeperEvent};
 use crate::keeper::history::EntryIdentity;
 use crate::keeper::roster::{KeeperRoster, RosterAction, RosterEvent};
+use crate::keeper::ticket::SubTicket;
 use crate::prelude::*;
 use crate::shell::entry::keeping::sending::{spawn_cancel, spawn_send};
 use crate::shell::entry::state::EntryState;
@@ -40,7 +41,7 @@
 #[derive(Debug)]
 struct SubWaiter {
     ask: SubAsk,
-    expires: MonotonicTime,
+    ticket: SubTicket,
     reply: Option<oneshot::Sender<SubReply>>,
     sending: Option<AbortHandle>,
     /// Dropped with the waiter, which tells a cancel that the dispatch has ended.
--- a/daisyhinge/src/shell/entry/keeping/running.rs
+++ b/daisyhinge/src/shell/entry/keeping/running.rs
@@ -55,7 +55,7 @@
     let (sender, receiver) = oneshot::channel();
     let waiter = SubWaiter {
         ask,
-        expires: ticket.expires,
+        ticket,
         reply: Some(sender),
         sending: None,
         watch: None,
--- a/daisyhinge/src/shell/entry/keeping/sending.rs
+++ b/daisyhinge/src/shell/entry/keeping/sending.rs
@@ -6,7 +6,7 @@
 use tokio::sync::oneshot;
 
 use crate::keeper::event::KeeperEvent;
-use crate::keeper::ticket::RunEnd;
+use crate::keeper::ticket::{RunEnd, SubTicket};
 use crate::prelude::*;
 use crate::shell::backend::{BackendReply, send_cancel, send_subrequest};
 use crate::shell::entry::keeping::{SendTarget, step_replica};
@@ -35,13 +35,13 @@
     let Some(waiter) = keeping.waiters.get(&attempt) else {
         return false;
     };
-    let (ask, expires) = (waiter.ask.clone(), waiter.expires);
+    let (ask, ticket) = (waiter.ask.clone(), waiter.ticket);
     let pool = keeping.pools.get(&ask.replica).cloned();
     let owner = Arc::clone(state);
     // Spawned under the lock, so that the task cannot end before its handle is kept.
     let task = tokio::spawn(async move {
         let reply = match pool {
-            Some(pool) => run_send(&owner, &pool, &ask, expires).await,
+            Some(pool) => run_send(&owner, &pool, &ask, &ticket).await,
             None => RunEnd::NotSent.into(),
         };
         end_send(&owner, &ask, reply);
@@ -56,7 +56,7 @@
     state: &Arc<EntryState>,
     pool: &ServerPool,
     ask: &SubAsk,
-    expires: MonotonicTime,
+    ticket: &SubTicket,
 ) -> BackendReply {
     let body_max = usize::try_from(state.settings.limits.body_max_bytes).unwrap_or(usize::MAX);
     // The last look, once there is a connection: a process that was frozen since the decision,
@@ -65,15 +65,13 @@
         let now = state.now();
         let keeping = state.keeping.lock();
         let roster = keeping.roster();
-        let refusal = roster
-            .last_look(now, &ask.replica, expires)
-            .or_else(|| roster.stop_reason(now, &ask.replica, ask.digest));
+        let refusal = roster.last_look(now, &ask.replica, ticket);
         drop(keeping);
-        let left = expires.since(now);
+        let left = ticket.expires.since(now);
         let open = state.may_dispatch() && refusal.is_none();
         (open && !left.is_zero()).then_some(left)
     };
-    send_subrequest(pool, ask, expires.since(state.now()), body_max, look).await
+    send_subrequest(pool, ask, ticket.expires.since(state.now()), body_max, look).await
 }
 
 fn end_send(state: &Arc<EntryState>, ask: &SubAsk, reply: BackendReply) {
--- a/daisyhinge/tests/keeper/world/entry_side.rs
+++ b/daisyhinge/tests/keeper/world/entry_side.rs
@@ -129,7 +129,7 @@
             return;
         };
         let replica = self.servers[run.server].announcement.replica.clone();
-        let refusal = entry.roster.last_look(local, &replica, run.ticket.expires);
+        let refusal = entry.roster.last_look(local, &replica, &run.ticket);
         if refusal.is_some() {
             self.counts.not_sent += 1;
             self.end(index, attempt, RunEnd::NotSent);
--- a/daisyhinge/tests/keeper_look.rs
+++ b/daisyhinge/tests/keeper_look.rs
@@ -60,7 +60,17 @@
 }
 
 fn look(roster: &KeeperRoster, number: u64) -> Option<ResultCode> {
-    roster.stop_reason(at(START_MS + 10), &"r1".into(), RequestDigest(number))
+    look_at(roster, at(START_MS + 10), "r1", number)
+}
+
+fn look_at(
+    roster: &KeeperRoster,
+    now: MonotonicTime,
+    replica: &str,
+    number: u64,
+) -> Option<ResultCode> {
+    let expires = now + Duration::from_millis(100);
+    roster.last_look(now, &replica.into(), &ticket(number, expires))
 }
 
 #[test]
@@ -68,9 +78,9 @@
     let roster = roster_with_sent(2);
     assert_eq!(look(&roster, 1), None);
     let now = at(START_MS + 60_000);
-    let reason = roster.stop_reason(now, &"r1".into(), RequestDigest(1));
+    let reason = look_at(&roster, now, "r1", 1);
     assert_eq!(reason, Some(ResultCode::NoLease));
-    let reason = roster.stop_reason(at(START_MS), &"r2".into(), RequestDigest(1));
+    let reason = look_at(&roster, at(START_MS), "r2", 1);
     assert_eq!(reason, Some(ResultCode::NotKeeper));
 }
 
@@ -107,5 +117,5 @@
     cold.cold_allowance = 1;
     let event = RosterEvent::Announced(cold);
     roster.step(at(START_MS + 5), event, &mut Vec::new());
-    assert_eq!(look(&roster, 1), Some(ResultCode::SlotsBusy));
+    assert_eq!(look(&roster, 1), Some(ResultCode::ServerCold));
 }
--- a/daisyhinge/tests/mixed/keeping_side.rs
+++ b/daisyhinge/tests/mixed/keeping_side.rs
@@ -112,7 +112,7 @@
         let waiter = waiter.clone();
         let open = entry
             .roster
-            .stop_reason(local, &waiter.ask.replica, waiter.ticket.digest)
+            .last_look(local, &waiter.ask.replica, &waiter.ticket)
             .is_none();
         let left = waiter.ticket.expires.since(local);
         if !lease || !open || left.is_zero() {
