Rank only the data centre's own entries in the choice of a keeper

Cause: the choice ranked every entry of the system, region search and hash included, though nearly always the data centre has entries of its own. Ruled out: an index per view; it is not needed at this size any more. The choice itself is unchanged; tests pass.

--- a/daisyhinge/src/rendezvous.rs
+++ b/daisyhinge/src/rendezvous.rs
@@ -20,19 +20,15 @@
     replica: &ReplicaName,
 ) -> Option<&'view EntryRecord> {
     let document = view.environments.get(environment);
-    let mut best: Option<KeeperRank<'view>> = None;
-    for entry in live_entries(view, environment) {
-        let rank = KeeperRank {
-            nearness: 2 - centre_distance(document, &entry.data_centre, centre),
-            hash: hash_pair(&entry.vm, replica),
-            entry,
-        };
-        let better = |best: &KeeperRank<'_>| {
-            (rank.nearness, rank.hash, &rank.entry.vm) > (best.nearness, best.hash, &best.entry.vm)
-        };
-        if best.as_ref().is_none_or(better) {
-            best = Some(rank);
-        }
+    // Nearly always there is one in the data centre itself; the rest need not be ranked then.
+    let within = live_entries(view, environment).filter(|entry| entry.data_centre == *centre);
+    let mut best = within.fold(None, |best, entry| prefer_rank(best, 2, entry, replica));
+    if best.is_none() {
+        let elsewhere = live_entries(view, environment);
+        best = elsewhere.fold(None, |best, entry| {
+            let nearness = 2 - centre_distance(document, &entry.data_centre, centre);
+            prefer_rank(best, nearness, entry, replica)
+        });
     }
     best.map(|rank| rank.entry)
 }
@@ -60,6 +56,27 @@
     entry: &'view EntryRecord,
 }
 
+/// The better of `best` and `entry`: nearer, then of the higher hash, then by name.
+fn prefer_rank<'view>(
+    best: Option<KeeperRank<'view>>,
+    nearness: u8,
+    entry: &'view EntryRecord,
+    replica: &ReplicaName,
+) -> Option<KeeperRank<'view>> {
+    let hash = hash_pair(&entry.vm, replica);
+    let better = |best: &KeeperRank<'_>| {
+        (nearness, hash, &entry.vm) > (best.nearness, best.hash, &best.entry.vm)
+    };
+    if best.as_ref().is_none_or(better) {
+        return Some(KeeperRank {
+            nearness,
+            hash,
+            entry,
+        });
+    }
+    best
+}
+
 fn live_entries<'view>(
     view: &'view ControlView,
     environment: &EnvironmentName,
