Take the last look again as the connection writes

The look came before the request was handed to the connection, which writes on a task of its own: a freeze in between was not seen. Ruled out: the lease (it had ended, and the look after the thaw refuses), the hand-over (the data centre was out for all others), a relative expiry, which is worked out before the freeze and so cannot tell. A stopped write keeps its slot and claims nothing.

--- a/daisyhinge/src/shell.rs
+++ b/daisyhinge/src/shell.rs
@@ -4,6 +4,7 @@
 //! await, unless the module that owns the table states otherwise.
 
 pub mod backend;
+pub mod body;
 pub mod clock;
 pub mod control;
 pub mod entry;
--- a/daisyhinge/src/shell/backend.rs
+++ b/daisyhinge/src/shell/backend.rs
@@ -4,13 +4,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 
 use crate::keeper::ticket::RunEnd;
 use crate::prelude::*;
+use crate::shell::body::{CheckedBody, WriteCheck};
 use crate::shell::header;
 use crate::shell::pool::{PoolFault, ServerConnection, ServerPool};
 use crate::vocabulary::subrequest::SubAsk;
@@ -40,7 +41,7 @@
     ask: &SubAsk,
     left: Duration,
     body_max_bytes: usize,
-    look: impl Fn() -> Option<Duration>,
+    look: impl Fn() -> Option<Duration> + Clone + Send + Sync + 'static,
 ) -> BackendReply {
     let started = tokio::time::Instant::now();
     let exchange = exchange_subrequest(pool, ask, body_max_bytes, look);
@@ -58,7 +59,7 @@
     pool: &ServerPool,
     ask: &SubAsk,
     body_max_bytes: usize,
-    look: impl Fn() -> Option<Duration>,
+    look: impl Fn() -> Option<Duration> + Clone + Send + Sync + 'static,
 ) -> BackendReply {
     // An idle connection may have been closed by the other side; the request then comes back
     // unsent and a fresh connection is safe even for a request that may not be repeated.
@@ -74,13 +75,21 @@
             Err(PoolFault::Full) => return RunEnd::NotSent.into(),
             Err(PoolFault::ConnectFailed) => return RunEnd::ConnectFailed.into(),
         };
-        let request = look().and_then(|left| build_subrequest(pool, ask, left));
+        // Asked again when the connection writes it.
+        let again = look.clone();
+        let check = move || again().is_some();
+        let request = look().and_then(|left| build_subrequest(pool, ask, left, Box::new(check)));
         let Some(request) = request else {
             connection.give_back();
             return RunEnd::NotSent.into();
         };
         match connection.sender.try_send_request(request).await {
             Ok(response) => return read_answer(connection, ask, response, body_max_bytes).await,
+            // The check stopped it at the last moment. Nothing was flushed, but the slot is kept
+            // and nothing is claimed of it, as for work whose end is not known.
+            Err(fault) if fault.message().is_none() && fault.error().is_user() => {
+                return RunEnd::Expired.into();
+            }
             Err(fault) if fault.message().is_none() => return RunEnd::Reset.into(),
             Err(_) if fresh => return RunEnd::ConnectFailed.into(),
             Err(_) => {}
@@ -93,7 +102,8 @@
     pool: &ServerPool,
     ask: &SubAsk,
     left: Duration,
-) -> Option<Request<Full<Bytes>>> {
+    check: WriteCheck,
+) -> Option<Request<CheckedBody>> {
     Request::builder()
         .method(Method::POST)
         .uri("/v1/sub-request")
@@ -110,7 +120,7 @@
             u64::try_from(left.as_micros()).unwrap_or(u64::MAX),
         )
         .header(header::REPEATABLE, ask.repeatable.to_string())
-        .body(Full::new(ask.body.clone()))
+        .body(CheckedBody::new(ask.body.clone(), check))
         .ok()
 }
 
@@ -201,7 +211,7 @@
         .uri("/v1/cancel")
         .header(HOST, pool.address().to_string())
         .header(header::ATTEMPT, attempt.to_string())
-        .body(Full::new(Bytes::new()));
+        .body(CheckedBody::empty());
     let Ok(request) = request else { return false };
     let Ok(response) = connection.sender.send_request(request).await else {
         return false;
--- a/daisyhinge/src/shell/entry/keeping/sending.rs
+++ b/daisyhinge/src/shell/entry/keeping/sending.rs
@@ -59,16 +59,18 @@
     ticket: &SubTicket,
 ) -> BackendReply {
     let body_max = usize::try_from(state.settings.limits.body_max_bytes).unwrap_or(usize::MAX);
-    // The last look, once there is a connection: a process that was frozen since the decision,
-    // or that waited long for the connection, must not send old work.
-    let look = || {
-        let now = state.now();
-        let keeping = state.keeping.lock();
-        let roster = keeping.roster();
-        let refusal = roster.last_look(now, &ask.replica, ticket);
-        drop(keeping);
+    // The last look, once there is a connection and again as it is written: a process that was
+    // frozen since the decision, or that waited long for the connection, must not send old work.
+    let (owner, replica, ticket) = (Arc::clone(state), ask.replica.clone(), *ticket);
+    let look = move || {
+        let now = owner.now();
+        let refusal = owner
+            .keeping
+            .lock()
+            .roster()
+            .last_look(now, &replica, &ticket);
         let left = ticket.expires.since(now);
-        let open = state.may_dispatch() && refusal.is_none();
+        let open = owner.may_dispatch() && refusal.is_none();
         (open && !left.is_zero()).then_some(left)
     };
     send_subrequest(pool, ask, ticket.expires.since(state.now()), body_max, look).await
--- a/daisyhinge/src/shell/pool.rs
+++ b/daisyhinge/src/shell/pool.rs
@@ -4,14 +4,13 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use tokio::net::TcpStream;
 
 use crate::prelude::*;
+use crate::shell::body::CheckedBody;
 
 /// Why no connection could be had. Nothing was sent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -34,7 +33,7 @@
     incarnation: IncarnationNumber,
     connections_max: u32,
     open: AtomicU32,
-    idle: Mutex<Vec<SendRequest<Full<Bytes>>>>,
+    idle: Mutex<Vec<SendRequest<CheckedBody>>>,
 }
 
 /// A connection that carries one request at a time. Dropping it closes it, so that a late answer
@@ -42,7 +41,7 @@
 #[derive(Debug)]
 pub struct ServerConnection {
     /// Sends requests.
-    pub sender: SendRequest<Full<Bytes>>,
+    pub sender: SendRequest<CheckedBody>,
     pool: ServerPool,
 }
 
