--- a/daisyhinge/src/control/book.rs
+++ b/daisyhinge/src/control/book.rs
@@ -12,11 +12,13 @@
 use crate::vocabulary::change::{ChangeAsk, ChangeDone, ChangeRecord, ChangeRefusal};
 use crate::vocabulary::claim::{ClaimAsk, ClaimEnd, ClaimReply};
 use crate::vocabulary::environment::EnvironmentDocument;
+use crate::vocabulary::site::{SiteChange, SiteDone, SiteState};
 use crate::vocabulary::view::{ControlView, DepartedEntry, EntryRecord};
 
 pub mod changes;
 pub mod claims;
 pub mod entries;
+mod site;
 
 use changes::{ChangeTable, EnvironmentState};
 use claims::ClaimTable;
@@ -62,6 +64,8 @@
     Claim(ClaimAsk),
     /// Records how a claimed request ended.
     EndClaim(ClaimEnd),
+    /// An operator's change of the deployment.
+    Site(SiteChange),
 }
 
 /// What a command brought.
@@ -75,6 +79,8 @@
     EndClaim(bool),
     /// Of a command about entries: whether it altered anything.
     Entries(bool),
+    /// Of a change of the deployment.
+    Site(SiteDone),
 }
 
 /// The book as it is kept in snapshots.
@@ -92,6 +98,8 @@
     pub entries: EntryTable,
     /// Claims.
     pub claims: ClaimTable,
+    /// The deployment.
+    pub site: Arc<SiteState>,
 }
 
 /// The book of one voter.
@@ -144,6 +152,7 @@
             BookKind::Forget { before_ms } => BookReply::Entries(state.forget_entries(*before_ms)),
             BookKind::Claim(ask) => BookReply::Claim(state.claims.claim(state.clock_ms, ask)),
             BookKind::EndClaim(end) => BookReply::EndClaim(state.claims.end(end)),
+            BookKind::Site(change) => BookReply::Site(site::apply_change(&mut state.site, change)),
         };
         assert!(self.state.version >= before, "a version reverted");
         if self.state.version > before {
--- a/daisyhinge/src/control/core.rs
+++ b/daisyhinge/src/control/core.rs
@@ -110,6 +110,7 @@
             CoreEvent::IdentityChanged { id, address } => {
                 self.replace_member(now, &id, address, actions);
             }
+            CoreEvent::JoinAsked { id, address } => self.join_member(now, &id, address, actions),
             CoreEvent::Found(set) => self.step_voter(now, VoterEvent::Found(set), actions),
             CoreEvent::Flush => self.step_voter(now, VoterEvent::Flush, actions),
         }
@@ -277,9 +278,22 @@
         id: &VoterId,
         address: SocketAddr,
         actions: &mut Vec<CoreAction>,
+    ) {
+        let known = &self.voter.voters().members;
+        if known.iter().any(|member| member.id.vm == id.vm) {
+            self.join_member(now, id, address, actions);
+        }
+    }
+
+    /// Takes a VM in as a learner, unless it takes part already.
+    fn join_member(
+        &mut self,
+        now: MonotonicTime,
+        id: &VoterId,
+        address: SocketAddr,
+        actions: &mut Vec<CoreAction>,
     ) {
         if let Some(member) = self.make_member(id, address)
-            && member.replaces.is_some()
             && self.voter.is_leader()
         {
             let event = VoterEvent::ChangeMembers {
--- a/daisyhinge/src/control/core/action.rs
+++ b/daisyhinge/src/control/core/action.rs
@@ -13,6 +13,7 @@
 use crate::vocabulary::claim::{ClaimAsk, ClaimEnd, ClaimReply};
 use crate::vocabulary::event::EventDraft;
 use crate::vocabulary::freshness::{FreshAsk, FreshReply};
+use crate::vocabulary::site::{SiteChange, SiteDone, SiteState};
 use crate::vocabulary::view::ControlView;
 
 /// What a control VM is asked.
@@ -32,6 +33,10 @@
     Environment(EnvironmentName),
     /// The history of an environment.
     History(EnvironmentName),
+    /// A change of the deployment.
+    Site(SiteChange),
+    /// The deployment's state.
+    ReadSite,
 }
 
 /// The reply to a [`CoreAsk`].
@@ -51,6 +56,10 @@
     Environment(Result<EnvironmentReading, ChangeRefusal>),
     /// Of [`CoreAsk::History`].
     History(Result<Vec<ChangeRecord>, ChangeRefusal>),
+    /// Of [`CoreAsk::Site`].
+    Site(Result<SiteDone, ResultCode>),
+    /// Of [`CoreAsk::ReadSite`].
+    ReadSite(Result<Arc<SiteState>, ResultCode>),
 }
 
 /// What a control VM is told.
@@ -81,6 +90,13 @@
         /// Where it is.
         address: SocketAddr,
     },
+    /// A control VM asks to take part.
+    JoinAsked {
+        /// Its identity.
+        id: VoterId,
+        /// Where it is.
+        address: SocketAddr,
+    },
     /// The first members, which all showed that they hold nothing; this VM founds the log.
     Found(VoterSet),
     /// All that is known for now was told.
--- a/daisyhinge/src/control/core/ask.rs
+++ b/daisyhinge/src/control/core/ask.rs
@@ -38,7 +38,11 @@
             }
             CoreAsk::EndClaim(end) => self.propose(now, ticket, BookKind::EndClaim(end), actions),
             CoreAsk::Change(ask, id) => self.take_change(now, ticket, ask, id, actions),
-            CoreAsk::View | CoreAsk::Environment(_) | CoreAsk::History(_) => {
+            CoreAsk::Site(change) => self.propose(now, ticket, BookKind::Site(change), actions),
+            CoreAsk::View
+            | CoreAsk::Environment(_)
+            | CoreAsk::History(_)
+            | CoreAsk::ReadSite => {
                 self.step_voter(now, VoterEvent::Confirm { ticket }, actions);
             }
         }
@@ -132,6 +136,8 @@
             CoreAsk::View => CoreReply::View(Err(refusal)),
             CoreAsk::Environment(_) => CoreReply::Environment(Err(refusal)),
             CoreAsk::History(_) => CoreReply::History(Err(refusal)),
+            CoreAsk::Site(_) => CoreReply::Site(Err(code)),
+            CoreAsk::ReadSite => CoreReply::ReadSite(Err(code)),
         };
         self.reply(ticket, reply, actions);
     }
@@ -152,6 +158,9 @@
             Some(CoreAsk::History(name)) => {
                 CoreReply::History(self.book.find_history(name).ok_or_else(unknown))
             }
+            Some(CoreAsk::ReadSite) => {
+                CoreReply::ReadSite(Ok(std::sync::Arc::clone(&self.book.state().site)))
+            }
             _ => return,
         };
         self.reply(ticket, reply, actions);
@@ -169,6 +178,7 @@
             BookReply::Change(reply) => CoreReply::Change(reply.clone()),
             BookReply::Claim(reply) => CoreReply::Claim(reply.clone()),
             BookReply::EndClaim(recorded) => CoreReply::EndClaim(*recorded),
+            BookReply::Site(done) => CoreReply::Site(Ok(*done)),
             BookReply::Entries(_) => {
                 self.answer_joined(now, ticket, actions);
                 return;
--- a/daisyhinge/src/control/limits.rs
+++ b/daisyhinge/src/control/limits.rs
@@ -1,5 +1,7 @@
 //! Sizes that bound the log, its snapshots and its files.
 
+use std::time::Duration;
+
 /// Sizes that bound the log, its snapshots and its files. Tests make them small.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct LogLimits {
@@ -15,6 +17,9 @@
     pub compact_bytes: usize,
     /// Size at which a new segment file is begun, in bytes.
     pub segment_bytes: u64,
+    /// Silence after which a leader removes a member that others can do without; unset where
+    /// operators remove members.
+    pub silent_span: Option<Duration>,
 }
 
 impl Default for LogLimits {
@@ -26,6 +31,7 @@
             compact_entries: 8_192,
             compact_bytes: 16 << 20,
             segment_bytes: 8 << 20,
+            silent_span: None,
         }
     }
 }
--- a/daisyhinge/src/control/voter/lead.rs
+++ b/daisyhinge/src/control/voter/lead.rs
@@ -19,6 +19,9 @@
 /// A learner this many entries behind at most may vote.
 const PROMOTE_LAG_ENTRIES: u64 = 64;
 
+/// Voters that a leader keeps, however long one is silent.
+const VOTERS_KEPT: usize = 3;
+
 /// What a leader knows of another member.
 #[derive(Clone, Debug)]
 pub(super) struct PeerState {
@@ -364,12 +367,29 @@
             .find(|member| member.learner && self.has_caught_up(now, &member.id));
         let change = replaced
             .map(MemberChange::Remove)
-            .or_else(|| ready.map(|member| MemberChange::Promote(member.id.clone())));
+            .or_else(|| ready.map(|member| MemberChange::Promote(member.id.clone())))
+            .or_else(|| self.find_silent(now).map(MemberChange::Remove));
         if let Some(change) = change {
             self.propose_members(now, 0, &change, Bytes::new(), actions);
         }
     }
 
+    /// A member that was silent so long that it counts as gone, while all other voters answer
+    /// and hold the log. It joins again if it comes back.
+    fn find_silent(&self, now: MonotonicTime) -> Option<VoterId> {
+        let span = self.limits.silent_span?;
+        let set = self.voters();
+        let silent = set.members.iter().find(|member| {
+            let progress = self.peer_progress(&member.id);
+            progress.is_some_and(|(_, heard)| now.since(heard) >= span)
+        })?;
+        let mut others = set.voters().filter(|member| member.id != silent.id);
+        let sound =
+            others.all(|member| member.id == self.id || self.has_caught_up(now, &member.id));
+        let spared = silent.learner || set.voters().count() > VOTERS_KEPT;
+        (sound && spared).then(|| silent.id.clone())
+    }
+
     fn has_caught_up(&self, now: MonotonicTime, id: &VoterId) -> bool {
         self.peer_progress(id).is_some_and(|(matched, heard)| {
             matched > 0
--- /dev/null
+++ b/daisyhinge/src/dispatch.rs
@@ -0,0 +1,84 @@
+//! Sends a request to one replica of a service, or of each shard, without I/O.
+//!
+//! An entry sends directly to the replicas that it knows of. What it may use of a replica that
+//! all entries share, its connections and the extra requests of its service, is a share that
+//! follows from the number of entries, so that no entry needs to ask another one.
+
+pub mod budget;
+pub mod fleet;
+pub mod merge;
+pub mod request;
+pub mod share;
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use crate::prelude::*;
+use crate::routing::SplitTurn;
+use crate::vocabulary::site::{RouteTarget, SiteConfig, SiteRoute};
+use budget::{BudgetLimits, RepeatBudget};
+use fleet::{Fleet, FleetPlace};
+
+/// What all requests of an entry share: the replicas, and the budgets of extra requests.
+#[derive(Debug)]
+pub struct Dispatcher {
+    /// The replicas.
+    pub fleet: Fleet,
+    limits: BudgetLimits,
+    budgets: HashMap<ServiceName, RepeatBudget>,
+    turns: HashMap<Arc<str>, SplitTurn>,
+    attempts: u64,
+}
+
+impl Dispatcher {
+    /// A dispatcher of an entry at `place`.
+    pub fn open(place: FleetPlace, limits: BudgetLimits) -> Self {
+        Self {
+            fleet: Fleet::open(place),
+            limits,
+            budgets: HashMap::new(),
+            turns: HashMap::new(),
+            attempts: 0,
+        }
+    }
+
+    /// Takes a new configuration.
+    pub fn take_config(&mut self, config: &SiteConfig) {
+        self.fleet.take_services(&config.services);
+        let known = |name: &Arc<str>| config.routes.iter().any(|route| route.name == *name);
+        self.turns.retain(|name, _| known(name));
+    }
+
+    /// The services that a request of `route` goes to: one, or one a shard.
+    pub fn pick_targets(&mut self, route: &SiteRoute) -> Arc<[ServiceName]> {
+        match &route.target {
+            RouteTarget::Gather(plan) => Arc::clone(&plan.shards),
+            RouteTarget::Split(parts) => {
+                let turn = self.turns.entry(Arc::clone(&route.name)).or_default();
+                let part = turn.next_part(parts);
+                parts
+                    .get(part)
+                    .map(|part| part.service.clone())
+                    .into_iter()
+                    .collect()
+            }
+        }
+    }
+
+    /// The budget of extra requests of a service.
+    pub fn budget(&mut self, service: &ServiceName) -> &mut RepeatBudget {
+        if !self.budgets.contains_key(service) {
+            let budget = RepeatBudget::open(self.limits);
+            self.budgets.insert(service.clone(), budget);
+        }
+        self.budgets
+            .get_mut(service)
+            .expect("it was inserted if it was missing")
+    }
+
+    /// Number of a new attempt.
+    pub fn next_attempt(&mut self) -> u64 {
+        self.attempts += 1;
+        self.attempts
+    }
+}
--- /dev/null
+++ b/daisyhinge/src/dispatch/fleet.rs
@@ -0,0 +1,341 @@
+//! The replicas as one entry sees them, and the choice among them.
+//!
+//! The choice answers stragglers and pauses: a replica whose oldest request is overdue is passed
+//! over before any sample says so, one that sheds or fails counts as slower than it is, and one
+//! that can't be reached is left alone for a short, growing time. Suspicion never removes a
+//! replica: where all are suspect, the best of them is used.
+
+use std::collections::{BTreeSet, HashMap};
+use std::time::Duration;
+
+use crate::prelude::*;
+use crate::registry::supersedes;
+use crate::vocabulary::clock::span_to_micros;
+use crate::vocabulary::registration::{EntryPresence, ReplicaPhase, ReplicaRecord};
+use crate::vocabulary::site::SiteService;
+
+mod replica;
+pub use replica::{AttemptFinish, FleetReplica, Nearness};
+
+use super::share::{EntryCount, find_share, hash_pair};
+
+/// Connections that a replica accepts where the configuration does not say.
+const CONNECTIONS_DEFAULT: u32 = 16;
+
+/// Names a replica at this entry; never used for another one.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct ReplicaIndex(pub u32);
+
+/// Where the entry is, and which region each data centre belongs to.
+#[derive(Clone, Debug)]
+pub struct FleetPlace {
+    /// The entry's VM.
+    pub vm: VmName,
+    /// Its data centre.
+    pub data_centre: CentreName,
+    /// Region of each data centre.
+    pub regions: HashMap<CentreName, RegionName>,
+}
+
+impl FleetPlace {
+    /// The region of a data centre.
+    pub fn region_of(&self, centre: &CentreName) -> Option<&RegionName> {
+        self.regions.get(centre)
+    }
+
+    fn nearness_of(&self, centre: &CentreName) -> Nearness {
+        if *centre == self.data_centre {
+            Nearness::SameCentre
+        } else if self.region_of(centre) == self.region_of(&self.data_centre) {
+            Nearness::SameRegion
+        } else {
+            Nearness::OtherRegion
+        }
+    }
+}
+
+/// The outcome of a choice.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Choice {
+    /// Send it there.
+    Replica(ReplicaIndex),
+    /// All usable replicas have as many requests of this entry as they may.
+    Busy,
+    /// No replica can be used at present.
+    Absent,
+}
+
+/// What a choice is for.
+#[derive(Clone, Copy, Debug)]
+pub struct ChooseAsk<'ask> {
+    /// The service.
+    pub service: &'ask ServiceName,
+    /// Replicas that are not to be chosen.
+    pub tried: &'ask [ReplicaIndex],
+    /// Regions that may see the request; empty for all.
+    pub allowed_regions: &'ask [RegionName],
+}
+
+#[derive(Clone, Debug, Default)]
+struct ServiceState {
+    members: Vec<ReplicaIndex>,
+    connections_max: Option<u32>,
+    cold_per_second: Option<f64>,
+}
+
+/// All replicas that an entry knows of.
+#[derive(Debug)]
+pub struct Fleet {
+    place: FleetPlace,
+    replicas: HashMap<ReplicaIndex, FleetReplica>,
+    names: HashMap<ReplicaName, ReplicaIndex>,
+    services: HashMap<ServiceName, ServiceState>,
+    entries: HashMap<VmName, EntryPresence>,
+    evacuated: BTreeSet<CentreName>,
+    next_index: u32,
+}
+
+impl Fleet {
+    /// An empty fleet.
+    pub fn open(place: FleetPlace) -> Self {
+        Self {
+            place,
+            replicas: HashMap::new(),
+            names: HashMap::new(),
+            services: HashMap::new(),
+            entries: HashMap::new(),
+            evacuated: BTreeSet::new(),
+            next_index: 0,
+        }
+    }
+
+    /// Where the entry is.
+    pub fn place(&self) -> &FleetPlace {
+        &self.place
+    }
+
+    /// Takes services of a configuration.
+    pub fn take_services(&mut self, services: &[SiteService]) {
+        for service in services {
+            let state = self.services.entry(service.name.clone()).or_default();
+            state.connections_max = Some(service.connections_max);
+            state.cold_per_second = service.cold_per_second;
+        }
+        self.share_connections();
+    }
+
+    /// Takes the data centres that are to be sent nothing.
+    pub fn take_evacuated(&mut self, evacuated: BTreeSet<CentreName>) {
+        self.evacuated = evacuated;
+    }
+
+    /// Takes entries that were told of; shares of connections follow from them.
+    pub fn take_entries(&mut self, entries: Vec<EntryPresence>) {
+        for presence in entries {
+            self.entries.insert(presence.vm.clone(), presence);
+        }
+        self.share_connections();
+    }
+
+    /// Entries that serve, this one included.
+    pub fn entry_count(&self) -> usize {
+        let others = self.serving().filter(|entry| entry.vm != self.place.vm);
+        others.count() + 1
+    }
+
+    fn serving(&self) -> impl Iterator<Item = &EntryPresence> {
+        use crate::vocabulary::registration::EntryPhase;
+        let entries = self.entries.values();
+        entries.filter(|entry| entry.phase == EntryPhase::Serving)
+    }
+
+    /// Takes a replica that was told of. Returns its index if it is new.
+    pub fn take_replica(
+        &mut self,
+        now: MonotonicTime,
+        record: ReplicaRecord,
+    ) -> Option<ReplicaIndex> {
+        if let Some(index) = self.names.get(&record.name).copied() {
+            let held = self.replicas.get_mut(&index)?;
+            if !supersedes(&held.record, &record) {
+                return None;
+            }
+            let same = held.record.born_ms == record.born_ms
+                && held.record.address == record.address
+                && held.record.service == record.service;
+            if same && record.phase != ReplicaPhase::Left {
+                held.take_record(now, record);
+                return None;
+            }
+            self.remove(index);
+        }
+        if record.phase == ReplicaPhase::Left {
+            return None;
+        }
+        let index = ReplicaIndex(self.next_index);
+        self.next_index += 1;
+        let nearness = self.place.nearness_of(&record.data_centre);
+        let state = self.services.entry(record.service.clone()).or_default();
+        state.members.push(index);
+        self.names.insert(record.name.clone(), index);
+        let replica = FleetReplica::open(now, record, nearness);
+        self.replicas.insert(index, replica);
+        self.share_connections();
+        Some(index)
+    }
+
+    fn remove(&mut self, index: ReplicaIndex) {
+        if let Some(replica) = self.replicas.remove(&index) {
+            self.names.remove(&replica.record.name);
+            if let Some(state) = self.services.get_mut(&replica.record.service) {
+                state.members.retain(|member| *member != index);
+            }
+        }
+    }
+
+    /// A replica.
+    pub fn replica(&self, index: ReplicaIndex) -> Option<&FleetReplica> {
+        self.replicas.get(&index)
+    }
+
+    /// Replicas of all services.
+    pub fn replicas(&self) -> impl Iterator<Item = (ReplicaIndex, &FleetReplica)> {
+        self.replicas.iter().map(|(index, held)| (*index, held))
+    }
+
+    fn share_connections(&mut self) {
+        let own = self.place.vm.clone();
+        let entries: Vec<(VmName, Option<RegionName>)> = self
+            .serving()
+            .filter(|entry| entry.vm != own)
+            .map(|entry| {
+                let region = self.place.region_of(&entry.data_centre).cloned();
+                (entry.vm.clone(), region)
+            })
+            .collect();
+        let own_region = self.place.region_of(&self.place.data_centre);
+        for replica in self.replicas.values_mut() {
+            let region = self.place.regions.get(&replica.record.data_centre);
+            let is_near = region == own_region;
+            let own_hash = hash_pair(own.as_str(), replica.record.name.as_str());
+            let mut count = EntryCount {
+                near: u32::from(is_near),
+                far: u32::from(!is_near),
+            };
+            let mut rank = 0;
+            for (vm, entry_region) in &entries {
+                let near = entry_region.as_ref() == region;
+                if near {
+                    count.near += 1;
+                } else {
+                    count.far += 1;
+                }
+                let hash = hash_pair(vm.as_str(), replica.record.name.as_str());
+                rank += u32::from(near == is_near && hash > own_hash);
+            }
+            let state = self.services.get(&replica.record.service);
+            let connections_max = state.and_then(|state| state.connections_max);
+            let connections_max = connections_max.unwrap_or(CONNECTIONS_DEFAULT);
+            replica.connections_max = find_share(connections_max, count, is_near, rank);
+            replica.cold_rate = state
+                .and_then(|state| state.cold_per_second)
+                .map(|rate| if rank == 0 && is_near { rate } else { 0.0 });
+        }
+    }
+
+    /// Chooses the replica that is expected to answer first.
+    pub fn choose(&self, now: MonotonicTime, ask: &ChooseAsk<'_>) -> Choice {
+        let Some(state) = self.services.get(ask.service) else {
+            return Choice::Absent;
+        };
+        let mut busy = false;
+        let mut best: Option<(u64, ReplicaIndex)> = None;
+        for index in &state.members {
+            let Some(replica) = self.replicas.get(index) else {
+                continue;
+            };
+            if ask.tried.contains(index) || !self.is_usable(now, replica, ask.allowed_regions) {
+                continue;
+            }
+            if !replica.has_room(now) {
+                busy = true;
+                continue;
+            }
+            let score = replica.score(now);
+            if best.is_none_or(|(known, _)| score < known) {
+                best = Some((score, *index));
+            }
+        }
+        match best {
+            Some((_, index)) => Choice::Replica(index),
+            None if busy => Choice::Busy,
+            None => Choice::Absent,
+        }
+    }
+
+    fn is_usable(&self, now: MonotonicTime, replica: &FleetReplica, allowed: &[RegionName]) -> bool {
+        let centre = &replica.record.data_centre;
+        let permitted = allowed.is_empty()
+            || self
+                .place
+                .region_of(centre)
+                .is_some_and(|region| allowed.contains(region));
+        let offered = matches!(
+            replica.record.phase,
+            ReplicaPhase::Ready | ReplicaPhase::Silent
+        );
+        permitted && offered && !self.evacuated.contains(centre) && !replica.is_down(now)
+    }
+
+    /// Whether a request may still be sent to a replica that was chosen before.
+    pub fn may_send(&self, index: ReplicaIndex) -> bool {
+        self.replicas.get(&index).is_some_and(|replica| {
+            let phase = replica.record.phase;
+            let offered = matches!(phase, ReplicaPhase::Ready | ReplicaPhase::Silent);
+            offered && !self.evacuated.contains(&replica.record.data_centre)
+        })
+    }
+
+    /// Notes that an attempt is sent.
+    pub fn begin(&mut self, now: MonotonicTime, index: ReplicaIndex, attempt: u64) {
+        if let Some(replica) = self.replicas.get_mut(&index) {
+            replica.begin(now, attempt);
+        }
+    }
+
+    /// Notes how an attempt ended.
+    pub fn finish(
+        &mut self,
+        now: MonotonicTime,
+        index: ReplicaIndex,
+        attempt: u64,
+        finish: AttemptFinish,
+    ) {
+        let Some(replica) = self.replicas.get(&index) else {
+            return;
+        };
+        let last = self
+            .services
+            .get(&replica.record.service)
+            .is_none_or(|state| state.members.len() <= 1);
+        if finish == AttemptFinish::WrongServer {
+            self.remove(index);
+        } else if let Some(replica) = self.replicas.get_mut(&index) {
+            replica.finish(now, attempt, finish, last);
+        }
+    }
+
+    /// How long a hedge waits for an answer of the replica.
+    pub fn hedge_span(&self, now: MonotonicTime, index: ReplicaIndex) -> Duration {
+        let Some(replica) = self.replicas.get(&index) else {
+            return Duration::ZERO;
+        };
+        let expected = replica.expected(now);
+        Duration::from_micros(span_to_micros(expected) * HEDGE_PERCENT / 100) + HEDGE_SLACK_SPAN
+    }
+}
+
+/// Share of the expected latency, in percent, that a hedge waits.
+const HEDGE_PERCENT: u64 = 200;
+/// Time that a hedge waits besides.
+const HEDGE_SLACK_SPAN: Duration = Duration::from_millis(4);
--- /dev/null
+++ b/daisyhinge/src/dispatch/fleet/replica.rs
@@ -0,0 +1,276 @@
+//! One replica as an entry sees it.
+
+use std::time::Duration;
+
+use crate::prelude::*;
+use crate::vocabulary::clock::span_to_micros;
+use crate::vocabulary::registration::{ReplicaPhase, ReplicaRecord};
+
+/// Latency that is expected of an unknown replica besides the way there, in microseconds.
+const WORK_PRIOR_US: f64 = 8_000.0;
+/// Weight of a new sample in the average.
+const SAMPLE_WEIGHT: f64 = 0.2;
+/// Weight of a new sample that is above the average.
+const RISE_WEIGHT: f64 = 0.35;
+/// After this time without a sample, the average returns to what is expected of an unknown one.
+const FORGET_AFTER: Duration = Duration::from_millis(1_500);
+/// Time over which it returns by a factor of e, in microseconds.
+const FORGET_SPAN_US: f64 = 2_000_000.0;
+/// First time for which a replica that can't be reached is left alone.
+const DOWN_FIRST: Duration = Duration::from_millis(150);
+/// Longest such time.
+const DOWN_MAX: Duration = Duration::from_millis(2_000);
+/// Longest such time for the only replica of its service.
+const DOWN_LAST_MAX: Duration = Duration::from_millis(200);
+/// Share of the expected latency, in percent, after which a request is overdue.
+const OVERDUE_PERCENT: u64 = 160;
+/// How much slower a silent replica counts.
+const SILENT_FACTOR: f64 = 4.0;
+/// How much slower a cold replica counts.
+const COLD_FACTOR: f64 = 2.0;
+/// What each request under way adds to the expected latency, as a factor.
+const QUEUE_FACTOR: f64 = 0.5;
+
+/// How far a replica is.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Nearness {
+    /// In the entry's data centre.
+    SameCentre,
+    /// In another data centre of its region.
+    SameRegion,
+    /// In another region.
+    OtherRegion,
+}
+
+impl Nearness {
+    /// Time to a replica and back that is assumed before it is known.
+    pub fn way_span(self) -> Duration {
+        match self {
+            Self::SameCentre => Duration::from_millis(1),
+            Self::SameRegion => Duration::from_millis(3),
+            Self::OtherRegion => Duration::from_millis(25),
+        }
+    }
+}
+
+/// How an attempt ended, as far as it tells of the replica.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AttemptFinish {
+    /// It answered.
+    Answered,
+    /// It failed with an error of its own.
+    Failed,
+    /// It refused without running the request.
+    Shed,
+    /// It could not be connected to.
+    Unreachable,
+    /// The connection broke or the answer was damaged.
+    Broken,
+    /// It was cancelled: another replica answered, or nobody waits any more.
+    Cancelled,
+    /// Another server answers at its address.
+    WrongServer,
+}
+
+/// A replica and what this entry learned of it.
+#[derive(Clone, Debug)]
+pub struct FleetReplica {
+    /// What it said of itself.
+    pub record: ReplicaRecord,
+    /// Connections that this entry may hold to it.
+    pub connections_max: u32,
+    /// Requests a second that this entry may send while it is cold; unset if not limited.
+    pub cold_rate: Option<f64>,
+    nearness: Nearness,
+    cold_until: MonotonicTime,
+    cold_next: MonotonicTime,
+    latency_us: f64,
+    sampled: MonotonicTime,
+    fail_rate: f64,
+    fail_noted: MonotonicTime,
+    running: Vec<(u64, MonotonicTime)>,
+    failures: u32,
+    down_until: MonotonicTime,
+}
+
+impl FleetReplica {
+    pub(super) fn open(now: MonotonicTime, record: ReplicaRecord, nearness: Nearness) -> Self {
+        let mut replica = Self {
+            record,
+            connections_max: 1,
+            cold_rate: None,
+            nearness,
+            cold_until: now,
+            cold_next: now,
+            latency_us: 0.0,
+            sampled: now,
+            fail_rate: 0.0,
+            fail_noted: now,
+            running: Vec::new(),
+            failures: 0,
+            down_until: MonotonicTime(0),
+        };
+        replica.latency_us = replica.prior_us();
+        replica.cold_until = now + Duration::from_millis(replica.record.cold_left_ms);
+        replica
+    }
+
+    pub(super) fn take_record(&mut self, now: MonotonicTime, record: ReplicaRecord) {
+        self.cold_until = now + Duration::from_millis(record.cold_left_ms);
+        let revived =
+            self.record.phase == ReplicaPhase::Silent && record.phase == ReplicaPhase::Ready;
+        if revived {
+            self.down_until = now;
+        }
+        self.record = record;
+    }
+
+    fn prior_us(&self) -> f64 {
+        micros(self.nearness.way_span()) + WORK_PRIOR_US
+    }
+
+    fn average_us(&self, now: MonotonicTime) -> f64 {
+        let idle = now.since(self.sampled);
+        let prior = self.prior_us();
+        let Some(over) = idle.checked_sub(FORGET_AFTER) else {
+            return self.latency_us;
+        };
+        let kept = (-micros(over) / FORGET_SPAN_US).exp();
+        prior + (self.latency_us - prior) * kept
+    }
+
+    /// The latency that is expected of its next answer when nothing is under way.
+    pub fn expected(&self, now: MonotonicTime) -> Duration {
+        from_micros(self.average_us(now))
+    }
+
+    /// How far it is.
+    pub fn nearness(&self) -> Nearness {
+        self.nearness
+    }
+
+    /// Requests of this entry under way.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Whether it said that it is cold.
+    pub fn is_cold(&self, now: MonotonicTime) -> bool {
+        now < self.cold_until
+    }
+
+    /// Whether it is left alone after it could not be reached.
+    pub fn is_down(&self, now: MonotonicTime) -> bool {
+        now < self.down_until
+    }
+
+    /// Whether this entry may send it one more request.
+    pub(super) fn has_room(&self, now: MonotonicTime) -> bool {
+        let cold_room = match self.cold_rate {
+            Some(rate) if self.is_cold(now) => rate > 0.0 && now >= self.cold_next,
+            _ => true,
+        };
+        cold_room && (self.running.len() as u64) < u64::from(self.connections_max)
+    }
+
+    /// Expected latency of one more request, in microseconds, with what counts against it.
+    pub(super) fn score(&self, now: MonotonicTime) -> u64 {
+        let expected = self.average_us(now);
+        let oldest = self.running.iter().map(|(_, since)| now.since(*since)).max();
+        let overdue = oldest.map_or(0.0, micros);
+        let limit = expected * OVERDUE_PERCENT as f64 / 100.0 + 3_000.0;
+        let base = if overdue > limit {
+            expected + overdue
+        } else {
+            expected
+        };
+        let queue = 1.0 + QUEUE_FACTOR * self.running.len() as f64;
+        let served = (1.0 - self.recent_fail_rate(now)).max(0.05);
+        let cold = if self.is_cold(now) { COLD_FACTOR } else { 1.0 };
+        let silent = if self.record.phase == ReplicaPhase::Silent {
+            SILENT_FACTOR
+        } else {
+            1.0
+        };
+        span_to_micros(from_micros(
+            base * queue * cold * silent / (served * served),
+        ))
+    }
+
+    pub(super) fn begin(&mut self, now: MonotonicTime, attempt: u64) {
+        self.running.push((attempt, now));
+        if let Some(rate) = self.cold_rate.filter(|rate| *rate > 0.0) {
+            self.cold_next = now + from_micros(1e6 / rate);
+        }
+    }
+
+    pub(super) fn finish(
+        &mut self,
+        now: MonotonicTime,
+        attempt: u64,
+        finish: AttemptFinish,
+        is_last: bool,
+    ) {
+        let place = self.running.iter().position(|(held, _)| *held == attempt);
+        let Some(place) = place else {
+            return;
+        };
+        let (_, since) = self.running.swap_remove(place);
+        let took = micros(now.since(since));
+        match finish {
+            AttemptFinish::Answered => {
+                self.failures = 0;
+                self.sample(now, took);
+                self.note_served(now, 1.0);
+            }
+            AttemptFinish::Failed | AttemptFinish::Shed => {
+                self.failures = 0;
+                self.note_served(now, 0.0);
+            }
+            AttemptFinish::Broken => self.note_served(now, 0.0),
+            AttemptFinish::Unreachable => self.leave_alone(now, is_last),
+            // It had not answered by now: the latency is at least this.
+            AttemptFinish::Cancelled if took > self.average_us(now) => self.sample(now, took),
+            AttemptFinish::Cancelled | AttemptFinish::WrongServer => {}
+        }
+    }
+
+    fn sample(&mut self, now: MonotonicTime, took: f64) {
+        let known = self.average_us(now);
+        let weight = if took > known {
+            RISE_WEIGHT
+        } else {
+            SAMPLE_WEIGHT
+        };
+        self.latency_us = known + (took - known) * weight;
+        self.sampled = now;
+    }
+
+    /// Share of recent requests that it did not serve; it fades while it gets none.
+    fn recent_fail_rate(&self, now: MonotonicTime) -> f64 {
+        let idle = micros(now.since(self.fail_noted));
+        self.fail_rate * (-idle / FORGET_SPAN_US).exp()
+    }
+
+    fn note_served(&mut self, now: MonotonicTime, served: f64) {
+        let known = self.recent_fail_rate(now);
+        self.fail_rate = known + (1.0 - served - known) * SAMPLE_WEIGHT;
+        self.fail_noted = now;
+    }
+
+    fn leave_alone(&mut self, now: MonotonicTime, is_last: bool) {
+        let longest = if is_last { DOWN_LAST_MAX } else { DOWN_MAX };
+        let span = (DOWN_FIRST * (1 << self.failures.min(5))).min(longest);
+        self.failures = self.failures.saturating_add(1);
+        self.down_until = now + span;
+    }
+}
+
+#[expect(clippy::cast_precision_loss, reason = "spans are far below 2^52 us")]
+fn micros(span: Duration) -> f64 {
+    span_to_micros(span) as f64
+}
+
+fn from_micros(micros: f64) -> Duration {
+    Duration::from_secs_f64((micros / 1e6).clamp(0.0, 3_600.0))
+}
--- /dev/null
+++ b/daisyhinge/src/dispatch/request.rs
@@ -0,0 +1,404 @@
+//! One request on its way to a replica, or to one replica of each shard, without I/O.
+//!
+//! The load that it answers: a straggler among many shards sets the latency of the whole, so a
+//! shard that is late is asked of a second replica while the service's budget of extra requests
+//! lasts, and an answer is given before the objective once enough shards are in. What can't be
+//! sent anywhere is given up at once.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::Dispatcher;
+use super::fleet::{AttemptFinish, Choice, ChooseAsk, ReplicaIndex};
+use crate::prelude::*;
+use crate::vocabulary::site::{RouteKind, RouteTarget, SiteRoute};
+
+mod target;
+use target::{TargetPhase, TargetState};
+
+/// Time between the entry's answer and the objective as the caller sees it: both ways and the
+/// work in between.
+const OBJECTIVE_MARGIN: Duration = Duration::from_millis(11);
+/// Share of the objective, in percent, that a hedge waits at most.
+const HEDGE_OBJECTIVE_PERCENT: u32 = 38;
+/// Time between tries of what can't be sent yet.
+const RETRY_SPAN: Duration = Duration::from_millis(4);
+/// Share of the objective, in percent, that a request waits for room at most.
+const ROOM_OBJECTIVE_PERCENT: u32 = 22;
+/// Times that a replica may refuse a request before it is given up.
+const REFUSALS_MAX: u32 = 3;
+/// Times that no connection may come about before it is given up.
+const UNREACHED_MAX: u32 = 4;
+/// When a caller may come back after a refusal that tells nothing of the load.
+const RETURN_SPAN: Duration = Duration::from_millis(250);
+
+/// What a request asks of the machine.
+#[derive(Clone, Debug)]
+pub struct RequestPlan {
+    /// Its route.
+    pub route: Arc<SiteRoute>,
+    /// When it came in.
+    pub started: MonotonicTime,
+    /// When its caller, or its route, stops waiting.
+    pub ends: MonotonicTime,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AttemptEnd {
+    /// A whole answer came.
+    Answered,
+    /// The replica failed with an error of its own, which is whole.
+    Failed,
+    /// The replica says that it did not run it.
+    NotRun,
+    /// It was not sent: no connection came about.
+    NotSent,
+    /// It was not sent: the replica may no longer be sent anything.
+    Withdrawn,
+    /// Another server answers at the replica's address, which did not run it.
+    WrongServer,
+    /// It was sent and may have run.
+    Lost,
+}
+
+/// What a machine is told.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RequestEvent {
+    /// Time passed, or the request begins.
+    Due,
+    /// An attempt ended.
+    Ended {
+        /// The attempt.
+        attempt: u64,
+        /// How.
+        end: AttemptEnd,
+    },
+    /// The caller has gone.
+    Abandoned,
+}
+
+/// What a machine wants done.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RequestAction {
+    /// Send the request to a replica.
+    Send {
+        /// Number of the attempt.
+        attempt: u64,
+        /// Which of the targets it is for.
+        target: usize,
+        /// The replica.
+        replica: ReplicaIndex,
+        /// Whether an earlier attempt for the target was sent.
+        repeats: bool,
+    },
+    /// Stop an attempt.
+    Cancel {
+        /// Number of the attempt.
+        attempt: u64,
+    },
+    /// Answer the caller; the request is over.
+    Finish(Verdict),
+}
+
+/// How a request ends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// With the answers of these targets.
+    Answer {
+        /// Targets that are left out.
+        missing: usize,
+    },
+    /// With the replica's own failure.
+    Relay {
+        /// The attempt that brought it.
+        attempt: u64,
+    },
+    /// It has not run and never will.
+    Refused {
+        /// Why.
+        code: ResultCode,
+        /// When the caller may come back.
+        return_after: Duration,
+    },
+    /// It may have run.
+    Unfinished {
+        /// Why.
+        code: ResultCode,
+    },
+}
+
+/// One request on its way.
+#[derive(Debug)]
+pub struct RequestMachine {
+    plan: RequestPlan,
+    names: Arc<[ServiceName]>,
+    targets: Vec<TargetState>,
+    min_targets: usize,
+    answer_at: Option<MonotonicTime>,
+    give_up_at: MonotonicTime,
+    finished: bool,
+}
+
+impl RequestMachine {
+    /// A request that goes to `names`.
+    pub fn open(plan: RequestPlan, names: Arc<[ServiceName]>) -> Self {
+        let route = &plan.route;
+        let (min_targets, answer_at) = match &route.target {
+            RouteTarget::Split(_) => (1, None),
+            RouteTarget::Gather(gather) => {
+                let span = route.objective.saturating_sub(OBJECTIVE_MARGIN);
+                (gather.min_shards(), Some(plan.started + span))
+            }
+        };
+        let give_up_at = plan.started + route.objective * ROOM_OBJECTIVE_PERCENT / 100;
+        Self {
+            targets: names.iter().map(|_| TargetState::default()).collect(),
+            names,
+            min_targets,
+            answer_at,
+            give_up_at,
+            plan,
+            finished: false,
+        }
+    }
+
+    /// Targets in all.
+    pub fn target_count(&self) -> usize {
+        self.targets.len()
+    }
+
+    /// Attempt whose answer stands for a target.
+    pub fn answer_of(&self, target: usize) -> Option<u64> {
+        self.targets.get(target).and_then(TargetState::answer)
+    }
+
+    /// Attempts that were sent.
+    pub fn sent(&self) -> u32 {
+        self.targets.iter().map(|target| target.sent).sum()
+    }
+
+    /// Targets without an answer.
+    pub fn missing(&self) -> impl Iterator<Item = &ServiceName> {
+        let pairs = self.names.iter().zip(&self.targets);
+        pairs
+            .filter(|(_, target)| target.answer().is_none())
+            .map(|(name, _)| name)
+    }
+
+    /// Takes one event and adds what is to be done.
+    pub fn step(
+        &mut self,
+        now: MonotonicTime,
+        event: RequestEvent,
+        dispatcher: &mut Dispatcher,
+        actions: &mut Vec<RequestAction>,
+    ) {
+        if self.finished {
+            return;
+        }
+        match event {
+            RequestEvent::Due => {}
+            RequestEvent::Ended { attempt, end } => self.take_end(now, attempt, end, dispatcher),
+            RequestEvent::Abandoned => {
+                self.cancel_all(now, dispatcher, actions);
+                self.finished = true;
+                return;
+            }
+        }
+        for target in 0..self.targets.len() {
+            self.advance(now, target, dispatcher, actions);
+        }
+        if let Some(verdict) = self.find_verdict(now) {
+            self.cancel_all(now, dispatcher, actions);
+            self.finished = true;
+            actions.push(RequestAction::Finish(verdict));
+        }
+    }
+
+    /// When the next [`RequestEvent::Due`] is wanted.
+    pub fn next_due(&self) -> MonotonicTime {
+        let targets = self.targets.iter().filter_map(|target| target.due);
+        targets
+            .chain(self.answer_at.filter(|_| self.answered() >= self.min_targets))
+            .fold(self.plan.ends, MonotonicTime::min)
+    }
+
+    fn answered(&self) -> usize {
+        let answers = self.targets.iter().filter_map(TargetState::answer);
+        answers.count()
+    }
+
+    fn take_end(
+        &mut self,
+        now: MonotonicTime,
+        attempt: u64,
+        end: AttemptEnd,
+        dispatcher: &mut Dispatcher,
+    ) {
+        let found = self.targets.iter_mut().find_map(|target| {
+            let replica = target.take_running(attempt)?;
+            Some((target, replica))
+        });
+        let Some((target, replica)) = found else {
+            return;
+        };
+        let finish = match end {
+            AttemptEnd::Answered => AttemptFinish::Answered,
+            AttemptEnd::Failed => AttemptFinish::Failed,
+            AttemptEnd::NotRun => AttemptFinish::Shed,
+            AttemptEnd::NotSent => AttemptFinish::Unreachable,
+            AttemptEnd::Withdrawn => AttemptFinish::Cancelled,
+            AttemptEnd::WrongServer => AttemptFinish::WrongServer,
+            AttemptEnd::Lost => AttemptFinish::Broken,
+        };
+        dispatcher.fleet.finish(now, replica, attempt, finish);
+        target.note_end(attempt, end);
+    }
+
+    /// Brings one target forward: a first attempt, another one, or none any more.
+    fn advance(
+        &mut self,
+        now: MonotonicTime,
+        index: usize,
+        dispatcher: &mut Dispatcher,
+        actions: &mut Vec<RequestAction>,
+    ) {
+        let kind = self.plan.route.kind;
+        let attempts_max = self.plan.route.attempts_max.max(1);
+        let target = &mut self.targets[index];
+        if target.phase != TargetPhase::Open {
+            return;
+        }
+        target.due = None;
+        let waiting = !target.running.is_empty();
+        if waiting && (kind == RouteKind::Unsafe || now < target.hedge_at) {
+            target.due = (kind == RouteKind::Safe).then_some(target.hedge_at);
+            return;
+        }
+        let spent = target.runs >= attempts_max
+            || target.refusals >= REFUSALS_MAX
+            || target.unreached >= UNREACHED_MAX
+            || (kind == RouteKind::Unsafe && target.runs > 0);
+        if spent {
+            target.close_unless(waiting, ResultCode::ServerFailed);
+            return;
+        }
+        let ask = ChooseAsk {
+            service: &self.names[index],
+            tried: &target.tried,
+            allowed_regions: &self.plan.route.allowed_regions,
+        };
+        match dispatcher.fleet.choose(now, &ask) {
+            Choice::Replica(replica) => self.send(now, index, replica, dispatcher, actions),
+            Choice::Busy if waiting || now < self.give_up_at => {
+                target.due = Some(now + RETRY_SPAN);
+            }
+            Choice::Busy => target.close_unless(waiting, ResultCode::SlotsBusy),
+            Choice::Absent => target.close_unless(waiting, ResultCode::NoReplica),
+        }
+    }
+
+    fn send(
+        &mut self,
+        now: MonotonicTime,
+        index: usize,
+        replica: ReplicaIndex,
+        dispatcher: &mut Dispatcher,
+        actions: &mut Vec<RequestAction>,
+    ) {
+        let entries = dispatcher.fleet.entry_count();
+        let budget = dispatcher.budget(&self.names[index]);
+        let target = &mut self.targets[index];
+        let waiting = !target.running.is_empty();
+        let repeats = target.arrived;
+        if repeats && !budget.take() {
+            if !waiting {
+                target.close_unless(false, ResultCode::Overloaded);
+            } else {
+                target.due = Some(now + RETRY_SPAN);
+            }
+            return;
+        }
+        if !repeats && target.sent == 0 {
+            budget.earn(entries);
+        }
+        let attempt = dispatcher.next_attempt();
+        let objective = self.plan.route.objective;
+        let hedge_max = objective * HEDGE_OBJECTIVE_PERCENT / 100;
+        let hedge_span = dispatcher.fleet.hedge_span(now, replica).min(hedge_max);
+        dispatcher.fleet.begin(now, replica, attempt);
+        target.note_sent(attempt, replica, now + hedge_span);
+        target.due = (self.plan.route.kind == RouteKind::Safe).then_some(target.hedge_at);
+        actions.push(RequestAction::Send {
+            attempt,
+            target: index,
+            replica,
+            repeats,
+        });
+    }
+
+    fn cancel_all(
+        &mut self,
+        now: MonotonicTime,
+        dispatcher: &mut Dispatcher,
+        actions: &mut Vec<RequestAction>,
+    ) {
+        for target in &mut self.targets {
+            for (attempt, replica) in target.running.drain(..) {
+                let finish = AttemptFinish::Cancelled;
+                dispatcher.fleet.finish(now, replica, attempt, finish);
+                actions.push(RequestAction::Cancel { attempt });
+            }
+        }
+    }
+
+    fn find_verdict(&self, now: MonotonicTime) -> Option<Verdict> {
+        let answered = self.answered();
+        let total = self.targets.len();
+        let open = self
+            .targets
+            .iter()
+            .filter(|target| target.phase == TargetPhase::Open)
+            .count();
+        let enough = answered >= self.min_targets;
+        let late = self.answer_at.is_some_and(|at| now >= at) || now >= self.plan.ends;
+        if enough && (open == 0 || late) {
+            let missing = total - answered;
+            return Some(Verdict::Answer { missing });
+        }
+        let hopeless = answered + open < self.min_targets;
+        if hopeless || now >= self.plan.ends {
+            return Some(self.fail(now));
+        }
+        None
+    }
+
+    /// How a request ends that has no answer.
+    fn fail(&self, now: MonotonicTime) -> Verdict {
+        let gather = self.answer_at.is_some();
+        let relayed = self.targets.iter().find_map(|target| target.failure);
+        if let Some(attempt) = relayed.filter(|_| !gather) {
+            return Verdict::Relay { attempt };
+        }
+        let may_have_run = self
+            .targets
+            .iter()
+            .any(|target| target.runs > 0 || !target.running.is_empty());
+        let passed = now >= self.plan.ends;
+        let reason = self.targets.iter().find_map(|target| target.reason);
+        let code = match (passed, gather && may_have_run) {
+            (true, _) => ResultCode::DeadlinePassed,
+            (false, true) => ResultCode::CoverageTooLow,
+            (false, false) => reason.unwrap_or(ResultCode::NoReplica),
+        };
+        if may_have_run {
+            return Verdict::Unfinished { code };
+        }
+        let code = if passed { ResultCode::GivenUp } else { code };
+        Verdict::Refused {
+            code,
+            return_after: RETURN_SPAN,
+        }
+    }
+}
--- /dev/null
+++ b/daisyhinge/src/dispatch/share.rs
@@ -0,0 +1,47 @@
+//! An entry's share of the connections that a replica accepts.
+//!
+//! Half of them go to the entries of the replica's region, which send it most of its requests.
+//! Where there are more entries than connections, a hash picks those that may connect.
+
+use std::hash::{BuildHasher, Hasher};
+
+use foldhash::fast::FixedState;
+
+/// Share of the connections for entries of the replica's region, in percent.
+const NEAR_PERCENT: u32 = 50;
+/// Share of the connections for all other entries, in percent.
+const FAR_PERCENT: u32 = 44;
+/// Seed of the hash; part of the protocol, since all entries must pick the same ones.
+const SHARE_SEED: u64 = 0x7368_6172_6573_0001;
+
+/// The entries that serve, as the share depends on them.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct EntryCount {
+    /// In the replica's region.
+    pub near: u32,
+    /// Elsewhere.
+    pub far: u32,
+}
+
+/// Connections to a replica that an entry may hold. `rank` counts the entries on its side that
+/// the hash puts before it.
+pub fn find_share(connections_max: u32, count: EntryCount, is_near: bool, rank: u32) -> u32 {
+    let alone = count.near == 0 || count.far == 0;
+    let (percent, among) = match (is_near, alone) {
+        (true, false) => (NEAR_PERCENT, count.near),
+        (false, false) => (FAR_PERCENT, count.far),
+        (_, true) => (NEAR_PERCENT + FAR_PERCENT, count.near.max(count.far)),
+    };
+    let room = connections_max * percent / 100;
+    let among = among.max(1);
+    room / among + u32::from(rank < room % among)
+}
+
+/// The hash by which entries are ranked for a replica; the larger one goes first.
+pub fn hash_pair(vm: &str, replica: &str) -> u64 {
+    let mut hasher = FixedState::with_seed(SHARE_SEED).build_hasher();
+    hasher.write(vm.as_bytes());
+    hasher.write_u8(0xff);
+    hasher.write(replica.as_bytes());
+    hasher.finish()
+}
--- a/daisyhinge/src/keeper/history.rs
+++ b/daisyhinge/src/keeper/history.rs
@@ -7,7 +7,6 @@
 use crate::prelude::*;
 use crate::rendezvous::{find_keeper, list_keepers};
 use crate::vocabulary::freshness::{DRIFT_PPM, LEASE_WAIT_SPAN};
-use crate::vocabulary::name::RegionName;
 use crate::vocabulary::view::{ControlView, EntryRecord, EntryState};
 
 /// Views remembered at most. A change of keeper in one that is forgotten is waited out whole.
--- a/daisyhinge/src/lib.rs
+++ b/daisyhinge/src/lib.rs
@@ -8,12 +8,16 @@
 pub mod address;
 pub mod check;
 pub mod control;
+pub mod directory;
+pub mod dispatch;
 pub mod environment;
 pub mod keeper;
 pub mod lease;
 pub mod metric;
 pub mod prelude;
+pub mod registry;
 pub mod rendezvous;
+pub mod routing;
 pub mod search;
 pub mod setting;
 pub mod shell;
--- a/daisyhinge/src/metric.rs
+++ b/daisyhinge/src/metric.rs
@@ -6,6 +6,7 @@
 
 pub mod control;
 pub mod entry;
+pub mod forward;
 pub mod label;
 pub mod replica;
 pub mod service;
--- /dev/null
+++ b/daisyhinge/src/metric/forward.rs
@@ -0,0 +1,85 @@
+//! Counters and histograms of an entry that forwards requests.
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+/// Bounds of the latency histogram, in seconds.
+const LATENCY_BOUNDS: [f64; 12] = [
+    0.01, 0.02, 0.04, 0.06, 0.08, 0.1, 0.12, 0.2, 0.3, 0.6, 1.2, 5.0,
+];
+
+/// How a request of a route ended.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct OutcomeLabels {
+    /// The route.
+    pub route: String,
+    /// The outcome: `answered`, `partial`, or the number of a result code.
+    pub outcome: String,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct AttemptLabels {
+    /// The end, such as `answered` or `lost`.
+    pub end: String,
+}
+
+/// The metrics.
+#[derive(Clone, Debug)]
+pub struct ForwardCounters {
+    /// Requests by route and outcome.
+    pub requests: Family<OutcomeLabels, Counter>,
+    /// Attempts by their end.
+    pub attempts: Family<AttemptLabels, Counter>,
+    /// Attempts that repeat an earlier one.
+    pub repeats: Counter,
+    /// Connections that were opened to replicas.
+    pub connections_opened: Counter,
+    /// Idle connections to replicas.
+    pub connections_idle: Gauge,
+    /// Latency of requests, in seconds.
+    pub latency: Histogram,
+}
+
+impl Default for ForwardCounters {
+    fn default() -> Self {
+        Self {
+            requests: Family::default(),
+            attempts: Family::default(),
+            repeats: Counter::default(),
+            connections_opened: Counter::default(),
+            connections_idle: Gauge::default(),
+            latency: Histogram::new(LATENCY_BOUNDS),
+        }
+    }
+}
+
+impl ForwardCounters {
+    /// Registers the metrics.
+    pub fn register(&self, registry: &mut Registry) {
+        let requests = "Requests by route and outcome";
+        registry.register("daisyhinge_forward_requests", requests, self.requests.clone());
+        let attempts = "Attempts at replicas by their end";
+        registry.register("daisyhinge_forward_attempts", attempts, self.attempts.clone());
+        let repeats = "Attempts that repeat an earlier one";
+        registry.register("daisyhinge_forward_repeats", repeats, self.repeats.clone());
+        let opened = "Connections opened to replicas";
+        registry.register(
+            "daisyhinge_forward_connections_opened",
+            opened,
+            self.connections_opened.clone(),
+        );
+        let idle = "Idle connections to replicas";
+        registry.register(
+            "daisyhinge_forward_connections_idle",
+            idle,
+            self.connections_idle.clone(),
+        );
+        let latency = "Latency of requests in seconds";
+        registry.register("daisyhinge_forward_latency_seconds", latency, self.latency.clone());
+    }
+}
--- a/daisyhinge/src/shell/control.rs
+++ b/daisyhinge/src/shell/control.rs
@@ -27,7 +27,9 @@
 use crate::vocabulary::control::ControlStatus;
 use crate::vocabulary::event::EventDraft;
 use crate::vocabulary::freshness::{FreshAsk, FreshReply};
+use crate::shell::clock::ProcessClock;
 use crate::vocabulary::setting::ControlSettings;
+use crate::vocabulary::site::{SiteChange, SiteDone, SiteState};
 use crate::vocabulary::view::ControlView;
 
 pub mod codec;
@@ -39,11 +41,14 @@
 mod peer;
 mod serve;
 
+pub use driver::SiteBoard;
 use driver::{ControlDriver, DriverInput};
 use folder::DataFolder;
 
 /// Longest wait for a change, a read or a claim.
 const ASK_SPAN: Duration = Duration::from_secs(5);
+/// Longest wait for a change or a read of the deployment, whose callers move on after a second.
+const SITE_SPAN: Duration = Duration::from_millis(850);
 /// Inputs that may wait for the task.
 const INPUTS_MAX: usize = 16_384;
 
@@ -67,11 +72,41 @@
 
 impl std::error::Error for ControlFault {}
 
+/// Settings of a control process that knows others by their addresses only.
+#[derive(Clone, Debug)]
+pub struct SeededSettings {
+    /// Its VM.
+    pub vm: VmName,
+    /// Where other control VMs connect.
+    pub address: SocketAddr,
+    /// Where operators connect.
+    pub operator_address: SocketAddr,
+    /// The one folder that files live under.
+    pub data_folder: std::path::PathBuf,
+    /// Sizes of the log.
+    pub limits: LogLimits,
+    /// Addresses of the VMs that found the log, this one among them or not.
+    pub seeds: Vec<SocketAddr>,
+    /// Whether all VMs start for the first time.
+    pub first_start: bool,
+}
+
+/// What every control process is made of.
+struct ShellParts {
+    vm: VmName,
+    address: SocketAddr,
+    operator_address: SocketAddr,
+    data_folder: std::path::PathBuf,
+    limits: LogLimits,
+}
+
 /// A running control process; clones share it.
 #[derive(Clone, Debug)]
 pub struct ControlShell {
     id: VoterId,
     address: SocketAddr,
+    clock: ProcessClock,
+    board: Arc<SiteBoard>,
     inputs: mpsc::Sender<DriverInput>,
     failure: watch::Receiver<Option<ControlFault>>,
     tasks: Arc<parking_lot::Mutex<Vec<JoinHandle<()>>>>,
@@ -86,21 +121,64 @@
     /// [`ResultCode::RecordDamaged`], [`ResultCode::StorageFailed`] or
     /// [`ResultCode::BindFailed`], each with what to do.
     pub fn spawn(settings: ControlSettings, note: EventSink) -> Result<Self, ControlFault> {
-        let limits = LogLimits::default();
+        let parts = ShellParts {
+            vm: settings.vm,
+            address: settings.address,
+            operator_address: settings.operator_address,
+            data_folder: settings.data_folder,
+            limits: LogLimits::default(),
+        };
+        let shell = Self::open(parts, note)?;
+        let founding = found::run_founding(shell.clone(), settings.voters);
+        shell.tasks.lock().push(tokio::spawn(founding));
+        Ok(shell)
+    }
+
+    /// As [`Self::spawn`], for a VM that knows other control VMs by their addresses only: it
+    /// founds the log with them at the first start, and otherwise joins it by itself.
+    ///
+    /// # Errors
+    /// As [`Self::spawn`].
+    pub fn spawn_seeded(settings: SeededSettings, note: EventSink) -> Result<Self, ControlFault> {
+        let parts = ShellParts {
+            vm: settings.vm,
+            address: settings.address,
+            operator_address: settings.operator_address,
+            data_folder: settings.data_folder,
+            limits: settings.limits,
+        };
+        let shell = Self::open(parts, note)?;
+        let mut tasks = shell.tasks.lock();
+        if settings.first_start {
+            let founding = found::run_seeded(shell.clone(), settings.seeds.clone());
+            tasks.push(tokio::spawn(founding));
+        }
+        let joining = found::run_joining(shell.clone(), settings.seeds);
+        tasks.push(tokio::spawn(joining));
+        drop(tasks);
+        Ok(shell)
+    }
+
+    fn open(parts: ShellParts, note: EventSink) -> Result<Self, ControlFault> {
+        let limits = parts.limits;
         let (folder, opened) = DataFolder::open(
-            &settings.data_folder,
-            &settings.vm,
+            &parts.data_folder,
+            &parts.vm,
             rand::random(),
             limits.segment_bytes,
         )?;
-        let listener = bind_listener(settings.address)?;
+        let listener = bind_listener(parts.address)?;
         let address = listener.local_addr().map_err(|error| bind_fault(&error))?;
         let id = opened.id.clone();
         let (inputs, receiver) = mpsc::channel(INPUTS_MAX);
         let (failed, failure) = watch::channel(None);
+        let clock = ProcessClock::open();
+        let board = Arc::new(SiteBoard::default());
         let driver = ControlDriver::open(driver::DriverParts {
+            clock,
+            board: Arc::clone(&board),
             address,
-            operator_address: settings.operator_address,
+            operator_address: parts.operator_address,
             limits,
             folder,
             opened,
@@ -112,6 +190,8 @@
         let shell = Self {
             id,
             address,
+            clock,
+            board,
             inputs,
             failure,
             tasks: Arc::default(),
@@ -119,14 +199,83 @@
         };
         *shell.driver.lock() = Some(tokio::spawn(driver.run(receiver)));
         let server = serve::ControlServer::new(shell.clone());
-        let peers = settings.voters;
-        let mut tasks = shell.tasks.lock();
-        tasks.push(tokio::spawn(server.run(listener)));
-        tasks.push(tokio::spawn(found::run_founding(shell.clone(), peers)));
-        drop(tasks);
+        shell.tasks.lock().push(tokio::spawn(server.run(listener)));
         Ok(shell)
     }
 
+    /// The process's clock.
+    pub fn clock(&self) -> ProcessClock {
+        self.clock
+    }
+
+    /// What is known of the deployment without asking the log.
+    pub fn board(&self) -> &Arc<SiteBoard> {
+        &self.board
+    }
+
+    /// How long ago a quorum is known to have stood behind the board's state.
+    pub fn quorum_age(&self) -> Option<Duration> {
+        let seen_us = self.board.quorum_us.load(std::sync::atomic::Ordering::Relaxed);
+        (seen_us > 0).then(|| self.clock.now().since(MonotonicTime(seen_us)))
+    }
+
+    /// Changes the deployment; relayed to the leader if this VM does not lead. It is accepted
+    /// once a quorum has it on synced disks.
+    ///
+    /// # Errors
+    /// [`ResultCode::ChangeOutcomeUnknown`] if it may yet come in force, other codes if it does
+    /// not.
+    pub async fn change_site(&self, change: SiteChange) -> Result<SiteDone, ResultCode> {
+        match self.change_site_here(change.clone()).await {
+            Err(ResultCode::NotLeader) => {}
+            reply => return reply,
+        }
+        let leader = self.find_leader().await.ok_or(ResultCode::NotLeader)?;
+        let client = peer::connect_voter(leader).await;
+        let client = client.ok_or(ResultCode::NotLeader)?;
+        let context = peer::call_context(SITE_SPAN);
+        match client.relay_site(context, change).await {
+            Ok(reply) => reply,
+            Err(_) => Err(ResultCode::ChangeOutcomeUnknown),
+        }
+    }
+
+    async fn change_site_here(&self, change: SiteChange) -> Result<SiteDone, ResultCode> {
+        let asked = self.ask(CoreAsk::Site(change));
+        match tokio::time::timeout(SITE_SPAN, asked).await {
+            Ok(Some(CoreReply::Site(reply))) => reply,
+            _ => Err(ResultCode::ChangeOutcomeUnknown),
+        }
+    }
+
+    /// The deployment's state, confirmed by a quorum after the call; relayed to the leader if
+    /// this VM does not lead.
+    ///
+    /// # Errors
+    /// [`ResultCode::NotLeader`] or [`ResultCode::NoQuorum`].
+    pub async fn read_site(&self) -> Result<Arc<SiteState>, ResultCode> {
+        match self.read_site_here().await {
+            Err(ResultCode::NotLeader) => {}
+            reply => return reply,
+        }
+        let leader = self.find_leader().await.ok_or(ResultCode::NotLeader)?;
+        let client = peer::connect_voter(leader).await;
+        let client = client.ok_or(ResultCode::NotLeader)?;
+        let context = peer::call_context(SITE_SPAN);
+        match client.relay_read_site(context).await {
+            Ok(reply) => reply.map(Arc::new),
+            Err(_) => Err(ResultCode::NoQuorum),
+        }
+    }
+
+    async fn read_site_here(&self) -> Result<Arc<SiteState>, ResultCode> {
+        let asked = self.ask(CoreAsk::ReadSite);
+        match tokio::time::timeout(SITE_SPAN, asked).await {
+            Ok(Some(CoreReply::ReadSite(reply))) => reply,
+            _ => Err(ResultCode::NoQuorum),
+        }
+    }
+
     /// Its identity.
     pub fn id(&self) -> &VoterId {
         &self.id
--- a/daisyhinge/src/shell/control/driver.rs
+++ b/daisyhinge/src/shell/control/driver.rs
@@ -2,7 +2,9 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 
 use rand_chacha::ChaCha8Rng;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -20,8 +22,9 @@
 use crate::control::store::OpenedStore;
 use crate::control::voter::VoterMachine;
 use crate::prelude::*;
-use crate::vocabulary::clock::span_to_micros;
+use crate::shell::clock::ProcessClock;
 use crate::vocabulary::control::ControlStatus;
+use crate::vocabulary::site::SiteState;
 
 /// Time between ticks.
 const TICK_SPAN: Duration = Duration::from_millis(20);
@@ -50,6 +53,8 @@
     },
     /// A VM of a known name showed another identity.
     IdentityChanged { id: VoterId, address: SocketAddr },
+    /// A VM asks to take part.
+    JoinAsked { id: VoterId, address: SocketAddr },
     /// Found the log.
     Found(VoterSet),
     /// Up to that save all is synced.
@@ -60,8 +65,22 @@
     Stop,
 }
 
+/// What a control process shows of the deployment without asking its task.
+#[derive(Debug, Default)]
+pub struct SiteBoard {
+    /// The newest state that is applied here.
+    pub state: watch::Sender<Arc<SiteState>>,
+    /// Where the members are reached.
+    pub members: watch::Sender<Vec<SocketAddr>>,
+    /// When a quorum was last known to stand behind the state, in microseconds of the process's
+    /// clock; 0 if it never was.
+    pub quorum_us: AtomicU64,
+}
+
 /// What a driver is made of.
 pub(super) struct DriverParts {
+    pub clock: ProcessClock,
+    pub board: Arc<SiteBoard>,
     pub address: SocketAddr,
     pub operator_address: SocketAddr,
     pub limits: LogLimits,
@@ -82,7 +101,8 @@
 /// Owns the core; its task alone steps it.
 pub(super) struct ControlDriver {
     core: ControlCore,
-    started: Instant,
+    clock: ProcessClock,
+    board: Arc<SiteBoard>,
     address: SocketAddr,
     disk: DiskThread,
     inputs: mpsc::Sender<DriverInput>,
@@ -98,8 +118,8 @@
 
 impl ControlDriver {
     pub(super) fn open(parts: DriverParts) -> Self {
-        let started = Instant::now();
-        let now = MonotonicTime::default();
+        let clock = parts.clock;
+        let now = clock.now();
         let mut opened = Vec::new();
         let voter = VoterMachine::open(
             now,
@@ -114,7 +134,8 @@
         let core = ControlCore::open(now, voter, opened, BOOK_CODEC, &mut actions);
         Self {
             core,
-            started,
+            clock,
+            board: parts.board,
             address: parts.address,
             disk: spawn_disk(parts.folder, parts.opened.writer, parts.inputs.clone()),
             inputs: parts.inputs,
@@ -129,7 +150,7 @@
     }
 
     fn now(&self) -> MonotonicTime {
-        MonotonicTime(span_to_micros(self.started.elapsed()))
+        self.clock.now()
     }
 
     pub(super) async fn run(mut self, mut inputs: mpsc::Receiver<DriverInput>) {
@@ -149,6 +170,7 @@
             };
             self.step(CoreEvent::Flush);
             self.run_actions();
+            self.publish();
             if !running {
                 break;
             }
@@ -158,6 +180,33 @@
         self.disk.stop().await;
     }
 
+    /// Shows the state on the board.
+    fn publish(&self) {
+        let site = &self.core.book().state().site;
+        self.board.state.send_if_modified(|shown| {
+            let newer = site.revision > shown.revision;
+            if newer {
+                *shown = Arc::clone(site);
+            }
+            newer
+        });
+        let voter = self.core.voter();
+        let seen = voter.quorum_seen_at().map_or(0, |seen| seen.0);
+        self.board.quorum_us.store(seen, Ordering::Relaxed);
+        let members = &voter.voters().members;
+        self.board.members.send_if_modified(|shown| {
+            let same = shown.len() == members.len()
+                && shown
+                    .iter()
+                    .zip(members)
+                    .all(|(address, member)| *address == member.address);
+            if !same {
+                *shown = members.iter().map(|member| member.address).collect();
+            }
+            !same
+        });
+    }
+
     /// Takes `first` and what else waits. `false` to stop.
     fn take_all(&mut self, first: DriverInput, inputs: &mut mpsc::Receiver<DriverInput>) -> bool {
         let mut next = Some(first);
@@ -204,6 +253,9 @@
             DriverInput::IdentityChanged { id, address } => {
                 self.step(CoreEvent::IdentityChanged { id, address });
             }
+            DriverInput::JoinAsked { id, address } => {
+                self.step(CoreEvent::JoinAsked { id, address });
+            }
             DriverInput::Found(set) => self.step(CoreEvent::Found(set)),
             DriverInput::Saved(sequence) => self.step(CoreEvent::Saved(sequence)),
             DriverInput::DiskFailed(fault) => {
--- a/daisyhinge/src/shell/control/link.rs
+++ b/daisyhinge/src/shell/control/link.rs
@@ -7,7 +7,9 @@
 use crate::control::member::VoterId;
 use crate::control::message::VoterMessage;
 use crate::vocabulary::claim::{ClaimAsk, ClaimEnd, ClaimReply};
+use crate::prelude::*;
 use crate::vocabulary::freshness::{FreshAsk, FreshReply};
+use crate::vocabulary::site::{SiteChange, SiteDone, SiteState};
 
 /// First bytes of a connection between control VMs. Connections of entries begin with a frame's
 /// length, whose first byte is 0.
@@ -35,4 +37,10 @@
     async fn relay_claim(ask: ClaimAsk) -> ClaimReply;
     /// Ends a claim for an entry that told another control VM; the leader alone answers.
     async fn relay_end_claim(end: ClaimEnd) -> bool;
+    /// Takes a control VM in, if this one leads; otherwise says where the leader is.
+    async fn join(id: VoterId, address: SocketAddr) -> Option<SocketAddr>;
+    /// Changes the deployment; the leader alone does.
+    async fn relay_site(change: SiteChange) -> Result<SiteDone, ResultCode>;
+    /// Reads the deployment's state; the leader alone answers.
+    async fn relay_read_site() -> Result<SiteState, ResultCode>;
 }
--- a/daisyhinge/src/shell/control/serve.rs
+++ b/daisyhinge/src/shell/control/serve.rs
@@ -26,6 +26,7 @@
 use crate::vocabulary::claim::{ClaimAsk, ClaimEnd, ClaimReply};
 use crate::vocabulary::clock::span_to_micros;
 use crate::vocabulary::freshness::{FreshAsk, FreshReply};
+use crate::vocabulary::site::{SiteChange, SiteDone, SiteState};
 
 /// Connections at a time.
 const CONNECTIONS_MAX: usize = 8_192;
@@ -224,4 +225,23 @@
     async fn relay_end_claim(self, _: Context, end: ClaimEnd) -> bool {
         self.shell.end_claim(end).await
     }
+
+    async fn join(self, _: Context, id: VoterId, address: SocketAddr) -> Option<SocketAddr> {
+        let leader = self.shell.find_leader().await;
+        if leader.is_none() {
+            let input = DriverInput::JoinAsked { id, address };
+            // The task ends only with the shell.
+            let _: Result<(), _> = self.shell.inputs.send(input).await;
+        }
+        leader
+    }
+
+    async fn relay_site(self, _: Context, change: SiteChange) -> Result<SiteDone, ResultCode> {
+        self.shell.change_site_here(change).await
+    }
+
+    async fn relay_read_site(self, _: Context) -> Result<SiteState, ResultCode> {
+        let state = self.shell.read_site_here().await?;
+        Ok(SiteState::clone(&state))
+    }
 }
--- /dev/null
+++ b/daisyhinge/src/shell/forward/listen.rs
@@ -0,0 +1,80 @@
+//! The port that callers connect to.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::server::graceful::GracefulShutdown;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+
+use super::answer::answer_request;
+use super::state::ForwardState;
+use crate::prelude::*;
+use crate::vocabulary::site::CallerLimits;
+
+/// Pause after accepting failed, as it does while file descriptors are short.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Smallest buffer for a request's head that is possible, in bytes.
+const HEAD_BUFFER_MIN_BYTES: usize = 8 << 10;
+
+/// Listens for callers on `address` until `stop` is cancelled, then closes idle connections and
+/// waits at most `grace` for requests that run.
+///
+/// # Errors
+/// [`ResultCode::BindFailed`] if the address cannot be had.
+pub async fn serve_callers(
+    state: Arc<ForwardState>,
+    address: SocketAddr,
+    stop: CancellationToken,
+    grace: Duration,
+) -> Result<(), ResultCode> {
+    let listener = TcpListener::bind(address)
+        .await
+        .map_err(|_error| ResultCode::BindFailed)?;
+    let graceful = GracefulShutdown::new();
+    loop {
+        let accepted = tokio::select! {
+            () = stop.cancelled() => break,
+            accepted = listener.accept() => accepted,
+        };
+        let Ok((stream, _peer)) = accepted else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        // A connection that can't be set up is its peer's to open again.
+        drop(stream.set_nodelay(true));
+        let connection = graceful.watch(open_connection(&state, stream));
+        tokio::spawn(async move {
+            // A connection's fault concerns its peer alone.
+            drop(connection.await);
+        });
+    }
+    drop(listener);
+    // What runs longer than this is cut with the process.
+    drop(tokio::time::timeout(grace, graceful.shutdown()).await);
+    Ok(())
+}
+
+fn open_connection(
+    state: &Arc<ForwardState>,
+    stream: TcpStream,
+) -> impl hyper_util::server::graceful::GracefulConnection<Error = hyper::Error> + use<> {
+    let limits = state
+        .site()
+        .map_or_else(CallerLimits::default, |site| site.limits);
+    let state = Arc::clone(state);
+    let service = service_fn(move |request| {
+        let answer = answer_request(Arc::clone(&state), request);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle_timeout.max(limits.head_timeout))
+        .max_buf_size(limits.head_max_bytes.max(HEAD_BUFFER_MIN_BYTES) * 2)
+        .serve_connection(TokioIo::new(stream), service)
+}
--- /dev/null
+++ b/daisyhinge/src/shell/forward/run.rs
@@ -0,0 +1,160 @@
+//! Drives one request: what the machine wants is done, and what comes of it is told to the
+//! machine.
+
+use std::sync::Arc;
+
+use futures::StreamExt;
+use futures::future::{AbortHandle, Abortable};
+use futures::stream::FuturesUnordered;
+
+use super::attempt::{AttemptReport, OutgoingRequest, run_attempt};
+use super::connection::WholeAnswer;
+use super::state::ForwardState;
+use crate::dispatch::request::{
+    AttemptEnd, RequestAction, RequestEvent, RequestMachine, RequestPlan, Verdict,
+};
+use crate::metric::forward::AttemptLabels;
+use crate::prelude::*;
+
+/// What a request came to.
+pub(super) struct RequestOutcome {
+    pub verdict: Verdict,
+    /// Whole answers, with the number of their attempt.
+    pub answers: Vec<(u64, WholeAnswer)>,
+    /// Attempts whose answers stand, one a target that has one.
+    pub standing: Vec<u64>,
+    /// Attempts that were sent.
+    pub sent: u32,
+    /// Targets in all.
+    pub targets: usize,
+    /// Services without an answer.
+    pub missing: Vec<ServiceName>,
+}
+
+/// Tells the machine when its caller goes away before the request is over.
+struct MachineGuard<'state> {
+    state: &'state ForwardState,
+    machine: RequestMachine,
+    over: bool,
+}
+
+impl MachineGuard<'_> {
+    fn step(&mut self, event: RequestEvent, actions: &mut Vec<RequestAction>) {
+        let now = self.state.clock.now();
+        let mut dispatcher = self.state.dispatcher.lock();
+        self.machine.step(now, event, &mut dispatcher, actions);
+    }
+}
+
+impl Drop for MachineGuard<'_> {
+    fn drop(&mut self) {
+        if !self.over {
+            // What it wants cancelled is dropped along with it.
+            self.step(RequestEvent::Abandoned, &mut Vec::new());
+        }
+    }
+}
+
+/// Runs a request to its end. Dropping the future abandons it.
+pub(super) async fn run_request(
+    state: &Arc<ForwardState>,
+    plan: RequestPlan,
+    request: Arc<OutgoingRequest>,
+) -> RequestOutcome {
+    let names = state.dispatcher.lock().pick_targets(&plan.route);
+    let machine = RequestMachine::open(plan, names);
+    let mut guard = MachineGuard {
+        state,
+        machine,
+        over: false,
+    };
+    let mut running = FuturesUnordered::new();
+    let mut handles: Vec<(u64, AbortHandle)> = Vec::new();
+    let mut answers = Vec::new();
+    let mut actions = Vec::new();
+    let mut event = RequestEvent::Due;
+    loop {
+        guard.step(event, &mut actions);
+        for action in actions.drain(..) {
+            match action {
+                RequestAction::Send {
+                    attempt,
+                    replica,
+                    repeats,
+                    ..
+                } => {
+                    state.counters.repeats.inc_by(u64::from(repeats));
+                    let (handle, registration) = AbortHandle::new_pair();
+                    handles.push((attempt, handle));
+                    let sent = run_attempt(Arc::clone(state), Arc::clone(&request), attempt, replica);
+                    running.push(Abortable::new(sent, registration));
+                }
+                RequestAction::Cancel { attempt } => {
+                    if let Some((_, handle)) = handles.iter().find(|(held, _)| *held == attempt) {
+                        handle.abort();
+                    }
+                }
+                RequestAction::Finish(verdict) => {
+                    guard.over = true;
+                    return close_request(&guard.machine, verdict, answers);
+                }
+            }
+        }
+        let due = state.clock.instant(guard.machine.next_due());
+        event = tokio::select! {
+            Some(ended) = running.next(), if !running.is_empty() => match ended {
+                Ok(report) => note_report(state, report, &mut answers),
+                Err(_aborted) => RequestEvent::Due,
+            },
+            () = tokio::time::sleep_until(due.into()) => RequestEvent::Due,
+        };
+    }
+}
+
+fn note_report(
+    state: &ForwardState,
+    report: AttemptReport,
+    answers: &mut Vec<(u64, WholeAnswer)>,
+) -> RequestEvent {
+    let labels = AttemptLabels {
+        end: name_end(report.end).to_owned(),
+    };
+    state.counters.attempts.get_or_create(&labels).inc();
+    if let Some(answer) = report.answer {
+        answers.push((report.attempt, answer));
+    }
+    RequestEvent::Ended {
+        attempt: report.attempt,
+        end: report.end,
+    }
+}
+
+fn close_request(
+    machine: &RequestMachine,
+    verdict: Verdict,
+    answers: Vec<(u64, WholeAnswer)>,
+) -> RequestOutcome {
+    let targets = machine.target_count();
+    RequestOutcome {
+        verdict,
+        answers,
+        standing: (0..targets)
+            .filter_map(|target| machine.answer_of(target))
+            .collect(),
+        sent: machine.sent(),
+        targets,
+        missing: machine.missing().cloned().collect(),
+    }
+}
+
+fn name_end(end: AttemptEnd) -> &'static str {
+    match end {
+        AttemptEnd::Answered => "answered",
+        AttemptEnd::Failed => "failed",
+        AttemptEnd::NotRun => "not_run",
+        AttemptEnd::NotSent => "not_sent",
+        AttemptEnd::Withdrawn => "withdrawn",
+        AttemptEnd::WrongServer => "wrong_server",
+        AttemptEnd::Lost => "lost",
+    }
+}
--- /dev/null
+++ b/daisyhinge/src/shell/forward/state.rs
@@ -0,0 +1,184 @@
+//! What all requests of an entry share.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use parking_lot::{Mutex, RwLock};
+use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
+
+use super::log::DecisionLog;
+use super::pool::ConnectionPool;
+use super::wire::HeaderNames;
+use crate::dispatch::Dispatcher;
+use crate::dispatch::budget::BudgetLimits;
+use crate::dispatch::fleet::FleetPlace;
+use crate::metric::forward::ForwardCounters;
+use crate::prelude::*;
+use crate::routing::RouteTable;
+use crate::shell::clock::ProcessClock;
+use crate::vocabulary::registration::SyncReply;
+use crate::vocabulary::site::{CallerLimits, SiteConfig, SiteDocument};
+
+/// Time between sweeps of idle connections.
+const SWEEP_SPAN: Duration = Duration::from_secs(1);
+
+/// Decodes a configuration as operators send it.
+pub type ConfigDecoder = fn(&[u8]) -> Result<SiteConfig, ResultCode>;
+
+/// A configuration in force.
+#[derive(Debug, Default)]
+pub struct ActiveSite {
+    /// Its version.
+    pub version: u64,
+    /// Its routes.
+    pub routes: RouteTable,
+    /// Limits for callers.
+    pub limits: CallerLimits,
+}
+
+/// What an entry is made of.
+#[derive(Clone, Debug)]
+pub struct ForwardSettings {
+    /// Where it is.
+    pub place: FleetPlace,
+    /// Extra requests that all entries together may send a service.
+    pub budget: BudgetLimits,
+    /// Names of headers.
+    pub names: HeaderNames,
+    /// Decodes configurations.
+    pub decode: ConfigDecoder,
+}
+
+/// The shared state of an entry that forwards requests.
+pub struct ForwardState {
+    /// Its clock.
+    pub clock: ProcessClock,
+    /// Counters and histograms.
+    pub counters: ForwardCounters,
+    /// Set while the entry shuts down: callers are told to connect elsewhere.
+    pub leaving: CancellationToken,
+    pub(super) names: HeaderNames,
+    pub(super) dispatcher: Mutex<Dispatcher>,
+    pub(super) pool: ConnectionPool,
+    pub(super) log: DecisionLog,
+    site: RwLock<Option<Arc<ActiveSite>>>,
+    revision: Mutex<u64>,
+    /// Whether a quorum stood behind what was told.
+    confirmed: AtomicBool,
+    told: Notify,
+    decode: ConfigDecoder,
+}
+
+impl ForwardState {
+    /// The state of an entry that knows nothing yet.
+    pub fn open(settings: ForwardSettings) -> Arc<Self> {
+        Arc::new(Self {
+            clock: ProcessClock::open(),
+            counters: ForwardCounters::default(),
+            leaving: CancellationToken::new(),
+            names: settings.names,
+            dispatcher: Mutex::new(Dispatcher::open(settings.place, settings.budget)),
+            pool: ConnectionPool::default(),
+            log: DecisionLog::open(),
+            site: RwLock::new(None),
+            revision: Mutex::new(0),
+            confirmed: AtomicBool::new(false),
+            told: Notify::new(),
+            decode: settings.decode,
+        })
+    }
+
+    /// The configuration in force, if one is known.
+    pub fn site(&self) -> Option<Arc<ActiveSite>> {
+        self.site.read().clone()
+    }
+
+    /// Whether a quorum of control stood behind what was told last or earlier.
+    pub fn is_confirmed(&self) -> bool {
+        self.confirmed.load(Ordering::Relaxed)
+    }
+
+    /// Waits until something is told, at most for `span`.
+    pub async fn changed(&self, span: Duration) {
+        // Whoever waits looks again either way.
+        drop(tokio::time::timeout(span, self.told.notified()).await);
+    }
+
+    /// Takes what control tells. What is older than what is held is ignored.
+    pub fn take_reply(&self, reply: SyncReply, confirmed: bool) {
+        self.take_content(reply);
+        if confirmed && self.site().is_some() {
+            self.confirmed.store(true, Ordering::Relaxed);
+        }
+        self.told.notify_waiters();
+    }
+
+    fn take_content(&self, reply: SyncReply) {
+        let now = self.clock.now();
+        if let Some(site) = &reply.site {
+            let mut revision = self.revision.lock();
+            if site.revision > *revision {
+                *revision = site.revision;
+                drop(revision);
+                if let Some(document) = &site.document {
+                    self.take_document(document);
+                }
+                let evacuated = site.evacuated.clone();
+                self.log.note_view(site.revision, site.version(), evacuated.len());
+                self.dispatcher.lock().fleet.take_evacuated(evacuated);
+            }
+        }
+        let mut dispatcher = self.dispatcher.lock();
+        for record in reply.replicas {
+            self.log.note_replica(&record);
+            dispatcher.fleet.take_replica(now, record);
+        }
+        if !reply.entries.is_empty() {
+            dispatcher.fleet.take_entries(reply.entries);
+        }
+    }
+
+    fn take_document(&self, document: &SiteDocument) {
+        let held = self.site().map_or(0, |site| site.version);
+        if document.version <= held {
+            return;
+        }
+        match (self.decode)(&document.bytes) {
+            Ok(config) => {
+                self.dispatcher.lock().take_config(&config);
+                let site = ActiveSite {
+                    version: config.version,
+                    routes: RouteTable::open(&config),
+                    limits: config.limits,
+                };
+                *self.site.write() = Some(Arc::new(site));
+            }
+            Err(code) => self.log.note_bad_document(document.version, code),
+        }
+    }
+
+    /// Notes that the link to control was gained or lost.
+    pub fn note_link(&self, address: std::net::SocketAddr, gained: bool) {
+        self.log.note_link(address, gained);
+    }
+
+    /// Writes a line of the process's own.
+    pub fn note_text(&self, text: String) {
+        self.log.note_text(text);
+    }
+}
+
+/// Closes connections that are of no more use, time and again.
+pub async fn run_sweeping(state: Arc<ForwardState>) {
+    loop {
+        tokio::time::sleep(SWEEP_SPAN).await;
+        state.pool.sweep(|replica| {
+            let dispatcher = state.dispatcher.lock();
+            dispatcher.fleet.replica(replica).is_some()
+        });
+        let open = i64::try_from(state.pool.count()).unwrap_or(i64::MAX);
+        state.counters.connections_idle.set(open);
+    }
+}
--- a/daisyhinge/src/shell/http_port.rs
+++ b/daisyhinge/src/shell/http_port.rs
@@ -41,6 +41,24 @@
 /// Largest head of a request, in bytes.
 const HEAD_MAX_BYTES: usize = 16 * 1024;
 
+/// Bounds of a port.
+#[derive(Clone, Copy, Debug)]
+pub struct PortLimits {
+    /// Connections at a time; more wait to be accepted.
+    pub connections_max: usize,
+    /// Time for a peer to send a request's headers, and for a connection to be idle.
+    pub idle_timeout: Duration,
+}
+
+impl Default for PortLimits {
+    fn default() -> Self {
+        Self {
+            connections_max: CONNECTIONS_MAX,
+            idle_timeout: HEADER_TIMEOUT,
+        }
+    }
+}
+
 type PortHandler =
     Arc<dyn Fn(Request<Incoming>) -> BoxFuture<'static, Response<ReplyBody>> + Send + Sync>;
 
@@ -59,6 +77,23 @@
     ///
     /// [`ResultCode::BindFailed`] if the address cannot be had.
     pub async fn bind<H, F>(address: SocketAddr, handler: H) -> Result<Self, ResultCode>
+    where
+        H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
+        F: Future<Output = Response<ReplyBody>> + Send + 'static,
+    {
+        Self::bind_limited(address, PortLimits::default(), handler).await
+    }
+
+    /// As [`Self::bind`], with other bounds.
+    ///
+    /// # Errors
+    ///
+    /// [`ResultCode::BindFailed`] if the address cannot be had.
+    pub async fn bind_limited<H, F>(
+        address: SocketAddr,
+        limits: PortLimits,
+        handler: H,
+    ) -> Result<Self, ResultCode>
     where
         H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
         F: Future<Output = Response<ReplyBody>> + Send + 'static,
@@ -71,7 +106,7 @@
             .map_err(|_error| ResultCode::BindFailed)?;
         let stop = CancellationToken::new();
         let handler: PortHandler = Arc::new(move |request| Box::pin(handler(request)));
-        let task = tokio::spawn(serve_port(listener, handler, stop.clone()));
+        let task = tokio::spawn(serve_port(listener, limits, handler, stop.clone()));
         Ok(Self {
             address,
             stop,
@@ -100,8 +135,13 @@
     }
 }
 
-async fn serve_port(listener: TcpListener, handler: PortHandler, stop: CancellationToken) {
-    let places = Arc::new(Semaphore::new(CONNECTIONS_MAX));
+async fn serve_port(
+    listener: TcpListener,
+    limits: PortLimits,
+    handler: PortHandler,
+    stop: CancellationToken,
+) {
+    let places = Arc::new(Semaphore::new(limits.connections_max));
     let graceful = GracefulShutdown::new();
     loop {
         let Ok(place) = Arc::clone(&places).acquire_owned().await else {
@@ -115,7 +155,7 @@
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        let connection = graceful.watch(open_connection(stream, Arc::clone(&handler)));
+        let connection = graceful.watch(open_connection(stream, limits, Arc::clone(&handler)));
         tokio::spawn(async move {
             // A connection's fault concerns its peer alone.
             let _ = connection.await;
@@ -129,6 +169,7 @@
 
 fn open_connection(
     stream: TcpStream,
+    limits: PortLimits,
     handler: PortHandler,
 ) -> impl hyper_util::server::graceful::GracefulConnection<Error = hyper::Error> {
     let service = service_fn(move |request| {
@@ -137,7 +178,7 @@
     });
     http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(HEADER_TIMEOUT)
+        .header_read_timeout(limits.idle_timeout)
         .max_buf_size(HEAD_MAX_BYTES)
         .serve_connection(TokioIo::new(stream), service)
 }
--- /dev/null
+++ b/daisyhinge/src/shell/site/serve.rs
@@ -0,0 +1,218 @@
+//! The control process's side: the registry, and the answers to those who follow.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::StreamExt;
+use parking_lot::Mutex;
+use tarpc::context::Context;
+use tarpc::serde_transport::Transport;
+use tarpc::server::{BaseChannel, Channel};
+use tarpc::tokio_serde::formats::Bincode;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+use super::SiteLink;
+use crate::prelude::*;
+use crate::registry::{BeatOutcome, ServerRegistry};
+use crate::shell::control::ControlShell;
+use crate::vocabulary::clock::span_to_millis;
+use crate::vocabulary::registration::{
+    EntryPresence, ReplicaRecord, SyncAsk, SyncCaller, SyncReply,
+};
+use crate::vocabulary::site::SiteState;
+
+/// Time between looks for what has fallen silent.
+const EXPIRE_SPAN: Duration = Duration::from_millis(250);
+/// Connections at a time.
+const CONNECTIONS_MAX: usize = 1_024;
+/// Pause after accepting failed, as it does while file descriptors are short.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Longest wait that a caller may ask for.
+const WAIT_MAX: Duration = Duration::from_secs(5);
+
+/// The registry of a control process; clones share it.
+#[derive(Clone, Debug)]
+pub struct SiteKeeper {
+    shell: ControlShell,
+    registry: Arc<Mutex<ServerRegistry>>,
+    /// The registry's newest mark.
+    mark: Arc<watch::Sender<u64>>,
+}
+
+impl SiteKeeper {
+    /// Serves followers on `address` and follows the other control processes, which listen on
+    /// the same port. Needs a tokio runtime.
+    ///
+    /// # Errors
+    /// [`ResultCode::BindFailed`] if the address cannot be had.
+    pub async fn spawn(
+        shell: ControlShell,
+        address: SocketAddr,
+        beat_span: Duration,
+    ) -> Result<Self, ResultCode> {
+        let listener = TcpListener::bind(address)
+            .await
+            .map_err(|_error| ResultCode::BindFailed)?;
+        let registry = ServerRegistry::open(rand::random(), beat_span);
+        let keeper = Self {
+            shell,
+            registry: Arc::new(Mutex::new(registry)),
+            mark: Arc::new(watch::Sender::new(0)),
+        };
+        tokio::spawn(run_server(keeper.clone(), listener));
+        tokio::spawn(run_expiry(keeper.clone()));
+        tokio::spawn(super::gossip::run_gossip(keeper.clone(), address));
+        Ok(keeper)
+    }
+
+    /// The control process.
+    pub fn shell(&self) -> &ControlShell {
+        &self.shell
+    }
+
+    fn now(&self) -> MonotonicTime {
+        self.shell.clock().now()
+    }
+
+    /// Changes the registry and wakes those who follow if it got a new mark.
+    pub(super) fn update<T>(
+        &self,
+        change: impl FnOnce(MonotonicTime, &mut ServerRegistry) -> T,
+    ) -> T {
+        let now = self.now();
+        let mut registry = self.registry.lock();
+        let result = change(now, &mut registry);
+        let mark = registry.mark();
+        drop(registry);
+        self.mark.send_if_modified(|shown| {
+            let newer = mark > *shown;
+            *shown = mark;
+            newer
+        });
+        result
+    }
+
+    /// Takes a replica's heartbeat.
+    pub fn take_beat(&self, record: ReplicaRecord) -> BeatOutcome {
+        self.update(|now, registry| registry.take_beat(now, record))
+    }
+
+    /// Takes a replica's departure.
+    pub fn take_departure(&self, name: &ReplicaName) -> BeatOutcome {
+        self.update(|now, registry| registry.take_departure(now, name))
+    }
+
+    /// Looks at the registry.
+    pub fn look<T>(&self, look: impl FnOnce(&ServerRegistry) -> T) -> T {
+        look(&self.registry.lock())
+    }
+
+    fn epoch(&self) -> u64 {
+        self.look(ServerRegistry::epoch)
+    }
+
+    fn note_caller(&self, caller: SyncCaller) {
+        let SyncCaller::Entry {
+            vm,
+            incarnation,
+            address,
+            data_centre,
+            phase,
+        } = caller
+        else {
+            return;
+        };
+        let presence = EntryPresence {
+            vm,
+            incarnation,
+            address,
+            data_centre,
+            phase,
+            stamp: 0,
+            holder: 0,
+        };
+        self.update(|now, registry| registry.take_entry(now, presence));
+    }
+
+    async fn answer(&self, ask: SyncAsk) -> SyncReply {
+        let is_entry = matches!(ask.caller, SyncCaller::Entry { .. });
+        self.note_caller(ask.caller);
+        let mark = if ask.epoch == self.epoch() {
+            ask.mark
+        } else {
+            0
+        };
+        let mut marks = self.mark.subscribe();
+        let mut states = self.shell.board().state.subscribe();
+        let newer = |state: &SiteState| is_entry && state.revision > ask.revision;
+        let wait = Duration::from_millis(ask.wait_ms).min(WAIT_MAX);
+        let changed = async {
+            tokio::select! {
+                changed = marks.wait_for(|newest| *newest > mark) => drop(changed),
+                changed = states.wait_for(|state| newer(state)) => drop(changed),
+            }
+        };
+        // Without anything new the answer still tells that this process and a quorum are there.
+        let _: Result<(), _> = tokio::time::timeout(wait, changed).await;
+        let site = Arc::clone(&self.shell.board().state.borrow());
+        let now = self.now();
+        let control = self.shell.board().members.borrow().clone();
+        let registry = self.registry.lock();
+        SyncReply {
+            epoch: registry.epoch(),
+            mark: registry.mark(),
+            replicas: registry.replicas_after(now, mark),
+            entries: registry.entries_after(mark),
+            site: newer(&site).then_some(site),
+            quorum_age_ms: self.shell.quorum_age().map(span_to_millis),
+            control,
+        }
+    }
+}
+
+#[derive(Clone)]
+struct SiteServer(SiteKeeper);
+
+impl SiteLink for SiteServer {
+    async fn sync(self, _: Context, ask: SyncAsk) -> SyncReply {
+        self.0.answer(ask).await
+    }
+}
+
+async fn run_expiry(keeper: SiteKeeper) {
+    loop {
+        tokio::time::sleep(EXPIRE_SPAN).await;
+        keeper.update(|now, registry| registry.expire(now));
+    }
+}
+
+async fn run_server(keeper: SiteKeeper, listener: TcpListener) {
+    let mut connections = JoinSet::new();
+    loop {
+        let Ok((stream, _peer)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        while connections.try_join_next().is_some() {}
+        if connections.len() < CONNECTIONS_MAX {
+            connections.spawn(serve_connection(keeper.clone(), stream));
+        }
+    }
+}
+
+async fn serve_connection(keeper: SiteKeeper, stream: TcpStream) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let transport = Transport::from((stream, Bincode::default()));
+    let channel = BaseChannel::with_defaults(transport);
+    let mut calls = std::pin::pin!(channel.execute(SiteServer(keeper).serve()));
+    let mut running = JoinSet::new();
+    while let Some(call) = calls.next().await {
+        running.spawn(call);
+        while running.try_join_next().is_some() {}
+    }
+}
--- a/daisyhinge/src/vocabulary/environment.rs
+++ b/daisyhinge/src/vocabulary/environment.rs
@@ -3,7 +3,6 @@
 use serde::{Deserialize, Serialize};
 
 use crate::prelude::*;
-use crate::vocabulary::name::RegionName;
 use crate::vocabulary::query::AnswerPreference;
 
 /// Parts per million in a whole.
--- a/daisyhinge/tests/control_schedules/cluster.rs
+++ b/daisyhinge/tests/control_schedules/cluster.rs
@@ -28,6 +28,7 @@
     compact_entries: 25,
     compact_bytes: 1 << 20,
     segment_bytes: 2_000,
+    silent_span: None,
 };
 
 #[derive(Debug)]
