Keep requests near after a pause; refuse what lacks shards before it runs

After a restart a gather ran the shards that were known and then failed with 502. Samples are clipped at 2.5 times the average; refusals cut the requests that run at a time; targets that nobody serves are given up first.

--- a/daisyhinge/src/dispatch/fleet.rs
+++ b/daisyhinge/src/dispatch/fleet.rs
@@ -287,6 +287,11 @@
         permitted && offered && !self.evacuated.contains(centre) && !replica.is_down(now)
     }
 
+    /// Whether any replica of a service could be used at present, busy ones included.
+    pub fn is_served(&self, now: MonotonicTime, ask: &ChooseAsk<'_>) -> bool {
+        self.choose(now, ask) != Choice::Absent
+    }
+
     /// Whether a request may still be sent to a replica that was chosen before.
     pub fn may_send(&self, index: ReplicaIndex) -> bool {
         self.replicas.get(&index).is_some_and(|replica| {
--- a/daisyhinge/src/dispatch/fleet/replica.rs
+++ b/daisyhinge/src/dispatch/fleet/replica.rs
@@ -12,6 +12,13 @@
 const SAMPLE_WEIGHT: f64 = 0.2;
 /// Weight of a new sample that is above the average.
 const RISE_WEIGHT: f64 = 0.35;
+/// A sample counts as at most this many times the average, so that one pause does not drive
+/// requests away for long, while a replica that stays slow is known after a few.
+const SAMPLE_RISE_MAX: f64 = 2.5;
+/// What a refusal leaves of the requests that may run at a time, as a factor.
+const LIMIT_CUT: f64 = 0.75;
+/// What an answer adds to them, shared among as many.
+const LIMIT_GROWTH: f64 = 0.5;
 /// After this time without a sample, the average returns to what is expected of an unknown one.
 const FORGET_AFTER: Duration = Duration::from_millis(1_500);
 /// Time over which it returns by a factor of e, in microseconds.
@@ -91,6 +98,8 @@
     running: Vec<(u64, MonotonicTime)>,
     failures: u32,
     down_until: MonotonicTime,
+    /// Requests of this entry that may run at a time, as refusals and answers show.
+    running_max: f64,
 }
 
 impl FleetReplica {
@@ -109,6 +118,7 @@
             running: Vec::new(),
             failures: 0,
             down_until: MonotonicTime(0),
+            running_max: f64::from(u16::MAX),
         };
         replica.latency_us = replica.prior_us();
         replica.cold_until = now + Duration::from_millis(replica.record.cold_left_ms);
@@ -170,7 +180,8 @@
             Some(rate) if self.is_cold(now) => rate > 0.0 && now >= self.cold_next,
             _ => true,
         };
-        cold_room && (self.running.len() as u64) < u64::from(self.connections_max)
+        let running = self.running.len() as f64;
+        cold_room && running < f64::from(self.connections_max) && running < self.running_max
     }
 
     /// Expected latency of one more request, in microseconds, with what counts against it.
@@ -222,8 +233,16 @@
                 self.failures = 0;
                 self.sample(now, took);
                 self.note_served(now, 1.0);
+                let most = f64::from(self.connections_max);
+                self.running_max = (self.running_max + LIMIT_GROWTH / self.running_max).min(most);
             }
-            AttemptFinish::Failed | AttemptFinish::Shed => {
+            AttemptFinish::Shed => {
+                self.failures = 0;
+                self.note_served(now, 0.0);
+                let ran = (self.running.len() + 1) as f64;
+                self.running_max = (self.running_max.min(ran) * LIMIT_CUT).max(1.0);
+            }
+            AttemptFinish::Failed => {
                 self.failures = 0;
                 self.note_served(now, 0.0);
             }
@@ -237,6 +256,7 @@
 
     fn sample(&mut self, now: MonotonicTime, took: f64) {
         let known = self.average_us(now);
+        let took = took.min(known * SAMPLE_RISE_MAX);
         let weight = if took > known {
             RISE_WEIGHT
         } else {
--- a/daisyhinge/src/dispatch/request.rs
+++ b/daisyhinge/src/dispatch/request.rs
@@ -137,6 +137,7 @@
     min_targets: usize,
     answer_at: Option<MonotonicTime>,
     give_up_at: MonotonicTime,
+    begun: bool,
     finished: bool,
 }
 
@@ -159,6 +160,7 @@
             answer_at,
             give_up_at,
             plan,
+            begun: false,
             finished: false,
         }
     }
@@ -197,6 +199,10 @@
         if self.finished {
             return;
         }
+        if !self.begun {
+            self.begun = true;
+            self.close_absent(now, dispatcher);
+        }
         match event {
             RequestEvent::Due => {}
             RequestEvent::Ended { attempt, end } => self.take_end(now, attempt, end, dispatcher),
@@ -206,8 +212,11 @@
                 return;
             }
         }
-        for target in 0..self.targets.len() {
-            self.advance(now, target, dispatcher, actions);
+        // What has become hopeless sends nothing more, so that it is refused before it ran.
+        if self.find_verdict(now).is_none() {
+            for target in 0..self.targets.len() {
+                self.advance(now, target, dispatcher, actions);
+            }
         }
         if let Some(verdict) = self.find_verdict(now) {
             self.cancel_all(now, dispatcher, actions);
@@ -216,6 +225,20 @@
         }
     }
 
+    /// Gives up targets that no replica serves at present.
+    fn close_absent(&mut self, now: MonotonicTime, dispatcher: &Dispatcher) {
+        for (name, target) in self.names.iter().zip(&mut self.targets) {
+            let ask = ChooseAsk {
+                service: name,
+                tried: &[],
+                allowed_regions: &self.plan.route.allowed_regions,
+            };
+            if !dispatcher.fleet.is_served(now, &ask) {
+                target.close_unless(false, ResultCode::NoReplica);
+            }
+        }
+    }
+
     /// When the next [`RequestEvent::Due`] is wanted.
     pub fn next_due(&self) -> MonotonicTime {
         let targets = self.targets.iter().filter_map(|target| target.due);
--- /dev/null
+++ b/daisyhinge/tests/dispatch.rs
@@ -0,0 +1,13 @@
+//! Dispatch to replicas: routes, shares, budgets, the choice of a replica and whole requests,
+//! played without a network.
+
+#[path = "dispatch/choice.rs"]
+mod choice;
+#[path = "dispatch/load.rs"]
+mod load;
+#[path = "dispatch/parts.rs"]
+mod parts;
+#[path = "dispatch/requests.rs"]
+mod requests;
+#[path = "dispatch/support.rs"]
+mod support;
--- /dev/null
+++ b/daisyhinge/tests/dispatch/parts.rs
@@ -0,0 +1,105 @@
+//! Routes, splits, shares, budgets and the merge.
+
+use daisyhinge::dispatch::budget::RepeatBudget;
+use daisyhinge::dispatch::merge::{RECORD_BYTES, merge_parts};
+use daisyhinge::dispatch::share::{EntryCount, find_share};
+use daisyhinge::routing::{RouteTable, SplitTurn};
+use daisyhinge::vocabulary::site::{GatherPlan, RouteKind, SplitPart};
+use proptest::prelude::*;
+
+use crate::support::{LIMITS, config, route, shard_name, single};
+
+fn prefixed(name: &str, prefix: &str) -> daisyhinge::vocabulary::site::SiteRoute {
+    let mut route = route(name, RouteKind::Safe, single("s"));
+    route.path_prefix = prefix.into();
+    route
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_selects_the_route() {
+    let routes = vec![prefixed("short", "/a/"), prefixed("long", "/a/b/")];
+    let table = RouteTable::open(&config(&[], routes));
+    let find = |host, path| table.find_route(host, path).map(|route| route.name.to_string());
+    assert_eq!(find("labels.example", "/a/b/c"), Some("long".to_owned()));
+    assert_eq!(find("labels.example:80", "/a/x"), Some("short".to_owned()));
+    assert_eq!(find("labels.example", "/a"), None);
+    assert_eq!(find("other.example", "/a/b/c"), None);
+}
+
+#[test]
+fn a_split_keeps_exact_proportions() {
+    let parts: Vec<SplitPart> = [("a", 90), ("b", 10), ("c", 0)]
+        .into_iter()
+        .map(|(service, weight)| SplitPart { service: service.into(), weight })
+        .collect();
+    let mut turn = SplitTurn::default();
+    let mut counts = [0; 3];
+    for _ in 0..200 {
+        counts[turn.next_part(&parts)] += 1;
+    }
+    assert_eq!(counts, [180, 20, 0]);
+}
+
+#[test]
+fn the_least_count_of_shards_is_rounded_up() {
+    let plan = |shards: usize, min_coverage| GatherPlan {
+        shards: (0..shards).map(shard_name).collect(),
+        top_records: 1,
+        min_coverage,
+    };
+    assert_eq!(plan(10, 0.89).min_shards(), 9);
+    assert_eq!(plan(10, 0.9).min_shards(), 9);
+    assert_eq!(plan(15, 0.75).min_shards(), 12);
+    assert_eq!(plan(36, 0.95).min_shards(), 35);
+    assert_eq!(plan(3, 0.0).min_shards(), 1);
+}
+
+#[test]
+fn extra_requests_of_all_entries_stay_within_ratio_and_slack() {
+    for entries in [1_usize, 6, 83] {
+        let mut budgets = vec![RepeatBudget::open(LIMITS); entries];
+        let mut first = 0_u32;
+        let mut extra = 0_u32;
+        for round in 0..2_000 {
+            let budget = &mut budgets[round % entries];
+            budget.earn(entries);
+            first += 1;
+            while budget.take() {
+                extra += 1;
+            }
+        }
+        let allowed = f64::from(first) * LIMITS.ratio + LIMITS.slack;
+        // An entry that never sent anything may still send one extra request.
+        assert!(f64::from(extra) <= allowed.max(entries as f64), "{entries}: {extra}");
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(12),
+        failure_persistence: None,
+        ..ProptestConfig::with_cases(400)
+    })]
+
+    /// The shares of all entries never add up to more than the replica accepts.
+    #[test]
+    fn shares_add_up_to_the_connections(most in 1_u32..200, near in 0_u32..120, far in 0_u32..120) {
+        let count = EntryCount { near, far };
+        let near_sum: u32 = (0..near).map(|rank| find_share(most, count, true, rank)).sum();
+        let far_sum: u32 = (0..far).map(|rank| find_share(most, count, false, rank)).sum();
+        prop_assert!(near_sum + far_sum <= most);
+    }
+
+    /// The merge gives what sorting all records gives.
+    #[test]
+    fn a_merge_is_the_head_of_the_sorted_whole(
+        parts in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..200), 0..8),
+        top in 0_usize..30,
+    ) {
+        let mut all: Vec<&[u8]> =
+            parts.iter().flat_map(|part| part.chunks_exact(RECORD_BYTES)).collect();
+        all.sort_by(|a, b| b.cmp(a));
+        all.truncate(top);
+        prop_assert_eq!(merge_parts(parts.iter().map(Vec::as_slice), top), all.concat());
+    }
+}
--- /dev/null
+++ b/daisyhinge/tests/dispatch/support.rs
@@ -0,0 +1,129 @@
+//! Replicas, routes and dispatchers for tests.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use daisyhinge::dispatch::Dispatcher;
+use daisyhinge::dispatch::budget::BudgetLimits;
+use daisyhinge::dispatch::fleet::FleetPlace;
+use daisyhinge::dispatch::request::RequestPlan;
+use daisyhinge::prelude::*;
+use daisyhinge::vocabulary::registration::{ReplicaPhase, ReplicaRecord};
+use daisyhinge::vocabulary::site::{
+    CallerLimits, GatherPlan, RouteKind, RouteTarget, SiteConfig, SiteRoute, SiteService, SplitPart,
+};
+
+pub const LIMITS: BudgetLimits = BudgetLimits {
+    ratio: 0.2,
+    slack: 52.0,
+};
+
+pub fn at(ms: u64) -> MonotonicTime {
+    MonotonicTime(1_000_000_000 + ms * 1_000)
+}
+
+pub fn place() -> FleetPlace {
+    let regions = [("a", "north"), ("b", "south"), ("c", "east")];
+    FleetPlace {
+        vm: "entry-1".into(),
+        data_centre: "a".into(),
+        regions: regions
+            .into_iter()
+            .map(|(centre, region)| (centre.into(), region.into()))
+            .collect::<HashMap<_, _>>(),
+    }
+}
+
+pub fn record(name: &str, service: &str, centre: &str, port: u16) -> ReplicaRecord {
+    ReplicaRecord {
+        name: name.into(),
+        service: service.into(),
+        address: SocketAddr::from(([10, 0, 0, 1], port)),
+        data_centre: centre.into(),
+        slots: 2,
+        phase: ReplicaPhase::Ready,
+        born_ms: Some(1),
+        sequence: 1,
+        cold_left_ms: 0,
+        holder: 1,
+    }
+}
+
+pub fn service(name: &str) -> SiteService {
+    SiteService {
+        name: name.into(),
+        connections_max: 25,
+        cold_per_second: None,
+    }
+}
+
+pub fn route(name: &str, kind: RouteKind, target: RouteTarget) -> SiteRoute {
+    SiteRoute {
+        name: name.into(),
+        host: "labels.example".into(),
+        path_prefix: format!("/{name}/").into(),
+        kind,
+        timeout: Duration::from_millis(2_000),
+        objective: Duration::from_millis(120),
+        attempts_max: 2,
+        priority: 1,
+        allowed_regions: Arc::from([]),
+        target,
+    }
+}
+
+pub fn single(service: &str) -> RouteTarget {
+    RouteTarget::Split(Arc::from([SplitPart {
+        service: service.into(),
+        weight: 1,
+    }]))
+}
+
+pub fn gather(shards: usize, min_coverage: f64) -> RouteTarget {
+    RouteTarget::Gather(GatherPlan {
+        shards: (0..shards).map(|shard| shard_name(shard)).collect(),
+        top_records: 5,
+        min_coverage,
+    })
+}
+
+pub fn shard_name(shard: usize) -> ServiceName {
+    format!("shard-{shard}").into()
+}
+
+pub fn config(services: &[ServiceName], routes: Vec<SiteRoute>) -> SiteConfig {
+    SiteConfig {
+        version: 1,
+        routes: routes.into_iter().map(Arc::new).collect(),
+        services: services.iter().map(|name| service(name.as_str())).collect(),
+        limits: CallerLimits::default(),
+    }
+}
+
+/// A dispatcher with one replica of each shard in each of three data centres.
+pub fn dispatcher(shards: usize) -> Dispatcher {
+    let mut dispatcher = Dispatcher::open(place(), LIMITS);
+    let names: Vec<ServiceName> = (0..shards).map(shard_name).collect();
+    dispatcher.take_config(&config(&names, Vec::new()));
+    let mut port = 1_000;
+    for name in &names {
+        for centre in ["a", "b", "c"] {
+            port += 1;
+            let replica = format!("{name}-{centre}");
+            let told = record(&replica, name.as_str(), centre, port);
+            dispatcher.fleet.take_replica(at(0), told);
+        }
+    }
+    dispatcher
+}
+
+pub fn plan(route: SiteRoute, started: MonotonicTime) -> RequestPlan {
+    let ends = started + route.timeout;
+    RequestPlan {
+        route: Arc::new(route),
+        started,
+        ends,
+    }
+}
