--- a/daisyhinge/src/dispatch.rs
+++ b/daisyhinge/src/dispatch.rs
@@ -12,12 +12,17 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use crate::prelude::*;
 use crate::routing::SplitTurn;
+use crate::search::estimate::LatencyEstimate;
 use crate::vocabulary::site::{RouteTarget, SiteConfig, SiteRoute};
 use budget::{BudgetLimits, RepeatBudget};
-use fleet::{Fleet, FleetPlace};
+use fleet::{Fleet, FleetPlace, ReplicaIndex};
+
+/// Shortest time before another replica is asked.
+const HEDGE_SPAN_MIN: Duration = Duration::from_millis(6);
 
 /// What all requests of an entry share: the replicas, and the budgets of extra requests.
 #[derive(Debug)]
@@ -27,6 +32,8 @@
     limits: BudgetLimits,
     budgets: HashMap<ServiceName, RepeatBudget>,
     turns: HashMap<Arc<str>, SplitTurn>,
+    /// Latencies of single attempts by route, without the way to the replica.
+    latencies: HashMap<Arc<str>, LatencyEstimate>,
     attempts: u64,
 }
 
@@ -38,6 +45,7 @@
             limits,
             budgets: HashMap::new(),
             turns: HashMap::new(),
+            latencies: HashMap::new(),
             attempts: 0,
         }
     }
@@ -47,6 +55,7 @@
         self.fleet.take_services(&config.services);
         let known = |name: &Arc<str>| config.routes.iter().any(|route| route.name == *name);
         self.turns.retain(|name, _| known(name));
+        self.latencies.retain(|name, _| known(name));
     }
 
     /// The services that a request of `route` goes to: one, or one a shard.
@@ -76,6 +85,28 @@
             .expect("it was inserted if it was missing")
     }
 
+    /// Notes how long an attempt of a route ran.
+    fn note_latency(&mut self, route: &SiteRoute, replica: ReplicaIndex, took: Duration) {
+        let way = self.way_span(replica);
+        let estimate = self.latencies.entry(Arc::clone(&route.name)).or_default();
+        estimate.record(took.saturating_sub(way));
+    }
+
+    /// How long an attempt of a route runs before another replica is asked.
+    fn hedge_span(&self, now: MonotonicTime, route: &SiteRoute, replica: ReplicaIndex) -> Duration {
+        let known = self.latencies.get(&route.name);
+        let known = known.and_then(LatencyEstimate::hedge_delay);
+        known.map_or_else(
+            || self.fleet.hedge_span(now, replica),
+            |span| span.max(HEDGE_SPAN_MIN) + self.way_span(replica),
+        )
+    }
+
+    fn way_span(&self, replica: ReplicaIndex) -> Duration {
+        let known = self.fleet.replica(replica);
+        known.map_or(Duration::ZERO, |replica| replica.nearness().way_span())
+    }
+
     /// Number of a new attempt.
     pub fn next_attempt(&mut self) -> u64 {
         self.attempts += 1;
--- a/daisyhinge/src/dispatch/fleet/replica.rs
+++ b/daisyhinge/src/dispatch/fleet/replica.rs
@@ -29,14 +29,16 @@
 const DOWN_MAX: Duration = Duration::from_millis(2_000);
 /// Longest such time for the only replica of its service.
 const DOWN_LAST_MAX: Duration = Duration::from_millis(200);
-/// Share of the expected latency, in percent, after which a request is overdue.
-const OVERDUE_PERCENT: u64 = 160;
+/// Expected latencies after which a request is overdue, as a factor.
+const OVERDUE_FACTOR: f64 = 2.5;
+/// Time after which a request is overdue besides, in microseconds.
+const OVERDUE_SLACK_US: f64 = 7_000.0;
 /// How much slower a silent replica counts.
 const SILENT_FACTOR: f64 = 4.0;
 /// How much slower a cold replica counts.
 const COLD_FACTOR: f64 = 2.0;
 /// What each request under way adds to the expected latency, as a factor.
-const QUEUE_FACTOR: f64 = 0.5;
+const QUEUE_FACTOR: f64 = 0.3;
 
 /// How far a replica is.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -189,7 +191,7 @@
         let expected = self.average_us(now);
         let oldest = self.running.iter().map(|(_, since)| now.since(*since)).max();
         let overdue = oldest.map_or(0.0, micros);
-        let limit = expected * OVERDUE_PERCENT as f64 / 100.0 + 3_000.0;
+        let limit = expected * OVERDUE_FACTOR + OVERDUE_SLACK_US;
         let base = if overdue > limit {
             expected + overdue
         } else {
--- a/daisyhinge/src/dispatch/request.rs
+++ b/daisyhinge/src/dispatch/request.rs
@@ -18,7 +18,9 @@
 
 /// Time between the entry's answer and the objective as the caller sees it: both ways and the
 /// work in between.
-const OBJECTIVE_MARGIN: Duration = Duration::from_millis(11);
+const OBJECTIVE_MARGIN: Duration = Duration::from_millis(9);
+/// What a caller has spent besides when it opened a connection for the request.
+const CONNECT_MARGIN: Duration = Duration::from_millis(8);
 /// Share of the objective, in percent, that a hedge waits at most.
 const HEDGE_OBJECTIVE_PERCENT: u32 = 38;
 /// Time between tries of what can't be sent yet.
@@ -41,6 +43,8 @@
     pub started: MonotonicTime,
     /// When its caller, or its route, stops waiting.
     pub ends: MonotonicTime,
+    /// Whether its caller opened a connection for it.
+    pub opened_connection: bool,
 }
 
 /// How an attempt ended.
@@ -148,7 +152,12 @@
         let (min_targets, answer_at) = match &route.target {
             RouteTarget::Split(_) => (1, None),
             RouteTarget::Gather(gather) => {
-                let span = route.objective.saturating_sub(OBJECTIVE_MARGIN);
+                let spent = if plan.opened_connection {
+                    OBJECTIVE_MARGIN + CONNECT_MARGIN
+                } else {
+                    OBJECTIVE_MARGIN
+                };
+                let span = route.objective.saturating_sub(spent);
                 (gather.min_shards(), Some(plan.started + span))
             }
         };
@@ -260,10 +269,10 @@
         dispatcher: &mut Dispatcher,
     ) {
         let found = self.targets.iter_mut().find_map(|target| {
-            let replica = target.take_running(attempt)?;
-            Some((target, replica))
+            let ran = target.take_running(attempt)?;
+            Some((target, ran))
         });
-        let Some((target, replica)) = found else {
+        let Some((target, ran)) = found else {
             return;
         };
         let finish = match end {
@@ -275,8 +284,12 @@
             AttemptEnd::WrongServer => AttemptFinish::WrongServer,
             AttemptEnd::Lost => AttemptFinish::Broken,
         };
-        dispatcher.fleet.finish(now, replica, attempt, finish);
+        dispatcher.fleet.finish(now, ran.replica, attempt, finish);
         target.note_end(attempt, end);
+        if end == AttemptEnd::Answered {
+            let took = now.since(ran.sent);
+            dispatcher.note_latency(&self.plan.route, ran.replica, took);
+        }
     }
 
     /// Brings one target forward: a first attempt, another one, or none any more.
@@ -290,10 +303,11 @@
         let kind = self.plan.route.kind;
         let attempts_max = self.plan.route.attempts_max.max(1);
         let target = &mut self.targets[index];
+        // A target that is over must not leave a moment in the past to wait for.
+        target.due = None;
         if target.phase != TargetPhase::Open {
             return;
         }
-        target.due = None;
         let waiting = !target.running.is_empty();
         if waiting && (kind == RouteKind::Unsafe || now < target.hedge_at) {
             target.due = (kind == RouteKind::Safe).then_some(target.hedge_at);
@@ -349,9 +363,10 @@
         let attempt = dispatcher.next_attempt();
         let objective = self.plan.route.objective;
         let hedge_max = objective * HEDGE_OBJECTIVE_PERCENT / 100;
-        let hedge_span = dispatcher.fleet.hedge_span(now, replica).min(hedge_max);
+        let hedge_span = dispatcher.hedge_span(now, &self.plan.route, replica);
+        let hedge_span = hedge_span.min(hedge_max);
         dispatcher.fleet.begin(now, replica, attempt);
-        target.note_sent(attempt, replica, now + hedge_span);
+        target.note_sent(attempt, replica, now, now + hedge_span);
         target.due = (self.plan.route.kind == RouteKind::Safe).then_some(target.hedge_at);
         actions.push(RequestAction::Send {
             attempt,
@@ -368,9 +383,12 @@
         actions: &mut Vec<RequestAction>,
     ) {
         for target in &mut self.targets {
-            for (attempt, replica) in target.running.drain(..) {
+            for ran in target.running.drain(..) {
+                let attempt = ran.attempt;
                 let finish = AttemptFinish::Cancelled;
-                dispatcher.fleet.finish(now, replica, attempt, finish);
+                dispatcher.fleet.finish(now, ran.replica, attempt, finish);
+                let took = now.since(ran.sent);
+                dispatcher.note_latency(&self.plan.route, ran.replica, took);
                 actions.push(RequestAction::Cancel { attempt });
             }
         }
--- a/daisyhinge/src/dispatch/request/target.rs
+++ b/daisyhinge/src/dispatch/request/target.rs
@@ -16,12 +16,20 @@
     Missing,
 }
 
+/// An attempt under way.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct RunningAttempt {
+    pub attempt: u64,
+    pub replica: ReplicaIndex,
+    pub sent: MonotonicTime,
+}
+
 /// One target.
 #[derive(Clone, Debug, Default)]
 pub(super) struct TargetState {
     pub phase: TargetPhase,
     /// Attempts under way.
-    pub running: Vec<(u64, ReplicaIndex)>,
+    pub running: Vec<RunningAttempt>,
     /// Replicas that are not to be asked again.
     pub tried: Vec<ReplicaIndex>,
     /// Attempts that were handed out.
@@ -56,9 +64,14 @@
         &mut self,
         attempt: u64,
         replica: ReplicaIndex,
+        sent: MonotonicTime,
         hedge_at: MonotonicTime,
     ) {
-        self.running.push((attempt, replica));
+        self.running.push(RunningAttempt {
+            attempt,
+            replica,
+            sent,
+        });
         self.tried.push(replica);
         self.sent += 1;
         // Until it is known otherwise, it arrives and runs.
@@ -68,9 +81,9 @@
     }
 
     /// Takes an attempt out of those under way.
-    pub(super) fn take_running(&mut self, attempt: u64) -> Option<ReplicaIndex> {
-        let place = self.running.iter().position(|(held, _)| *held == attempt)?;
-        Some(self.running.swap_remove(place).1)
+    pub(super) fn take_running(&mut self, attempt: u64) -> Option<RunningAttempt> {
+        let place = self.running.iter().position(|ran| ran.attempt == attempt)?;
+        Some(self.running.swap_remove(place))
     }
 
     pub(super) fn note_end(&mut self, attempt: u64, end: AttemptEnd) {
--- a/daisyhinge/src/shell/forward.rs
+++ b/daisyhinge/src/shell/forward.rs
@@ -14,4 +14,5 @@
 mod pool;
 mod run;
 pub mod state;
+pub mod warm;
 pub mod wire;
--- a/daisyhinge/src/shell/forward/answer.rs
+++ b/daisyhinge/src/shell/forward/answer.rs
@@ -28,14 +28,15 @@
 
 type AnswerBody = Full<Bytes>;
 
-/// Answers a request.
+/// Answers a request; `opened_connection` if it is the first one of its connection.
 pub async fn answer_request(
     state: Arc<ForwardState>,
     request: Request<Incoming>,
+    opened_connection: bool,
 ) -> Response<AnswerBody> {
     let started = state.clock.now();
     let mut answer = match state.site() {
-        Some(site) => answer_known(&state, &site, started, request).await,
+        Some(site) => answer_known(&state, &site, started, opened_connection, request).await,
         None => refuse(ResultCode::NoLease, Some(START_RETURN_SPAN)),
     };
     if state.leaving.is_cancelled() {
@@ -49,6 +50,7 @@
     state: &Arc<ForwardState>,
     site: &ActiveSite,
     started: MonotonicTime,
+    opened_connection: bool,
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
     let (head, body) = request.into_parts();
@@ -74,6 +76,7 @@
         route: Arc::clone(&route),
         started,
         ends: started + asked.min(route.timeout),
+        opened_connection,
     };
     let outgoing = Arc::new(build_outgoing(state, &plan, head, body));
     let outcome = run_request(state, plan, Arc::clone(&outgoing)).await;
--- a/daisyhinge/src/shell/forward/listen.rs
+++ b/daisyhinge/src/shell/forward/listen.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use hyper::server::conn::http1;
@@ -68,8 +69,10 @@
         .site()
         .map_or_else(CallerLimits::default, |site| site.limits);
     let state = Arc::clone(state);
+    let answered = AtomicBool::new(false);
     let service = service_fn(move |request| {
-        let answer = answer_request(Arc::clone(&state), request);
+        let first = !answered.swap(true, Ordering::Relaxed);
+        let answer = answer_request(Arc::clone(&state), request, first);
         async move { Ok::<_, Infallible>(answer.await) }
     });
     http1::Builder::new()
--- a/daisyhinge/src/shell/forward/pool.rs
+++ b/daisyhinge/src/shell/forward/pool.rs
@@ -50,6 +50,11 @@
         });
     }
 
+    /// Whether an idle connection is held.
+    pub(super) fn holds(&self, replica: ReplicaIndex) -> bool {
+        self.idle.lock().contains_key(&replica)
+    }
+
     /// Idle connections in all.
     pub(super) fn count(&self) -> usize {
         self.idle.lock().values().map(Vec::len).sum()
--- a/daisyhinge/src/shell/forward/state.rs
+++ b/daisyhinge/src/shell/forward/state.rs
@@ -21,9 +21,6 @@
 use crate::vocabulary::registration::SyncReply;
 use crate::vocabulary::site::{CallerLimits, SiteConfig, SiteDocument};
 
-/// Time between sweeps of idle connections.
-const SWEEP_SPAN: Duration = Duration::from_secs(1);
-
 /// Decodes a configuration as operators send it.
 pub type ConfigDecoder = fn(&[u8]) -> Result<SiteConfig, ResultCode>;
 
@@ -170,15 +167,3 @@
     }
 }
 
-/// Closes connections that are of no more use, time and again.
-pub async fn run_sweeping(state: Arc<ForwardState>) {
-    loop {
-        tokio::time::sleep(SWEEP_SPAN).await;
-        state.pool.sweep(|replica| {
-            let dispatcher = state.dispatcher.lock();
-            dispatcher.fleet.replica(replica).is_some()
-        });
-        let open = i64::try_from(state.pool.count()).unwrap_or(i64::MAX);
-        state.counters.connections_idle.set(open);
-    }
-}
--- a/daisyhinge/tests/dispatch/requests.rs
+++ b/daisyhinge/tests/dispatch/requests.rs
@@ -94,7 +94,7 @@
     assert!(play.machine.next_due() < at(120));
     play.step(100, RequestEvent::Due);
     assert_eq!(play.verdict, None);
-    play.step(110, RequestEvent::Due);
+    play.step(112, RequestEvent::Due);
     assert_eq!(play.verdict, Some(Verdict::Answer { missing: 1 }));
 }
 
@@ -188,6 +188,16 @@
     assert_eq!(play.verdict, Some(Verdict::Relay { attempt }));
 }
 
+#[test]
+fn nothing_is_due_in_the_past_once_a_shard_has_answered() {
+    let mut play = begin(safe(gather(2, 1.0)), dispatcher(2));
+    play.end(8, 0, AttemptEnd::Answered);
+    for ms in [40, 60, 200] {
+        play.step(ms, RequestEvent::Due);
+        assert!(play.machine.next_due() > at(ms), "due in the past at {ms} ms");
+    }
+}
+
 #[test]
 fn an_abandoned_request_leaves_nothing_under_way() {
     let mut play = begin(safe(gather(3, 0.6)), dispatcher(3));
--- a/daisyhinge/tests/dispatch/support.rs
+++ b/daisyhinge/tests/dispatch/support.rs
@@ -125,5 +125,6 @@
         route: Arc::new(route),
         started,
         ends,
+        opened_connection: false,
     }
 }
