--- /dev/null
+++ b/daisyhinge/tests/site.rs
@@ -0,0 +1,122 @@
+//! A deployment's state in the log, and the directory's choice.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use daisyhinge::control::book::{BookCommand, BookKeeper, BookKind, BookReply, BookState};
+use daisyhinge::directory::{ADDRESSES_MAX, CallerPlace, list_addresses};
+use daisyhinge::prelude::*;
+use daisyhinge::shell::control::codec::BOOK_CODEC;
+use daisyhinge::vocabulary::registration::{EntryPhase, EntryPresence};
+use daisyhinge::vocabulary::site::{SiteChange, SiteDocument, SiteDone};
+
+fn apply(book: &mut BookKeeper, change: SiteChange) -> SiteDone {
+    let command = BookCommand {
+        at_ms: 1,
+        kind: BookKind::Site(change),
+    };
+    match book.apply(&command) {
+        BookReply::Site(done) => done,
+        reply => panic!("{reply:?}"),
+    }
+}
+
+fn document(version: u64, text: &'static str) -> SiteChange {
+    SiteChange::Apply(SiteDocument {
+        version,
+        bytes: Bytes::from_static(text.as_bytes()),
+    })
+}
+
+fn held(book: &BookKeeper) -> (u64, Bytes) {
+    let document = book.state().site.document.as_ref().expect("a document");
+    (document.version, document.bytes.clone())
+}
+
+#[test]
+fn the_highest_version_is_in_force_whatever_the_order() {
+    let mut book = BookKeeper::default();
+    assert_eq!(apply(&mut book, document(7, "seven")).version, 7);
+    assert_eq!(apply(&mut book, document(3, "three")).version, 7);
+    assert_eq!(apply(&mut book, document(9, "nine")).version, 9);
+    assert_eq!(held(&book), (9, Bytes::from_static(b"nine")));
+}
+
+#[test]
+fn other_content_under_the_version_held_changes_nothing() {
+    let mut book = BookKeeper::default();
+    let first = apply(&mut book, document(7, "first"));
+    assert_eq!(apply(&mut book, document(7, "second")), first);
+    assert_eq!(held(&book), (7, Bytes::from_static(b"first")));
+}
+
+#[test]
+fn an_evacuation_is_kept_across_a_snapshot_until_it_is_withdrawn() {
+    let mut book = BookKeeper::default();
+    apply(&mut book, document(1, "one"));
+    let done = apply(&mut book, SiteChange::Evacuate("a".into()));
+    assert_eq!(apply(&mut book, SiteChange::Evacuate("a".into())), done);
+    let bytes = (BOOK_CODEC.encode_state)(book.state());
+    let state: BookState = (BOOK_CODEC.decode_state)(&bytes).expect("it was encoded");
+    let mut book = BookKeeper::open(state);
+    assert!(book.state().site.evacuated.contains(&CentreName::from("a")));
+    assert_eq!(held(&book), (1, Bytes::from_static(b"one")));
+    assert!(apply(&mut book, SiteChange::Return("a".into())).revision > done.revision);
+    assert!(book.state().site.evacuated.is_empty());
+}
+
+fn entry(number: u8, centre: &str) -> EntryPresence {
+    EntryPresence {
+        vm: format!("entry-{number}").into(),
+        incarnation: 1,
+        address: SocketAddr::from(([10, 0, 0, number], 80)),
+        data_centre: centre.into(),
+        phase: EntryPhase::Serving,
+        stamp: 1,
+        holder: 1,
+    }
+}
+
+/// Data centre `a1` belongs to region `a`.
+fn region_of(centre: &CentreName) -> Option<RegionName> {
+    centre.as_str().get(..1).map(RegionName::from)
+}
+
+fn list(entries: &[EntryPresence], region: &str, allowed: &[RegionName]) -> Vec<u8> {
+    let place = CallerPlace {
+        data_centre: "",
+        region,
+        allowed_regions: allowed,
+    };
+    let found = list_addresses(entries.iter(), region_of, &place);
+    let last = |address: SocketAddr| match address {
+        SocketAddr::V4(address) => address.ip().octets()[3],
+        SocketAddr::V6(_) => 0,
+    };
+    found.into_iter().map(last).collect()
+}
+
+#[test]
+fn callers_are_sent_to_entries_of_their_region_and_to_others_only_without() {
+    let entries = [entry(1, "a1"), entry(2, "a2"), entry(3, "b1")];
+    assert_eq!(list(&entries, "a", &[]), [1, 2]);
+    assert_eq!(list(&entries, "c", &[]), [1, 2, 3]);
+}
+
+#[test]
+fn entries_of_regions_that_may_not_see_a_request_are_not_named() {
+    let entries = [entry(1, "a1"), entry(2, "b1")];
+    let allowed = [RegionName::from("b")];
+    assert_eq!(list(&entries, "c", &allowed), [2]);
+    assert_eq!(
+        list(&entries, "a", &allowed),
+        [1],
+        "the caller's own region may"
+    );
+}
+
+#[test]
+fn an_answer_is_bounded() {
+    let entries: Vec<_> = (0..200).map(|number| entry(number, "a1")).collect();
+    assert_eq!(list(&entries, "a", &[]).len(), ADDRESSES_MAX);
+}
