--- a/daisyhinge/src/keeper/crash.rs
+++ b/daisyhinge/src/keeper/crash.rs
@@ -19,6 +19,9 @@
 /// Other keepers remembered for one request at most; two are enough to refuse it.
 const SOURCES_MAX: usize = 8;
 
+/// Silence after which a keeper's records are told by those that it told.
+const KEEPER_SILENT_SPAN: Duration = Duration::from_secs(3);
+
 /// What may be done with a request.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum CrashVerdict {
@@ -74,6 +77,15 @@
 #[derive(Clone, Debug, Default)]
 pub struct CrashBook {
     rows: HashMap<RequestDigest, DigestRow>,
+    /// The table that each keeper told last, and when.
+    heard: HashMap<VmName, HeardTable>,
+}
+
+/// What a keeper told last.
+#[derive(Clone, Copy, Debug)]
+struct HeardTable {
+    table: u64,
+    at: MonotonicTime,
 }
 
 impl CrashBook {
@@ -146,6 +158,8 @@
         table: u64,
         records: &[CrashRecord],
     ) {
+        let heard = HeardTable { table, at: now };
+        self.heard.insert(keeper.clone(), heard);
         for row in self.rows.values_mut() {
             row.sources
                 .retain(|source| source.keeper.as_ref() != Some(keeper) || source.table != table);
@@ -166,10 +180,12 @@
         self.prune(now);
     }
 
-    /// This keeper's own records, for [`crate::vocabulary::replica::TableDelta`].
+    /// This keeper's own records, for [`crate::vocabulary::replica::TableDelta`], and those of
+    /// keepers that are gone: an entry that starts later hears of them from nobody else.
     pub fn own_records(&self, now: MonotonicTime) -> Vec<CrashRecord> {
         let own = self.rows.iter().filter_map(|(digest, row)| {
-            let source = row.sources.iter().find(|source| source.keeper.is_none())?;
+            let told = row.sources.iter().filter(|source| self.is_own(now, source));
+            let source = told.max_by_key(|source| (source.crashes, source.last))?;
             let age = now.since(source.last);
             (age < CRASH_KEEP_SPAN).then(|| CrashRecord {
                 digest: *digest,
@@ -180,6 +196,16 @@
         own.collect()
     }
 
+    /// Whether this keeper tells a record: its own, or one whose keeper ended or fell silent.
+    fn is_own(&self, now: MonotonicTime, source: &SourceRow) -> bool {
+        let Some(keeper) = &source.keeper else {
+            return true;
+        };
+        self.heard.get(keeper).is_none_or(|heard| {
+            heard.table != source.table || now.since(heard.at) >= KEEPER_SILENT_SPAN
+        })
+    }
+
     /// Forgets what is too old to count.
     pub fn prune(&mut self, now: MonotonicTime) {
         for row in self.rows.values_mut() {
@@ -187,6 +213,8 @@
                 .retain(|source| now.since(source.last) < CRASH_KEEP_SPAN);
         }
         self.rows.retain(|_, row| !row.sources.is_empty());
+        self.heard
+            .retain(|_, heard| now.since(heard.at) < CRASH_KEEP_SPAN);
     }
 
     /// Requests remembered.
--- a/daisyhinge/tests/keeper_crash.rs
+++ b/daisyhinge/tests/keeper_crash.rs
@@ -283,3 +283,21 @@
     assert_eq!(sent(&bench.step(now + ms(5), answered(1))), [2]);
     assert_eq!(sent(&bench.step(now + ms(10), answered(2))), [3]);
 }
+
+/// An entry that starts after a keeper has gone hears of its crashes from those that it told.
+#[test]
+fn records_outlive_the_keeper_that_counted_them() {
+    let digest = RequestDigest(7);
+    let mut lost = CrashBook::new();
+    lost.note_crash(at(0), &[digest], false);
+    let mut other = CrashBook::new();
+    other.merge(at(100), &"vm-1".into(), 1, &lost.own_records(at(100)));
+    assert!(
+        other.own_records(at(200)).is_empty(),
+        "its keeper still tells it"
+    );
+    let later = at(10_000);
+    let mut started = CrashBook::new();
+    started.merge(later, &"vm-2".into(), 1, &other.own_records(later));
+    assert_eq!(started.verdict(later, digest), CrashVerdict::Suspect);
+}
