--- a/daisyhinge/src/directory.rs
+++ b/daisyhinge/src/directory.rs
@@ -11,8 +11,6 @@
 /// Where a caller is, and which regions may see its requests.
 #[derive(Clone, Debug)]
 pub struct CallerPlace<'ask> {
-    /// Its data centre.
-    pub data_centre: &'ask str,
     /// Its region.
     pub region: &'ask str,
     /// Regions that may see its requests besides its own; empty for all.
--- a/daisyhinge/tests/site.rs
+++ b/daisyhinge/tests/site.rs
@@ -84,7 +84,6 @@
 
 fn list(entries: &[EntryPresence], region: &str, allowed: &[RegionName]) -> Vec<u8> {
     let place = CallerPlace {
-        data_centre: "",
         region,
         allowed_regions: allowed,
     };
