Time gathers by what callers have spent; tell each attempt of a late request

Hedges waited up to 38% of the objective whatever the way, so that each first request to another region was hedged before it could answer.

Now the entry takes from deadlines what was spent and how long a round trip is, adds how late it acts itself, and answers in time for the objective as the caller counts it. Each target of a request that was late, partial or failed gets a line with its attempts, what was expected of them and when the budget refused another one.

Ruled out: that callers count from the request alone: client medians exceed ours by the time spent and a round trip.

--- a/daisyhinge/src/dispatch.rs
+++ b/daisyhinge/src/dispatch.rs
@@ -5,6 +5,7 @@
 //! follows from the number of entries, so that no entry needs to ask another one.
 
 pub mod budget;
+pub mod caller;
 pub mod fleet;
 pub mod merge;
 pub mod request;
@@ -19,8 +20,12 @@
 use crate::search::estimate::LatencyEstimate;
 use crate::vocabulary::site::{RouteTarget, SiteConfig, SiteRoute};
 use budget::{BudgetLimits, RepeatBudget};
+use caller::CallerEstimate;
 use fleet::{Fleet, FleetPlace, ReplicaIndex};
 
+/// Share of the objective, in percent, that an attempt may run, besides the way to its replica,
+/// before another one is asked.
+const HEDGE_OBJECTIVE_PERCENT: u32 = 22;
 /// Shortest time before another replica is asked.
 const HEDGE_SPAN_MIN: Duration = Duration::from_millis(6);
 
@@ -29,6 +34,8 @@
 pub struct Dispatcher {
     /// The replicas.
     pub fleet: Fleet,
+    /// What is known of callers.
+    pub callers: CallerEstimate,
     limits: BudgetLimits,
     budgets: HashMap<ServiceName, RepeatBudget>,
     turns: HashMap<Arc<str>, SplitTurn>,
@@ -42,6 +49,7 @@
     pub fn open(place: FleetPlace, limits: BudgetLimits) -> Self {
         Self {
             fleet: Fleet::open(place),
+            callers: CallerEstimate::default(),
             limits,
             budgets: HashMap::new(),
             turns: HashMap::new(),
@@ -56,6 +64,7 @@
         let known = |name: &Arc<str>| config.routes.iter().any(|route| route.name == *name);
         self.turns.retain(|name, _| known(name));
         self.latencies.retain(|name, _| known(name));
+        self.callers.retain(known);
     }
 
     /// The services that a request of `route` goes to: one, or one a shard.
@@ -97,12 +106,12 @@
 
     /// How long an attempt of a route runs before another replica is asked.
     fn hedge_span(&self, now: MonotonicTime, route: &SiteRoute, replica: ReplicaIndex) -> Duration {
+        let longest = route.objective * HEDGE_OBJECTIVE_PERCENT / 100;
         let known = self.latencies.get(&route.name);
         let known = known.and_then(LatencyEstimate::hedge_delay);
-        known.map_or_else(
-            || self.fleet.hedge_span(now, replica),
-            |span| span.max(HEDGE_SPAN_MIN) + self.way_span(replica),
-        )
+        let way = self.way_span(replica);
+        let span = known.unwrap_or_else(|| self.fleet.hedge_span(now, replica).saturating_sub(way));
+        span.clamp(HEDGE_SPAN_MIN, longest.max(HEDGE_SPAN_MIN)) + way
     }
 
     fn way_span(&self, replica: ReplicaIndex) -> Duration {
--- a/daisyhinge/src/dispatch/request.rs
+++ b/daisyhinge/src/dispatch/request.rs
@@ -9,22 +9,19 @@
 use std::time::Duration;
 
 use super::Dispatcher;
-use super::fleet::{AttemptFinish, Choice, ChooseAsk, ReplicaIndex};
+use super::fleet::{AttemptFinish, Choice, ChooseAsk, FleetReplica, ReplicaIndex};
 use crate::prelude::*;
 use crate::vocabulary::site::{RouteKind, RouteTarget};
 
 mod message;
 mod target;
-pub use message::{AttemptEnd, RequestAction, RequestEvent, RequestPlan, Verdict};
+mod verdict;
+pub use message::{
+    AttemptAccount, AttemptEnd, RequestAction, RequestEvent, RequestPlan, TargetAccount, Verdict,
+};
 use target::{TargetPhase, TargetState};
+use verdict::find_span;
 
-/// Time between the entry's answer and the objective as the caller sees it: both ways and the
-/// work in between.
-const OBJECTIVE_MARGIN: Duration = Duration::from_millis(9);
-/// What a caller has spent besides when it opened a connection for the request.
-const CONNECT_MARGIN: Duration = Duration::from_millis(8);
-/// Share of the objective, in percent, that a hedge waits at most.
-const HEDGE_OBJECTIVE_PERCENT: u32 = 38;
 /// Time between tries of what can't be sent yet.
 const RETRY_SPAN: Duration = Duration::from_millis(4);
 /// Share of the objective, in percent, that a request waits until enough of its targets have room;
@@ -36,8 +33,6 @@
 const REFUSALS_MAX: u32 = 3;
 /// Times that no connection may come about before it is given up.
 const UNREACHED_MAX: u32 = 4;
-/// When a caller may come back after a refusal that tells nothing of the load.
-const RETURN_SPAN: Duration = Duration::from_millis(250);
 
 /// One request on its way.
 #[derive(Debug)]
@@ -63,13 +58,7 @@
         let (min_targets, answer_at) = match &route.target {
             RouteTarget::Split(_) => (1, None),
             RouteTarget::Gather(gather) => {
-                let spent = if plan.opened_connection {
-                    OBJECTIVE_MARGIN + CONNECT_MARGIN
-                } else {
-                    OBJECTIVE_MARGIN
-                };
-                let span = route.objective.saturating_sub(spent);
-                (gather.min_shards(), Some(plan.started + span))
+                (gather.min_shards(), Some(plan.started + find_span(&plan)))
             }
         };
         let admission = route.objective * ADMISSION_OBJECTIVE_PERCENT / 100;
@@ -90,6 +79,11 @@
         }
     }
 
+    /// When an answer is due that reaches its caller within the objective, for a gather.
+    pub fn answer_at(&self) -> Option<MonotonicTime> {
+        self.answer_at
+    }
+
     /// Targets in all.
     pub fn target_count(&self) -> usize {
         self.targets.len()
@@ -113,6 +107,15 @@
             .map(|(name, _)| name)
     }
 
+    /// Targets that were late, missing or needed more than one attempt, for the log.
+    pub fn list_accounts(&self) -> Vec<TargetAccount> {
+        let pairs = self.names.iter().zip(&self.targets);
+        pairs
+            .filter(|(_, target)| target.answer().is_none() || target.accounts.len() > 1)
+            .map(|(name, target)| target.account(name))
+            .collect()
+    }
+
     /// Takes one event and adds what is to be done.
     pub fn step(
         &mut self,
@@ -146,6 +149,10 @@
             }
         }
         if let Some(verdict) = self.find_verdict(now) {
+            if event == RequestEvent::Due && matches!(verdict, Verdict::Answer { .. }) {
+                let late = self.answer_at.map_or(Duration::ZERO, |at| now.since(at));
+                dispatcher.callers.note_lag(late);
+            }
             self.cancel_all(now, dispatcher, actions);
             self.finished = true;
             actions.push(RequestAction::Finish(verdict));
@@ -223,7 +230,7 @@
             AttemptEnd::Lost => AttemptFinish::Broken,
         };
         dispatcher.fleet.finish(now, ran.replica, attempt, finish);
-        target.note_end(attempt, end);
+        target.note_end(now, attempt, end);
         if end == AttemptEnd::Answered {
             let took = now.since(ran.sent);
             dispatcher.note_latency(&self.plan.route, ran.replica, took);
@@ -295,18 +302,25 @@
         if !granted {
             target.close_unless(waiting, ResultCode::Overloaded);
             target.due = waiting.then_some(now + RETRY_SPAN);
+            target.denied.get_or_insert(now);
             return;
         }
         if !repeats && target.sent == 0 {
             budget.earn(now, share);
         }
         let attempt = dispatcher.next_attempt();
-        let objective = self.plan.route.objective;
-        let hedge_max = objective * HEDGE_OBJECTIVE_PERCENT / 100;
         let hedge_span = dispatcher.hedge_span(now, &self.plan.route, replica);
-        let hedge_span = hedge_span.min(hedge_max);
+        let known = dispatcher.fleet.replica(replica);
+        let account = AttemptAccount {
+            attempt,
+            replica,
+            sent: now,
+            expected: known.map_or(Duration::ZERO, |known| known.expected(now)),
+            idle: known.map_or(0, FleetReplica::idle),
+            end: None,
+        };
         dispatcher.fleet.begin(now, replica, attempt);
-        target.note_sent(attempt, replica, now, now + hedge_span);
+        target.note_sent(account, now + hedge_span);
         target.due = (self.plan.route.kind == RouteKind::Safe).then_some(target.hedge_at);
         actions.push(RequestAction::Send {
             attempt,
@@ -333,59 +347,4 @@
             }
         }
     }
-
-    fn find_verdict(&self, now: MonotonicTime) -> Option<Verdict> {
-        if !self.admitted && now >= self.admit_until {
-            return Some(Verdict::Refused {
-                code: ResultCode::Overloaded,
-                return_after: RETURN_SPAN,
-            });
-        }
-        let answered = self.answered();
-        let total = self.targets.len();
-        let open = self
-            .targets
-            .iter()
-            .filter(|target| target.phase == TargetPhase::Open)
-            .count();
-        let enough = answered >= self.min_targets;
-        let late = self.answer_at.is_some_and(|at| now >= at) || now >= self.plan.ends;
-        if enough && (open == 0 || late) {
-            let missing = total - answered;
-            return Some(Verdict::Answer { missing });
-        }
-        let hopeless = answered + open < self.min_targets;
-        if hopeless || now >= self.plan.ends {
-            return Some(self.fail(now));
-        }
-        None
-    }
-
-    /// How a request ends that has no answer.
-    fn fail(&self, now: MonotonicTime) -> Verdict {
-        let gather = self.answer_at.is_some();
-        let relayed = self.targets.iter().find_map(|target| target.failure);
-        if let Some(attempt) = relayed.filter(|_| !gather) {
-            return Verdict::Relay { attempt };
-        }
-        let may_have_run = self
-            .targets
-            .iter()
-            .any(|target| target.runs > 0 || !target.running.is_empty());
-        let passed = now >= self.plan.ends;
-        let reason = self.targets.iter().find_map(|target| target.reason);
-        let code = match (passed, gather && may_have_run) {
-            (true, _) => ResultCode::DeadlinePassed,
-            (false, true) => ResultCode::CoverageTooLow,
-            (false, false) => reason.unwrap_or(ResultCode::NoReplica),
-        };
-        if may_have_run {
-            return Verdict::Unfinished { code };
-        }
-        let code = if passed { ResultCode::GivenUp } else { code };
-        Verdict::Refused {
-            code,
-            return_after: RETURN_SPAN,
-        }
-    }
 }
--- a/daisyhinge/src/dispatch/request/message.rs
+++ b/daisyhinge/src/dispatch/request/message.rs
@@ -16,8 +16,10 @@
     pub started: MonotonicTime,
     /// When its caller, or its route, stops waiting.
     pub ends: MonotonicTime,
-    /// Whether its caller opened a connection for it.
-    pub opened_connection: bool,
+    /// Time that its caller had spent before, as far as that is known.
+    pub spent: Duration,
+    /// Time between the answer here and the objective, as the caller sees it.
+    pub margin: Duration,
 }
 
 /// How an attempt ended.
@@ -39,6 +41,38 @@
     Lost,
 }
 
+/// One attempt, as it is told afterwards.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct AttemptAccount {
+    /// Its number.
+    pub attempt: u64,
+    /// The replica that was chosen.
+    pub replica: ReplicaIndex,
+    /// When it was sent.
+    pub sent: MonotonicTime,
+    /// Latency that was expected of the replica then.
+    pub expected: Duration,
+    /// Idle connections to the replica then.
+    pub idle: usize,
+    /// How and when it ended; unset if it was still under way.
+    pub end: Option<(AttemptEnd, MonotonicTime)>,
+}
+
+/// One target, as it is told afterwards.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct TargetAccount {
+    /// Its service.
+    pub service: ServiceName,
+    /// Whether its answer stands.
+    pub answered: bool,
+    /// Why there is no answer, as far as that is known.
+    pub reason: Option<ResultCode>,
+    /// When another attempt was wanted and the budget of extra requests did not allow it.
+    pub denied: Option<MonotonicTime>,
+    /// Its attempts, in order.
+    pub attempts: Vec<AttemptAccount>,
+}
+
 /// What a machine is told.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RequestEvent {
--- a/daisyhinge/src/dispatch/request/target.rs
+++ b/daisyhinge/src/dispatch/request/target.rs
@@ -1,6 +1,6 @@
 //! One target of a request: a service of which one replica is to answer.
 
-use super::AttemptEnd;
+use super::message::{AttemptAccount, AttemptEnd, TargetAccount};
 use crate::dispatch::fleet::ReplicaIndex;
 use crate::prelude::*;
 
@@ -50,6 +50,10 @@
     pub hedge_at: MonotonicTime,
     /// When there is something to do.
     pub due: Option<MonotonicTime>,
+    /// When the budget first did not allow another attempt.
+    pub denied: Option<MonotonicTime>,
+    /// All attempts, in order.
+    pub accounts: Vec<AttemptAccount>,
 }
 
 impl TargetState {
@@ -60,19 +64,14 @@
         }
     }
 
-    pub(super) fn note_sent(
-        &mut self,
-        attempt: u64,
-        replica: ReplicaIndex,
-        sent: MonotonicTime,
-        hedge_at: MonotonicTime,
-    ) {
+    pub(super) fn note_sent(&mut self, account: AttemptAccount, hedge_at: MonotonicTime) {
         self.running.push(RunningAttempt {
-            attempt,
-            replica,
-            sent,
+            attempt: account.attempt,
+            replica: account.replica,
+            sent: account.sent,
         });
-        self.tried.push(replica);
+        self.accounts.push(account);
+        self.tried.push(account.replica);
         self.sent += 1;
         // Until it is known otherwise, it arrives and runs.
         self.runs += 1;
@@ -86,7 +85,22 @@
         Some(self.running.swap_remove(place))
     }
 
-    pub(super) fn note_end(&mut self, attempt: u64, end: AttemptEnd) {
+    /// What became of it, for the log.
+    pub(super) fn account(&self, service: &ServiceName) -> TargetAccount {
+        TargetAccount {
+            service: service.clone(),
+            answered: self.answer().is_some(),
+            reason: self.reason,
+            denied: self.denied,
+            attempts: self.accounts.clone(),
+        }
+    }
+
+    pub(super) fn note_end(&mut self, now: MonotonicTime, attempt: u64, end: AttemptEnd) {
+        let accounts = &mut self.accounts;
+        if let Some(account) = accounts.iter_mut().find(|one| one.attempt == attempt) {
+            account.end = Some((end, now));
+        }
         match end {
             AttemptEnd::Answered => self.phase = TargetPhase::Answered(attempt),
             AttemptEnd::Failed => {
--- a/daisyhinge/src/shell/forward.rs
+++ b/daisyhinge/src/shell/forward.rs
@@ -6,7 +6,8 @@
 //!
 //! [`Dispatcher`]: crate::dispatch::Dispatcher
 
-pub mod answer;
+mod account;
+mod answer;
 mod attempt;
 mod connection;
 pub mod listen;
--- a/daisyhinge/src/shell/forward/answer.rs
+++ b/daisyhinge/src/shell/forward/answer.rs
@@ -10,15 +10,14 @@
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
 
+use super::account::note_outcome;
 use super::attempt::OutgoingRequest;
 use super::run::{RequestOutcome, run_request};
 use super::state::{ActiveSite, ForwardState};
 use super::wire::{read_text, strip_connection_headers, write_code, write_number};
 use crate::dispatch::merge::merge_parts;
 use crate::dispatch::request::{RequestPlan, Verdict};
-use crate::metric::forward::OutcomeLabels;
 use crate::prelude::*;
-use crate::vocabulary::clock::span_to_micros;
 use crate::vocabulary::site::{RouteKind, RouteTarget, SiteRoute};
 
 /// When a caller may come back to an entry that knows no configuration yet.
@@ -72,18 +71,35 @@
     let asked_ms = read_text(&head.headers, &state.names.deadline);
     let asked_ms = asked_ms.and_then(|text| text.trim().parse::<u64>().ok());
     let asked = asked_ms.map_or(route.timeout, Duration::from_millis);
-    let plan = RequestPlan {
+    let mut plan = RequestPlan {
         route: Arc::clone(&route),
         started,
         ends: started + asked.min(route.timeout),
-        opened_connection,
+        spent: Duration::ZERO,
+        margin: Duration::ZERO,
     };
+    time_answer(state, &mut plan, asked_ms, opened_connection);
     let outgoing = Arc::new(build_outgoing(state, &plan, head, body));
-    let outcome = run_request(state, plan, Arc::clone(&outgoing)).await;
-    note_outcome(state, site, &route, started, &outgoing, &outcome);
+    let outcome = run_request(state, plan.clone(), Arc::clone(&outgoing)).await;
+    note_outcome(state, site, &plan, &outgoing, &outcome);
     build_answer(state, &route, outcome)
 }
 
+/// Fills in what is known of the caller's time.
+fn time_answer(
+    state: &ForwardState,
+    plan: &mut RequestPlan,
+    asked_ms: Option<u64>,
+    opened_connection: bool,
+) {
+    let callers = &mut state.dispatcher.lock().callers;
+    if let Some(asked_ms) = asked_ms {
+        let asked = Duration::from_millis(asked_ms);
+        plan.spent = callers.take_deadline(&plan.route, asked, opened_connection);
+    }
+    plan.margin = callers.margin();
+}
+
 fn find_route<'site>(site: &'site ActiveSite, head: &Parts) -> Option<&'site Arc<SiteRoute>> {
     let host = read_text(&head.headers, &HOST).or_else(|| head.uri.host())?;
     site.routes.find_route(host, head.uri.path())
@@ -220,43 +236,3 @@
     }
     answer
 }
-
-fn note_outcome(
-    state: &ForwardState,
-    site: &ActiveSite,
-    route: &SiteRoute,
-    started: MonotonicTime,
-    request: &OutgoingRequest,
-    outcome: &RequestOutcome,
-) {
-    let took = state.clock.now().since(started);
-    let name = match outcome.verdict {
-        Verdict::Answer { missing: 0 } => "answered".to_owned(),
-        Verdict::Answer { .. } => "partial".to_owned(),
-        Verdict::Relay { .. } => "relayed".to_owned(),
-        Verdict::Refused { code, .. } | Verdict::Unfinished { code } => code.number().to_string(),
-    };
-    let labels = OutcomeLabels {
-        route: route.name.to_string(),
-        outcome: name.clone(),
-    };
-    state.counters.requests.get_or_create(&labels).inc();
-    state.counters.latency.observe(took.as_secs_f64());
-    let repeated = outcome.sent as usize > outcome.targets;
-    let notable = name != "answered" || took > route.objective;
-    state.log.note_request(notable, || {
-        let id = request.id.as_ref().and_then(|id| id.to_str().ok());
-        let missing: Vec<&str> = outcome.missing.iter().map(ServiceName::as_str).collect();
-        format!(
-            "event=request_ended request={} route={} version={} outcome={name} took_us={} \
-             targets={} sent={} repeated={repeated} missing={}",
-            id.unwrap_or("-"),
-            route.name,
-            site.version,
-            span_to_micros(took),
-            outcome.targets,
-            outcome.sent,
-            missing.join(",")
-        )
-    });
-}
--- a/daisyhinge/src/shell/forward/run.rs
+++ b/daisyhinge/src/shell/forward/run.rs
@@ -11,7 +11,7 @@
 use super::connection::WholeAnswer;
 use super::state::ForwardState;
 use crate::dispatch::request::{
-    AttemptEnd, RequestAction, RequestEvent, RequestMachine, RequestPlan, Verdict,
+    AttemptEnd, RequestAction, RequestEvent, RequestMachine, RequestPlan, TargetAccount, Verdict,
 };
 use crate::metric::forward::AttemptLabels;
 use crate::prelude::*;
@@ -32,6 +32,8 @@
     pub targets: usize,
     /// Services without an answer.
     pub missing: Vec<ServiceName>,
+    /// Targets that did not go as they should.
+    pub accounts: Vec<TargetAccount>,
 }
 
 /// Tells the machine when its caller goes away before the request is over.
@@ -151,10 +153,11 @@
         sent: machine.sent(),
         targets,
         missing: machine.missing().cloned().collect(),
+        accounts: machine.list_accounts(),
     }
 }
 
-fn name_end(end: AttemptEnd) -> &'static str {
+pub(super) fn name_end(end: AttemptEnd) -> &'static str {
     match end {
         AttemptEnd::Answered => "answered",
         AttemptEnd::Failed => "failed",
--- a/daisyhinge/tests/dispatch.rs
+++ b/daisyhinge/tests/dispatch.rs
@@ -1,6 +1,8 @@
 //! Dispatch to replicas: routes, shares, budgets, the choice of a replica and whole requests,
 //! played without a network.
 
+#[path = "dispatch/caller.rs"]
+mod caller;
 #[path = "dispatch/choice.rs"]
 mod choice;
 #[path = "dispatch/load.rs"]
--- a/daisyhinge/tests/dispatch/requests.rs
+++ b/daisyhinge/tests/dispatch/requests.rs
@@ -144,6 +144,24 @@
     assert!(matches!(play.verdict, Some(Verdict::Unfinished { .. })));
 }
 
+/// Another replica is asked in time for its answer to be in before the objective.
+#[test]
+fn an_account_tells_what_became_of_each_target() {
+    let mut play = begin(safe(gather(2, 0.5)), dispatcher(2));
+    play.end(10, 0, AttemptEnd::Answered);
+    let due = play.machine.next_due();
+    assert!(due <= at(30), "{due:?}");
+    play.step(30, RequestEvent::Due);
+    play.end(55, 2, AttemptEnd::Answered);
+    assert_eq!(play.verdict, Some(Verdict::Answer { missing: 0 }));
+    let accounts = play.machine.list_accounts();
+    assert_eq!(accounts.len(), 1, "one target needed two attempts");
+    let account = &accounts[0];
+    assert!(account.answered && account.denied.is_none());
+    let ends: Vec<_> = account.attempts.iter().map(|one| one.end).collect();
+    assert_eq!(ends, [None, Some((AttemptEnd::Answered, at(55)))]);
+}
+
 #[test]
 fn a_request_that_may_not_be_repeated_is_not_hedged() {
     let mut play = begin(unsafe_route(single("shard-0")), dispatcher(1));
--- a/daisyhinge/tests/dispatch/support.rs
+++ b/daisyhinge/tests/dispatch/support.rs
@@ -146,6 +146,7 @@
         route: Arc::new(route),
         started,
         ends,
-        opened_connection: false,
+        spent: Duration::ZERO,
+        margin: Duration::from_millis(9),
     }
 }
