Keep a connection to every far replica, by fewer entries

Each active entry keeps one connection to every far replica, not to one a service, so that fewer entries are active (7 a region where a replica accepts 70).

--- a/daisyhinge/src/active.rs
+++ b/daisyhinge/src/active.rs
@@ -17,7 +17,9 @@
 
 /// Connections that an entry keeps open to a replica of its region.
 pub const KEPT_NEAR: u32 = 2;
-/// Connections that an entry keeps open to one replica of a service in other regions.
+/// Regions whose entries keep connections to a replica besides those of its own.
+const FAR_REGIONS: u32 = 2;
+/// Connections that an entry keeps open to a replica of another region.
 pub const KEPT_FAR: u32 = 1;
 /// Share of the connections that a replica accepts, in percent, that are kept open: it counts
 /// those of processes that lost their power for some time, and as many must find room besides.
@@ -30,7 +32,7 @@
 /// Active entries of a region where a replica accepts `connections_max` connections.
 pub fn find_active_count(connections_max: u32) -> usize {
     let kept = connections_max * KEPT_PERCENT / 100;
-    (kept / (KEPT_NEAR + KEPT_FAR)) as usize
+    (kept / (KEPT_NEAR + FAR_REGIONS * KEPT_FAR)) as usize
 }
 
 /// The entries of all regions that callers are sent to, `per_region` of each or somewhat more.
--- a/daisyhinge/src/dispatch/budget.rs
+++ b/daisyhinge/src/dispatch/budget.rs
@@ -12,16 +12,16 @@
 /// Share of the allowed ratio that is used, so that late arrivals stay within it.
 const RATIO_USED: f64 = 0.85;
 /// Share of the allowed slack that is handed out to entries.
-const SLACK_USED: f64 = 0.85;
+const SLACK_USED: f64 = 0.8;
 /// Share of an entry's slack that it saves up; the rest comes back over the window.
-const SAVED_SHARE: f64 = 0.6;
+const SAVED_SHARE: f64 = 0.5;
 /// Least that an entry may save up.
 const SAVED_MIN: f64 = 1.0;
 
 /// Share of what may be saved up that is kept for retries.
-const RETRY_SHARE: f64 = 0.25;
+const RETRY_SHARE: f64 = 0.1;
 /// Most that is kept for retries.
-const RETRY_KEPT_MAX: f64 = 2.0;
+const RETRY_KEPT_MAX: f64 = 1.0;
 
 /// What all entries together may send in extra requests.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/daisyhinge/src/dispatch/fleet/allotment.rs
+++ b/daisyhinge/src/dispatch/fleet/allotment.rs
@@ -1,6 +1,6 @@
 //! What an entry may use of what all entries share of the replicas.
 
-use super::{Fleet, ReplicaIndex};
+use super::Fleet;
 use crate::active::{KEPT_FAR, KEPT_NEAR, find_active_count, list_active};
 use crate::dispatch::budget::SlackShare;
 use crate::dispatch::share::{EntryCount, find_share, hash_pair};
@@ -72,34 +72,18 @@
         (is_active, peers.collect())
     }
 
-    /// Keeps connections to the near replicas of each service, and to one of the others.
+    /// Keeps connections to the near replicas of each service, and one to each of the others.
     fn allot_kept(&mut self) {
-        for state in self.services.values() {
-            let mut partner: Option<(u64, ReplicaIndex)> = None;
-            let mut is_near_served = false;
-            for index in &state.members {
-                let Some(replica) = self.replicas.get_mut(index) else {
-                    continue;
-                };
-                if replica.record.phase != ReplicaPhase::Ready {
-                    continue;
-                }
-                if replica.is_near() {
-                    is_near_served = true;
-                    replica.connections_kept = KEPT_NEAR.min(replica.connections_max);
-                    continue;
-                }
-                let hash = hash_pair(self.place.vm.as_str(), replica.record.name.as_str());
-                let is_better = partner.is_none_or(|(held, _)| hash > held);
-                if replica.connections_max > 0 && is_better {
-                    partner = Some((hash, *index));
-                }
-            }
-            let kept = if is_near_served { KEPT_FAR } else { KEPT_NEAR };
-            let partner = partner.and_then(|(_, index)| self.replicas.get_mut(&index));
-            if let Some(replica) = partner {
-                replica.connections_kept = kept.min(replica.connections_max);
-            }
+        for replica in self.replicas.values_mut() {
+            let kept = if replica.is_near() {
+                KEPT_NEAR
+            } else {
+                KEPT_FAR
+            };
+            replica.connections_kept = match replica.record.phase {
+                ReplicaPhase::Ready => kept.min(replica.connections_max),
+                _ => 0,
+            };
         }
     }
 }
