Ask for parts of other regions through an entry there

An active entry keeps one link to an entry of each other region. A part crosses it as one message, is asked for over a connection that the other entry keeps to the replica beside it, and comes back as its greatest records and its signature. A link that is asked and silent for 300 ms is left for 3 s; without one replicas are asked directly.

--- a/daisyhinge/src/dispatch/fleet.rs
+++ b/daisyhinge/src/dispatch/fleet.rs
@@ -92,6 +92,8 @@
     /// Fewest connections that a replica of any service accepts.
     connections_min: Option<u32>,
     slack: SlackShare,
+    /// Regions to which a link to an entry is open.
+    linked: BTreeSet<RegionName>,
     next_index: u32,
 }
 
@@ -107,6 +109,7 @@
             evacuated: BTreeSet::new(),
             connections_min: None,
             slack: SlackShare::OneOf(1),
+            linked: BTreeSet::new(),
             next_index: 0,
         }
     }
@@ -294,6 +297,13 @@
         })
     }
 
+    /// A replica that may be sent one more request, by its name.
+    pub fn find_open(&self, now: MonotonicTime, name: &ReplicaName) -> Option<ReplicaIndex> {
+        let index = *self.names.get(name)?;
+        let replica = self.replicas.get(&index)?;
+        (self.may_send(index) && replica.has_room(now)).then_some(index)
+    }
+
     /// Notes that an attempt is sent.
     pub fn begin(&mut self, now: MonotonicTime, index: ReplicaIndex, attempt: u64) {
         if let Some(replica) = self.replicas.get_mut(&index) {
--- a/daisyhinge/src/dispatch/fleet/allotment.rs
+++ b/daisyhinge/src/dispatch/fleet/allotment.rs
@@ -1,5 +1,8 @@
 //! What an entry may use of what all entries share of the replicas.
 
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
 use super::Fleet;
 use crate::active::{KEPT_FAR, KEPT_NEAR, find_active_count, list_active};
 use crate::dispatch::budget::SlackShare;
@@ -14,6 +17,7 @@
 struct ActivePeer {
     vm: VmName,
     region: Option<RegionName>,
+    address: SocketAddr,
 }
 
 impl Fleet {
@@ -50,6 +54,38 @@
         }
     }
 
+    /// Entries of each other region through which its replicas may be reached, the preferred one
+    /// first; none if callers are not sent to this entry.
+    pub fn list_relays(&self) -> BTreeMap<RegionName, Vec<SocketAddr>> {
+        let (is_active, peers) = self.list_peers();
+        let mut relays: BTreeMap<RegionName, Vec<(u64, SocketAddr)>> = BTreeMap::new();
+        if !is_active {
+            return BTreeMap::new();
+        }
+        let own = self.place.region_of(&self.place.data_centre);
+        for peer in peers {
+            let Some(region) = peer.region.filter(|region| Some(region) != own) else {
+                continue;
+            };
+            let hash = hash_pair(self.place.vm.as_str(), peer.vm.as_str());
+            relays.entry(region).or_default().push((hash, peer.address));
+        }
+        let ordered = relays.into_iter().map(|(region, mut peers)| {
+            peers.sort_unstable();
+            let addresses = peers.into_iter().map(|(_, address)| address);
+            (region, addresses.collect())
+        });
+        ordered.collect()
+    }
+
+    /// Takes the regions to which a link to an entry is open.
+    pub fn take_linked(&mut self, linked: BTreeSet<RegionName>) {
+        if linked != self.linked {
+            self.linked = linked;
+            self.allot();
+        }
+    }
+
     /// Whether this entry is active, and the other active ones. One that was not told of itself
     /// yet counts as active.
     fn list_peers(&self) -> (bool, Vec<ActivePeer>) {
@@ -68,6 +104,7 @@
         let peers = peers.map(|entry| ActivePeer {
             vm: entry.vm.clone(),
             region: self.place.region_of(&entry.data_centre).cloned(),
+            address: entry.address,
         });
         (is_active, peers.collect())
     }
@@ -75,10 +112,12 @@
     /// Keeps connections to the near replicas of each service, and one to each of the others.
     fn allot_kept(&mut self) {
         for replica in self.replicas.values_mut() {
-            let kept = if replica.is_near() {
-                KEPT_NEAR
-            } else {
-                KEPT_FAR
+            let region = self.place.region_of(&replica.record.data_centre);
+            replica.linked = region.is_some_and(|region| self.linked.contains(region));
+            let kept = match (replica.is_near(), replica.linked) {
+                (true, _) => KEPT_NEAR,
+                (false, false) => KEPT_FAR,
+                (false, true) => 0,
             };
             replica.connections_kept = match replica.record.phase {
                 ReplicaPhase::Ready => kept.min(replica.connections_max),
--- a/daisyhinge/src/dispatch/fleet/replica.rs
+++ b/daisyhinge/src/dispatch/fleet/replica.rs
@@ -99,6 +99,8 @@
     pub connections_kept: u32,
     /// Connections that are open and not in use.
     pub(super) idle: usize,
+    /// Whether it is reached through a link to an entry beside it.
+    pub(super) linked: bool,
     /// Requests a second that this entry may send while it is cold; unset if not limited.
     pub cold_rate: Option<f64>,
     nearness: Nearness,
@@ -122,6 +124,7 @@
             connections_max: 1,
             connections_kept: 0,
             idle: 0,
+            linked: false,
             cold_rate: None,
             nearness,
             cold_until: now,
@@ -212,7 +215,7 @@
     /// Expected latency of one more request, in microseconds, with what counts against it.
     pub(super) fn score(&self, now: MonotonicTime) -> u64 {
         let expected = self.average_us(now);
-        let connect = if self.idle > 0 {
+        let connect = if self.idle > 0 || self.linked {
             0.0
         } else {
             CONNECT_US + micros(self.nearness.way_span())
--- a/daisyhinge/src/dispatch/request.rs
+++ b/daisyhinge/src/dispatch/request.rs
@@ -220,16 +220,9 @@
         let Some((target, ran)) = found else {
             return;
         };
-        let finish = match end {
-            AttemptEnd::Answered => AttemptFinish::Answered,
-            AttemptEnd::Failed => AttemptFinish::Failed,
-            AttemptEnd::NotRun => AttemptFinish::Shed,
-            AttemptEnd::NotSent => AttemptFinish::Unreachable,
-            AttemptEnd::Withdrawn => AttemptFinish::Cancelled,
-            AttemptEnd::WrongServer => AttemptFinish::WrongServer,
-            AttemptEnd::Lost => AttemptFinish::Broken,
-        };
-        dispatcher.fleet.finish(now, ran.replica, attempt, finish);
+        dispatcher
+            .fleet
+            .finish(now, ran.replica, attempt, end.into());
         target.note_end(now, attempt, end);
         if end == AttemptEnd::Answered {
             let took = now.since(ran.sent);
--- a/daisyhinge/src/dispatch/request/message.rs
+++ b/daisyhinge/src/dispatch/request/message.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::dispatch::fleet::ReplicaIndex;
+use serde::{Deserialize, Serialize};
+
+use crate::dispatch::fleet::{AttemptFinish, ReplicaIndex};
 use crate::prelude::*;
 use crate::vocabulary::site::SiteRoute;
 
@@ -23,7 +25,7 @@
 }
 
 /// How an attempt ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum AttemptEnd {
     /// A whole answer came.
     Answered,
@@ -41,6 +43,20 @@
     Lost,
 }
 
+impl From<AttemptEnd> for AttemptFinish {
+    fn from(end: AttemptEnd) -> Self {
+        match end {
+            AttemptEnd::Answered => Self::Answered,
+            AttemptEnd::Failed => Self::Failed,
+            AttemptEnd::NotRun => Self::Shed,
+            AttemptEnd::NotSent => Self::Unreachable,
+            AttemptEnd::Withdrawn => Self::Cancelled,
+            AttemptEnd::WrongServer => Self::WrongServer,
+            AttemptEnd::Lost => Self::Broken,
+        }
+    }
+}
+
 /// One attempt, as it is told afterwards.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct AttemptAccount {
--- a/daisyhinge/src/metric/forward.rs
+++ b/daisyhinge/src/metric/forward.rs
@@ -37,6 +37,8 @@
     pub attempts: Family<AttemptLabels, Counter>,
     /// Attempts that repeat an earlier one.
     pub repeats: Counter,
+    /// Attempts that went through an entry of another region.
+    pub relayed: Counter,
     /// Connections that were opened to replicas.
     pub connections_opened: Counter,
     /// Idle connections to replicas.
@@ -51,6 +53,7 @@
             requests: Family::default(),
             attempts: Family::default(),
             repeats: Counter::default(),
+            relayed: Counter::default(),
             connections_opened: Counter::default(),
             connections_idle: Gauge::default(),
             latency: Histogram::new(LATENCY_BOUNDS),
@@ -75,6 +78,8 @@
         );
         let repeats = "Attempts that repeat an earlier one";
         registry.register("daisyhinge_forward_repeats", repeats, self.repeats.clone());
+        let relayed = "Attempts that went through an entry of another region";
+        registry.register("daisyhinge_forward_relayed", relayed, self.relayed.clone());
         let opened = "Connections opened to replicas";
         registry.register(
             "daisyhinge_forward_connections_opened",
--- a/daisyhinge/src/shell/decision.rs
+++ b/daisyhinge/src/shell/decision.rs
@@ -122,6 +122,12 @@
         self.send(&format!("event={event} address={address}"));
     }
 
+    /// A link to an entry of another region was gained or lost.
+    pub fn note_peer(&self, address: SocketAddr, gained: bool) {
+        let event = if gained { "peer_gained" } else { "peer_lost" };
+        self.note_request(true, || format!("event={event} address={address}"));
+    }
+
     /// A configuration could not be decoded.
     pub fn note_bad_document(&self, version: u64, code: ResultCode) {
         self.send(&format!(
--- a/daisyhinge/src/shell/forward.rs
+++ b/daisyhinge/src/shell/forward.rs
@@ -12,6 +12,7 @@
 mod connection;
 pub mod listen;
 mod pool;
+pub mod relay;
 mod run;
 pub mod state;
 pub mod warm;
--- a/daisyhinge/src/shell/forward/answer.rs
+++ b/daisyhinge/src/shell/forward/answer.rs
@@ -124,7 +124,10 @@
         body,
         id,
         kind: plan.route.kind,
-        gathers: matches!(plan.route.target, RouteTarget::Gather(_)),
+        top_records: match &plan.route.target {
+            RouteTarget::Gather(gather) => Some(gather.top_records),
+            RouteTarget::Split(_) => None,
+        },
         ends: plan.ends,
     }
 }
--- a/daisyhinge/src/shell/forward/attempt.rs
+++ b/daisyhinge/src/shell/forward/attempt.rs
@@ -10,6 +10,7 @@
 use hyper::{HeaderMap, Method, Request, Uri};
 
 use super::connection::{ExchangeFault, ReplicaConnection, WholeAnswer};
+use super::relay::link::{PeerLink, try_relay};
 use super::state::ForwardState;
 use super::wire::{read_text, write_number};
 use crate::dispatch::fleet::ReplicaIndex;
@@ -39,7 +40,8 @@
     pub body: Bytes,
     pub id: Option<HeaderValue>,
     pub kind: RouteKind,
-    pub gathers: bool,
+    /// Records that are wanted of each part, if the route gathers.
+    pub top_records: Option<usize>,
     pub ends: MonotonicTime,
 }
 
@@ -66,7 +68,14 @@
     attempt: u64,
     replica: ReplicaIndex,
 ) -> AttemptReport {
-    let (end, answer) = match try_attempt(&state, &request, replica).await {
+    let result = match find_link(&state, &request, replica) {
+        Some((link, top_records)) => {
+            state.counters.relayed.inc();
+            try_relay(&state, &link, &request, top_records, replica).await
+        }
+        None => try_attempt(&state, &request, replica).await,
+    };
+    let (end, answer) = match result {
         Ok((end, answer)) => (end, Some(answer)),
         Err(end) => (end, None),
     };
@@ -77,7 +86,19 @@
     }
 }
 
-async fn try_attempt(
+/// The link through which a part of a gather is asked for, if its replica is in another region.
+fn find_link(
+    state: &ForwardState,
+    request: &OutgoingRequest,
+    replica: ReplicaIndex,
+) -> Option<(PeerLink, usize)> {
+    let top_records = request.top_records.filter(|_| request.body.is_empty())?;
+    let link = state.links.find(state, replica)?;
+    Some((link, top_records))
+}
+
+/// Sends a request to a replica over a connection of this entry's own.
+pub(super) async fn try_attempt(
     state: &ForwardState,
     request: &OutgoingRequest,
     replica: ReplicaIndex,
@@ -190,7 +211,7 @@
     if success {
         return AttemptEnd::Lost;
     }
-    if answer.status >= 500 || request.gathers || !signed {
+    if answer.status >= 500 || request.top_records.is_some() || !signed {
         return AttemptEnd::Failed;
     }
     AttemptEnd::Answered
--- /dev/null
+++ b/daisyhinge/src/shell/forward/relay/head.rs
@@ -0,0 +1,57 @@
+//! The head of a request on its way between entries.
+
+use bytes::Bytes;
+use hyper::header::{HeaderName, HeaderValue};
+use hyper::{HeaderMap, Method, Uri};
+
+/// Headers of one request at most.
+const HEADERS_MAX: usize = 128;
+
+/// A decoded head.
+#[derive(Debug)]
+pub struct RelayHead {
+    /// The method.
+    pub method: Method,
+    /// The target.
+    pub target: Uri,
+    /// The headers.
+    pub headers: HeaderMap,
+}
+
+/// Writes a head: the method, the target, and name and value of each header, a line each. Header
+/// values hold no line ends.
+pub fn write_head(method: &Method, target: &Uri, headers: &HeaderMap) -> Bytes {
+    let mut text = Vec::with_capacity(256);
+    text.extend_from_slice(method.as_str().as_bytes());
+    text.push(b'\n');
+    text.extend_from_slice(target.to_string().as_bytes());
+    for (name, value) in headers {
+        text.push(b'\n');
+        text.extend_from_slice(name.as_str().as_bytes());
+        text.push(b':');
+        text.extend_from_slice(value.as_bytes());
+    }
+    text.into()
+}
+
+/// Reads a head; unset if it is not one.
+pub fn read_head(text: &[u8]) -> Option<RelayHead> {
+    let mut lines = text.split(|byte| *byte == b'\n');
+    let method = Method::from_bytes(lines.next()?).ok()?;
+    let target = Uri::try_from(lines.next()?).ok()?;
+    let mut headers = HeaderMap::new();
+    for line in lines {
+        let colon = line.iter().position(|byte| *byte == b':')?;
+        let name = HeaderName::from_bytes(&line[..colon]).ok()?;
+        let value = HeaderValue::from_bytes(&line[colon + 1..]).ok()?;
+        if headers.len() == HEADERS_MAX {
+            return None;
+        }
+        headers.append(name, value);
+    }
+    Some(RelayHead {
+        method,
+        target,
+        headers,
+    })
+}
--- /dev/null
+++ b/daisyhinge/src/shell/forward/relay/link.rs
@@ -0,0 +1,226 @@
+//! The entry that asks: one link to an entry of each other region.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hyper::HeaderMap;
+use hyper::header::HeaderValue;
+use parking_lot::Mutex;
+use tarpc::serde_transport::Transport;
+use tarpc::tokio_serde::formats::Bincode;
+use tarpc::{client, context};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use super::head::write_head;
+use super::{RelayAsk, RelayLinkClient, RelayPart};
+use crate::dispatch::fleet::ReplicaIndex;
+use crate::dispatch::request::AttemptEnd;
+use crate::prelude::*;
+use crate::shell::forward::attempt::OutgoingRequest;
+use crate::shell::forward::connection::WholeAnswer;
+use crate::shell::forward::state::ForwardState;
+use crate::vocabulary::clock::span_to_micros;
+
+/// Time between looks.
+const LOOK_SPAN: Duration = Duration::from_millis(250);
+/// Longest wait for a link.
+const CONNECT_SPAN: Duration = Duration::from_millis(400);
+/// Time without any answer after which a link that was asked counts as hanging: longer than a
+/// replica pauses.
+const HANG_SPAN: Duration = Duration::from_millis(300);
+/// Time for which an entry whose link hung or broke is not asked again.
+const AVOID_SPAN: Duration = Duration::from_secs(3);
+
+/// A link to an entry of another region.
+#[derive(Clone, Debug)]
+pub(in crate::shell::forward) struct PeerLink {
+    address: SocketAddr,
+    client: RelayLinkClient,
+    /// When anything was last heard, in microseconds of the process's clock.
+    heard: Arc<AtomicU64>,
+}
+
+/// The links, by region.
+#[derive(Debug, Default)]
+pub(in crate::shell::forward) struct PeerLinks {
+    links: Mutex<BTreeMap<RegionName, PeerLink>>,
+    avoided: Mutex<BTreeMap<SocketAddr, MonotonicTime>>,
+}
+
+impl PeerLinks {
+    /// The link that leads to a replica, if it is in another region.
+    pub(in crate::shell::forward) fn find(
+        &self,
+        state: &ForwardState,
+        replica: ReplicaIndex,
+    ) -> Option<PeerLink> {
+        let region = {
+            let dispatcher = state.dispatcher.lock();
+            let known = dispatcher.fleet.replica(replica)?;
+            if known.is_near() {
+                return None;
+            }
+            let centre = &known.record.data_centre;
+            dispatcher.fleet.place().region_of(centre)?.clone()
+        };
+        self.links.lock().get(&region).cloned()
+    }
+
+    /// Whether a link to the region is open.
+    pub(in crate::shell::forward) fn holds(&self, region: &RegionName) -> bool {
+        self.links.lock().contains_key(region)
+    }
+
+    /// Closes all links.
+    pub(in crate::shell::forward) fn clear(&self) {
+        self.links.lock().clear();
+    }
+
+    fn drop_link(&self, now: MonotonicTime, address: SocketAddr) {
+        self.links.lock().retain(|_, link| link.address != address);
+        self.avoided.lock().insert(address, now + AVOID_SPAN);
+    }
+}
+
+/// Sends a request to a replica through the entry at the other end.
+pub(in crate::shell::forward) async fn try_relay(
+    state: &ForwardState,
+    link: &PeerLink,
+    request: &OutgoingRequest,
+    top_records: usize,
+    replica: ReplicaIndex,
+) -> Result<(AttemptEnd, WholeAnswer), AttemptEnd> {
+    let ask = build_ask(state, request, top_records, replica).ok_or(AttemptEnd::Withdrawn)?;
+    let mut context = context::current();
+    context.deadline = Instant::now() + request.ends.since(state.clock.now());
+    let sent = state.clock.now();
+    let mut call = std::pin::pin!(link.client.relay(context, ask));
+    let reply = loop {
+        tokio::select! {
+            reply = &mut call => break reply,
+            () = tokio::time::sleep(HANG_SPAN) => {
+                if link.heard.load(Ordering::Relaxed) < sent.0 {
+                    state.note_peer(link.address, false);
+                    state.links.drop_link(state.clock.now(), link.address);
+                    return Err(AttemptEnd::Lost);
+                }
+            }
+        }
+    };
+    let Ok(reply) = reply else {
+        state.note_peer(link.address, false);
+        state.links.drop_link(state.clock.now(), link.address);
+        return Err(AttemptEnd::Lost);
+    };
+    link.heard.store(state.clock.now().0, Ordering::Relaxed);
+    let answer = reply.part.and_then(|part| read_part(state, part));
+    match answer {
+        Some(answer) => Ok((reply.end, answer)),
+        None if reply.end == AttemptEnd::Answered => Err(AttemptEnd::Lost),
+        None => Err(reply.end),
+    }
+}
+
+fn build_ask(
+    state: &ForwardState,
+    request: &OutgoingRequest,
+    top_records: usize,
+    replica: ReplicaIndex,
+) -> Option<RelayAsk> {
+    let left_ms = span_to_micros(request.ends.since(state.clock.now())) / 1_000;
+    let replica = {
+        let dispatcher = state.dispatcher.lock();
+        dispatcher.fleet.replica(replica)?.record.name.clone()
+    };
+    let mut headers = request.headers.clone();
+    headers.remove(&state.names.deadline);
+    if let Some(id) = &request.id {
+        headers.insert(state.names.request_id.clone(), id.clone());
+    }
+    Some(RelayAsk {
+        replica,
+        left_ms: u32::try_from(left_ms).ok().filter(|left| *left > 0)?,
+        top_records: u32::try_from(top_records).ok()?,
+        head: write_head(&request.method, &request.target, &headers),
+    })
+}
+
+fn read_part(state: &ForwardState, part: RelayPart) -> Option<WholeAnswer> {
+    let signature = HeaderValue::from_maybe_shared::<Bytes>(part.signature).ok()?;
+    let mut headers = HeaderMap::new();
+    headers.insert(state.names.signature.clone(), signature);
+    Some(WholeAnswer {
+        status: 200,
+        headers,
+        body: part.records,
+    })
+}
+
+/// Keeps a link to an entry of each other region, time and again; entries listen for them on
+/// `port`.
+pub async fn run_links(state: Arc<ForwardState>, port: u16) {
+    loop {
+        let wanted = state.dispatcher.lock().fleet.list_relays();
+        keep_wanted(&state, &wanted, port);
+        for (region, peers) in wanted {
+            if !state.links.links.lock().contains_key(&region) {
+                open_first(&state, region, &peers, port).await;
+            }
+        }
+        let linked = state.links.links.lock().keys().cloned().collect();
+        state.dispatcher.lock().fleet.take_linked(linked);
+        tokio::time::sleep(LOOK_SPAN).await;
+    }
+}
+
+/// Drops links to entries that are no longer wanted.
+fn keep_wanted(state: &ForwardState, wanted: &BTreeMap<RegionName, Vec<SocketAddr>>, port: u16) {
+    let now = state.clock.now();
+    state.links.avoided.lock().retain(|_, until| now < *until);
+    state.links.links.lock().retain(|region, link| {
+        let peers = wanted.get(region);
+        let listed = peers.is_some_and(|peers| {
+            let mut addresses = peers.iter().map(|peer| SocketAddr::new(peer.ip(), port));
+            addresses.any(|address| address == link.address)
+        });
+        if !listed {
+            state.note_peer(link.address, false);
+        }
+        listed
+    });
+}
+
+/// Opens a link to the first entry that is not avoided.
+async fn open_first(state: &ForwardState, region: RegionName, peers: &[SocketAddr], port: u16) {
+    let addresses = peers.iter().map(|peer| SocketAddr::new(peer.ip(), port));
+    let first = {
+        let avoided = state.links.avoided.lock();
+        let mut open = addresses.filter(|address| !avoided.contains_key(address));
+        open.next()
+    };
+    let Some(address) = first else {
+        return;
+    };
+    let connect = timeout(CONNECT_SPAN, TcpStream::connect(address)).await;
+    let Ok(Ok(stream)) = connect else {
+        state.links.drop_link(state.clock.now(), address);
+        return;
+    };
+    // A link without it is slower, not wrong.
+    drop(stream.set_nodelay(true));
+    let transport = Transport::from((stream, Bincode::default()));
+    let client = RelayLinkClient::new(client::Config::default(), transport).spawn();
+    let heard = Arc::new(AtomicU64::new(0));
+    let link = PeerLink {
+        address,
+        client,
+        heard,
+    };
+    state.note_peer(address, true);
+    state.links.links.lock().insert(region, link);
+}
--- /dev/null
+++ b/daisyhinge/src/shell/forward/relay/serve.rs
@@ -0,0 +1,159 @@
+//! The entry beside the replica: sends on what other entries ask for.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::StreamExt;
+use tarpc::context::Context;
+use tarpc::serde_transport::Transport;
+use tarpc::server::{BaseChannel, Channel};
+use tarpc::tokio_serde::formats::Bincode;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
+
+use super::head::read_head;
+use super::{RelayAsk, RelayLink, RelayPart, RelayReply};
+use crate::dispatch::fleet::{AttemptFinish, ReplicaIndex};
+use crate::dispatch::merge::merge_parts;
+use crate::dispatch::request::AttemptEnd;
+use crate::prelude::*;
+use crate::shell::forward::attempt::{OutgoingRequest, try_attempt};
+use crate::shell::forward::connection::WholeAnswer;
+use crate::shell::forward::state::ForwardState;
+use crate::vocabulary::site::RouteKind;
+
+/// Links at a time.
+const LINKS_MAX: usize = 1_024;
+/// Pause after accepting failed, as it does while file descriptors are short.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Takes links of other entries on `address`, until the runtime ends.
+///
+/// # Errors
+/// [`ResultCode::BindFailed`] if the address cannot be had.
+pub async fn bind_relay(state: Arc<ForwardState>, address: SocketAddr) -> Result<(), ResultCode> {
+    let listener = TcpListener::bind(address)
+        .await
+        .map_err(|_error| ResultCode::BindFailed)?;
+    tokio::spawn(run_relay(state, listener));
+    Ok(())
+}
+
+async fn run_relay(state: Arc<ForwardState>, listener: TcpListener) {
+    let mut links = JoinSet::new();
+    loop {
+        let Ok((stream, _peer)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        while links.try_join_next().is_some() {}
+        if links.len() < LINKS_MAX {
+            links.spawn(serve_link(Arc::clone(&state), stream));
+        }
+    }
+}
+
+async fn serve_link(state: Arc<ForwardState>, stream: TcpStream) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let transport = Transport::from((stream, Bincode::default()));
+    let channel = BaseChannel::with_defaults(transport);
+    let mut calls = std::pin::pin!(channel.execute(RelayServer { state }.serve()));
+    let mut running = JoinSet::new();
+    while let Some(call) = calls.next().await {
+        running.spawn(call);
+        while running.try_join_next().is_some() {}
+    }
+}
+
+#[derive(Clone)]
+struct RelayServer {
+    state: Arc<ForwardState>,
+}
+
+impl RelayLink for RelayServer {
+    async fn relay(self, _: Context, ask: RelayAsk) -> RelayReply {
+        let Some(request) = read_request(&self.state, &ask) else {
+            return RelayReply {
+                end: AttemptEnd::Withdrawn,
+                part: None,
+            };
+        };
+        let Some(mut attempt) = RelayAttempt::begin(&self.state, &ask.replica) else {
+            return RelayReply {
+                end: AttemptEnd::Withdrawn,
+                part: None,
+            };
+        };
+        let result = try_attempt(&self.state, &request, attempt.replica).await;
+        let (end, answer) = match result {
+            Ok((end, answer)) => (end, Some(answer)),
+            Err(end) => (end, None),
+        };
+        attempt.finish = end.into();
+        let part = answer.and_then(|answer| build_part(&self.state, &ask, &answer));
+        RelayReply { end, part }
+    }
+}
+
+fn read_request(state: &ForwardState, ask: &RelayAsk) -> Option<OutgoingRequest> {
+    let mut head = read_head(&ask.head)?;
+    let id = head.headers.remove(&state.names.request_id);
+    Some(OutgoingRequest {
+        method: head.method,
+        target: head.target,
+        headers: head.headers,
+        body: Bytes::new(),
+        id,
+        kind: RouteKind::Safe,
+        top_records: Some(ask.top_records as usize),
+        ends: state.clock.now() + Duration::from_millis(ask.left_ms.into()),
+    })
+}
+
+/// The greatest records of a whole answer.
+fn build_part(state: &ForwardState, ask: &RelayAsk, answer: &WholeAnswer) -> Option<RelayPart> {
+    let signature = answer.headers.get(&state.names.signature)?;
+    let records = merge_parts(std::iter::once(&*answer.body), ask.top_records as usize);
+    Some(RelayPart {
+        signature: Bytes::copy_from_slice(signature.as_bytes()),
+        records: records.into(),
+    })
+}
+
+/// An attempt that counts among those of this entry until it is dropped.
+struct RelayAttempt<'state> {
+    state: &'state ForwardState,
+    replica: ReplicaIndex,
+    attempt: u64,
+    finish: AttemptFinish,
+}
+
+impl<'state> RelayAttempt<'state> {
+    /// Begins one; unset if the replica may not be sent one more request.
+    fn begin(state: &'state ForwardState, name: &ReplicaName) -> Option<Self> {
+        let now = state.clock.now();
+        let mut dispatcher = state.dispatcher.lock();
+        let replica = dispatcher.fleet.find_open(now, name)?;
+        let attempt = dispatcher.next_attempt();
+        dispatcher.fleet.begin(now, replica, attempt);
+        Some(Self {
+            state,
+            replica,
+            attempt,
+            // Unless it is told otherwise, whoever asked has gone.
+            finish: AttemptFinish::Cancelled,
+        })
+    }
+}
+
+impl Drop for RelayAttempt<'_> {
+    fn drop(&mut self) {
+        let now = self.state.clock.now();
+        let fleet = &mut self.state.dispatcher.lock().fleet;
+        fleet.finish(now, self.replica, self.attempt, self.finish);
+    }
+}
--- a/daisyhinge/src/shell/forward/state.rs
+++ b/daisyhinge/src/shell/forward/state.rs
@@ -9,6 +9,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::pool::ConnectionPool;
+use super::relay::link::PeerLinks;
 use super::wire::HeaderNames;
 use crate::dispatch::Dispatcher;
 use crate::dispatch::budget::BudgetLimits;
@@ -63,6 +64,7 @@
     pub(super) names: HeaderNames,
     pub(super) dispatcher: Mutex<Dispatcher>,
     pub(super) pool: ConnectionPool,
+    pub(super) links: PeerLinks,
     pub(super) log: DecisionLog,
     site: RwLock<Option<Arc<ActiveSite>>>,
     revision: Mutex<u64>,
@@ -82,6 +84,7 @@
             names: settings.names,
             dispatcher: Mutex::new(Dispatcher::open(settings.place, settings.budget)),
             pool: ConnectionPool::default(),
+            links: PeerLinks::default(),
             log: DecisionLog::open(),
             site: RwLock::new(None),
             revision: Mutex::new(0),
@@ -179,6 +182,21 @@
         self.log.note_link(address, gained);
     }
 
+    /// Whether a link to an entry of the region is open.
+    pub fn has_link(&self, region: &RegionName) -> bool {
+        self.links.holds(region)
+    }
+
+    /// Closes all links to entries of other regions.
+    pub fn drop_links(&self) {
+        self.links.clear();
+    }
+
+    /// Notes that a link to an entry of another region was gained or lost.
+    pub(super) fn note_peer(&self, address: std::net::SocketAddr, gained: bool) {
+        self.log.note_peer(address, gained);
+    }
+
     /// Writes a line of the process's own.
     pub fn note_text(&self, text: &str) {
         self.log.note_text(text);
--- /dev/null
+++ b/daisyhinge/tests/relay.rs
@@ -0,0 +1,296 @@
+//! Parts of another region through an entry there, over loopback.
+
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use daisyhinge::dispatch::budget::BudgetLimits;
+use daisyhinge::dispatch::fleet::FleetPlace;
+use daisyhinge::prelude::*;
+use daisyhinge::shell::forward::listen::serve_callers;
+use daisyhinge::shell::forward::relay::head::{read_head, write_head};
+use daisyhinge::shell::forward::relay::link::run_links;
+use daisyhinge::shell::forward::relay::serve::bind_relay;
+use daisyhinge::shell::forward::state::{ForwardSettings, ForwardState};
+use daisyhinge::shell::forward::wire::HeaderNames;
+use daisyhinge::shell::http_port::HttpPort;
+use daisyhinge::shell::http_port::reply::{ReplyBody, reply_text};
+use daisyhinge::vocabulary::registration::{
+    EntryPhase, EntryPresence, ReplicaPhase, ReplicaRecord, SyncReply,
+};
+use daisyhinge::vocabulary::site::{
+    CallerLimits, GatherPlan, RouteKind, RouteTarget, SiteConfig, SiteDocument, SiteRoute,
+    SiteService, SiteState,
+};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use hyper::{Method, Request, Response, Uri};
+use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
+use proptest::prelude::*;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+
+const RELAY_PORT: u16 = 27_841;
+const CALLER_PORT: u16 = 27_842;
+const REPLICA_PORT: u16 = 27_843;
+const RECORDS: &str = "cccccccccccccccc\
+                       aaaaaaaaaaaaaaaa\
+                       bbbbbbbbbbbbbbbb";
+
+fn host(number: u8) -> IpAddr {
+    IpAddr::from([127, 62, 0, number])
+}
+
+fn names() -> HeaderNames {
+    HeaderNames {
+        request_id: HeaderName::from_static("x-id"),
+        deadline: HeaderName::from_static("x-left"),
+        signature: HeaderName::from_static("x-seal"),
+        expected_replica: HeaderName::from_static("x-expect"),
+        not_run: HeaderName::from_static("x-not-run"),
+        part_signatures: HeaderName::from_static("x-seals"),
+        missing_shards: HeaderName::from_static("x-missing"),
+    }
+}
+
+#[expect(clippy::unnecessary_wraps, reason = "a decoder may refuse")]
+fn read_site(_: &[u8]) -> Result<SiteConfig, ResultCode> {
+    let shard = ServiceName::from("shard");
+    let route = SiteRoute {
+        name: "sweep".into(),
+        host: "labels.example".into(),
+        path_prefix: "/sweep/".into(),
+        kind: RouteKind::Safe,
+        timeout: Duration::from_secs(2),
+        objective: Duration::from_millis(400),
+        attempts_max: 2,
+        priority: 1,
+        allowed_regions: Arc::from([]),
+        target: RouteTarget::Gather(GatherPlan {
+            shards: Arc::from([shard.clone()]),
+            top_records: 2,
+            min_coverage: 1.0,
+        }),
+    };
+    Ok(SiteConfig {
+        version: 1,
+        routes: vec![Arc::new(route)],
+        services: vec![SiteService {
+            name: shard,
+            connections_max: 20,
+            cold_per_second: None,
+        }],
+        limits: CallerLimits::default(),
+    })
+}
+
+fn presence(number: u8, centre: &str) -> EntryPresence {
+    EntryPresence {
+        vm: format!("entry-{number}").into(),
+        incarnation: 1,
+        address: SocketAddr::new(host(number), CALLER_PORT),
+        data_centre: centre.into(),
+        phase: EntryPhase::Serving,
+        stamp: 1,
+        holder: 1,
+    }
+}
+
+/// An entry `number` at `centre` that knows both entries and the replica at data centre `b`.
+fn open_entry(number: u8, centre: &str) -> Arc<ForwardState> {
+    let regions = [("a", "north"), ("b", "south")];
+    let state = ForwardState::open(ForwardSettings {
+        place: FleetPlace {
+            vm: format!("entry-{number}").into(),
+            data_centre: centre.into(),
+            regions: regions
+                .map(|(centre, region)| (centre.into(), region.into()))
+                .into(),
+        },
+        budget: BudgetLimits {
+            ratio: 0.2,
+            slack: 50.0,
+            window: Duration::from_secs(10),
+        },
+        names: names(),
+        decode: read_site,
+    });
+    let replica = ReplicaRecord {
+        name: "replica-1".into(),
+        service: "shard".into(),
+        address: SocketAddr::new(host(9), REPLICA_PORT),
+        data_centre: "b".into(),
+        slots: 2,
+        phase: ReplicaPhase::Ready,
+        born_ms: Some(1),
+        sequence: 1,
+        cold_left_ms: 0,
+        holder: 1,
+    };
+    let site = SiteState {
+        revision: 1,
+        document: Some(SiteDocument {
+            version: 1,
+            bytes: Bytes::new(),
+        }),
+        ..SiteState::default()
+    };
+    let reply = SyncReply {
+        epoch: 1,
+        mark: 1,
+        replicas: vec![replica],
+        entries: vec![presence(1, "a"), presence(2, "b")],
+        site: Some(Arc::new(site)),
+        quorum_age_ms: Some(0),
+        control: Vec::new(),
+    };
+    state.take_reply(reply, true);
+    state
+}
+
+type SeenHeads = Arc<Mutex<Vec<(String, HeaderMap)>>>;
+
+fn answer_replica(seen: &SeenHeads, request: &Request<Incoming>) -> Response<ReplyBody> {
+    let path = request.uri().path().to_owned();
+    seen.lock().push((path, request.headers().clone()));
+    let mut answer = reply_text("application/octet-stream", RECORDS.to_owned());
+    let headers = answer.headers_mut();
+    headers.insert("x-seal", HeaderValue::from_static("seal-1"));
+    let id = request.headers().get("x-id").cloned();
+    headers.insert("x-id", id.expect("an identifier"));
+    answer
+}
+
+async fn ask(number: u8) -> Response<Bytes> {
+    let address = SocketAddr::new(host(number), CALLER_PORT);
+    let stream = TcpStream::connect(address).await.expect("it listens");
+    let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
+        .await
+        .expect("a connection");
+    tokio::spawn(connection);
+    let request = Request::get("/sweep/1?q=2")
+        .header("host", "labels.example")
+        .header("x-id", "id-7")
+        .header("x-left", "900")
+        .header("user-agent", "desk")
+        .body(Full::<Bytes>::default())
+        .expect("a request");
+    let (head, body) = sender
+        .send_request(request)
+        .await
+        .expect("an answer")
+        .into_parts();
+    let body = body.collect().await.expect("a whole answer").to_bytes();
+    Response::from_parts(head, body)
+}
+
+async fn wait_until(what: &str, done: impl Fn() -> bool) {
+    for _ in 0..200 {
+        if done() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("{what}");
+}
+
+/// The part crosses regions on the link; the other entry asks the replica, as the caller asked.
+/// Once that entry hangs, it is left, and the replica is asked directly.
+#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
+async fn a_part_comes_through_an_entry_of_its_region() {
+    let seen = SeenHeads::default();
+    let noting = Arc::clone(&seen);
+    let answer =
+        move |request: Request<Incoming>| std::future::ready(answer_replica(&noting, &request));
+    let replica = HttpPort::bind(SocketAddr::new(host(9), REPLICA_PORT), answer).await;
+    let replica = replica.expect("a free port");
+    let near = open_entry(1, "a");
+    let far = open_entry(2, "b");
+    let relay = SocketAddr::new(host(2), RELAY_PORT);
+    bind_relay(Arc::clone(&far), relay)
+        .await
+        .expect("a free port");
+    let links = tokio::spawn(run_links(Arc::clone(&near), RELAY_PORT));
+    let stop = CancellationToken::new();
+    let address = SocketAddr::new(host(1), CALLER_PORT);
+    let serving = serve_callers(
+        Arc::clone(&near),
+        address,
+        stop.clone(),
+        Duration::from_secs(1),
+    );
+    tokio::spawn(serving);
+    wait_until("a link", || near.has_link(&RegionName::from("south"))).await;
+
+    let answer = ask(1).await;
+    assert_eq!(answer.status(), 200);
+    assert_eq!(answer.headers()["x-seals"], "seal-1");
+    assert_eq!(answer.body(), "ccccccccccccccccbbbbbbbbbbbbbbbb");
+    assert_eq!(near.counters.connections_opened.get(), 0);
+    assert_eq!(far.counters.connections_opened.get(), 1);
+    let (path, headers) = seen.lock().pop().expect("the replica was asked");
+    assert_eq!(path, "/sweep/1");
+    assert_eq!(headers["x-id"], "id-7");
+    assert_eq!(headers["x-expect"], "replica-1");
+    assert_eq!(headers["user-agent"], "desk");
+    let left: u64 = headers["x-left"]
+        .to_str()
+        .expect("text")
+        .parse()
+        .expect("a number");
+    assert!((500..=900).contains(&left), "{left}");
+
+    links.abort();
+    check_hanging(&near).await;
+    replica.close().await;
+    stop.cancel();
+}
+
+/// An entry whose other end takes calls and never answers them.
+async fn check_hanging(near: &Arc<ForwardState>) {
+    let silent = TcpListener::bind(SocketAddr::new(host(2), RELAY_PORT + 10)).await;
+    let silent = silent.expect("a free port");
+    near.drop_links();
+    let links = tokio::spawn(run_links(Arc::clone(near), RELAY_PORT + 10));
+    wait_until("a link", || near.has_link(&RegionName::from("south"))).await;
+    let first = ask(1).await;
+    assert_ne!(first.status(), 200, "its only replica was not heard of");
+    wait_until("it is left", || !near.has_link(&RegionName::from("south"))).await;
+    let second = ask(1).await;
+    assert_eq!(second.status(), 200);
+    links.abort();
+    drop(silent);
+}
+
+#[test]
+fn a_head_comes_back_as_it_was_written() {
+    let mut headers = HeaderMap::new();
+    headers.insert("host", HeaderValue::from_static("labels.example"));
+    headers.append("x-many", HeaderValue::from_static("a: b"));
+    headers.append("x-many", HeaderValue::from_static(""));
+    let target = Uri::from_static("/sweep/1?q=2");
+    let head = read_head(&write_head(&Method::GET, &target, &headers)).expect("a head");
+    assert_eq!(
+        (head.method, head.target, head.headers),
+        (Method::GET, target, headers)
+    );
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(31),
+        failure_persistence: None,
+        ..ProptestConfig::with_cases(400)
+    })]
+
+    /// Whatever comes is read or refused.
+    #[test]
+    fn any_bytes_are_a_head_or_none(bytes in prop::collection::vec(any::<u8>(), 0..300), cut in 0_usize..80) {
+        drop(read_head(&bytes));
+        let whole = b"GET\n/sweep/1\nhost:labels.example\nx-id:id-7";
+        drop(read_head(&whole[..cut.min(whole.len())]));
+    }
+}
