Tell entries at most four states a second

A control process passes the state on at once, then at most every 250 ms.

Whole configurations still travel: deltas would save most of the rest.

--- a/daisyhinge/src/shell/site/serve.rs
+++ b/daisyhinge/src/shell/site/serve.rs
@@ -30,6 +30,8 @@
 const CONNECTIONS_MAX: usize = 1_024;
 /// Pause after accepting failed, as it does while file descriptors are short.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Time between two states that entries are told.
+const TELL_SPAN: Duration = Duration::from_millis(250);
 /// Longest wait that a caller may ask for.
 const WAIT_MAX: Duration = Duration::from_secs(5);
 
@@ -40,6 +42,8 @@
     registry: Arc<Mutex<ServerRegistry>>,
     /// The registry's newest mark.
     mark: Arc<watch::Sender<u64>>,
+    /// The state that entries are told.
+    told: Arc<watch::Sender<Arc<SiteState>>>,
 }
 
 impl SiteKeeper {
@@ -61,7 +65,11 @@
             shell,
             registry: Arc::new(Mutex::new(registry)),
             mark: Arc::new(watch::Sender::new(0)),
+            told: Arc::new(watch::Sender::new(Arc::default())),
         };
+        let states = keeper.shell.board().state.subscribe();
+        let told = Arc::clone(&keeper.told);
+        tokio::spawn(async move { tell_states(states, &told, TELL_SPAN).await });
         tokio::spawn(run_server(keeper.clone(), listener));
         tokio::spawn(run_expiry(keeper.clone()));
         tokio::spawn(super::gossip::run_gossip(keeper.clone(), address));
@@ -146,7 +154,7 @@
             0
         };
         let mut marks = self.mark.subscribe();
-        let mut states = self.shell.board().state.subscribe();
+        let mut states = self.told.subscribe();
         let newer = |state: &SiteState| is_entry && state.revision > ask.revision;
         let wait = Duration::from_millis(ask.wait_ms).min(WAIT_MAX);
         let changed = async {
@@ -157,7 +165,7 @@
         };
         // Without anything new the answer still tells that this process and a quorum are there.
         let _: Result<(), _> = tokio::time::timeout(wait, changed).await;
-        let site = Arc::clone(&self.shell.board().state.borrow());
+        let site = Arc::clone(&self.told.borrow());
         let now = self.now();
         let control = self.shell.board().members.borrow().clone();
         let registry = self.registry.lock();
@@ -182,6 +190,23 @@
     }
 }
 
+/// Passes on the state, at most once in a span: operators' changes come in series, and each
+/// carries a whole configuration to every entry.
+pub async fn tell_states(
+    mut states: watch::Receiver<Arc<SiteState>>,
+    told: &watch::Sender<Arc<SiteState>>,
+    span: Duration,
+) {
+    loop {
+        let state = Arc::clone(&states.borrow_and_update());
+        told.send_replace(state);
+        tokio::time::sleep(span).await;
+        if states.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
 async fn run_expiry(keeper: SiteKeeper) {
     loop {
         tokio::time::sleep(EXPIRE_SPAN).await;
--- a/daisyhinge/tests/site.rs
+++ b/daisyhinge/tests/site.rs
@@ -2,6 +2,8 @@
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use daisyhinge::active::{find_active_count, list_active};
@@ -9,8 +11,10 @@
 use daisyhinge::directory::{ADDRESSES_MAX, CallerPlace, list_addresses};
 use daisyhinge::prelude::*;
 use daisyhinge::shell::control::codec::BOOK_CODEC;
+use daisyhinge::shell::site::serve::tell_states;
 use daisyhinge::vocabulary::registration::{EntryPhase, EntryPresence};
-use daisyhinge::vocabulary::site::{SiteChange, SiteDocument, SiteDone};
+use daisyhinge::vocabulary::site::{SiteChange, SiteDocument, SiteDone, SiteState};
+use tokio::sync::watch;
 
 fn apply(book: &mut BookKeeper, change: SiteChange) -> SiteDone {
     let command = BookCommand {
@@ -152,6 +156,35 @@
     assert_eq!(list_active(entries.iter(), region_of, 0).len(), 2);
 }
 
+/// A series of changes reaches entries as a few states, the first at once and the last in the end.
+#[tokio::test]
+async fn a_series_of_changes_is_told_as_a_few_states() {
+    let span = Duration::from_millis(50);
+    let (states, seen) = watch::channel(Arc::new(SiteState::default()));
+    let told = Arc::new(watch::Sender::new(Arc::default()));
+    let mut heard = told.subscribe();
+    let telling = Arc::clone(&told);
+    tokio::spawn(async move { tell_states(seen, &telling, span).await });
+    tokio::time::sleep(span * 2).await;
+    heard.mark_unchanged();
+    let mut revisions = Vec::new();
+    for revision in 1..=20 {
+        states.send_replace(Arc::new(SiteState {
+            revision,
+            ..SiteState::default()
+        }));
+        tokio::time::sleep(span / 10).await;
+        if heard.has_changed().expect("it is open") {
+            revisions.push(heard.borrow_and_update().revision);
+        }
+    }
+    tokio::time::sleep(span * 2).await;
+    let last = heard.borrow_and_update().revision;
+    assert_eq!(revisions.first(), Some(&1), "{revisions:?}");
+    assert!(revisions.len() <= 7, "{revisions:?}");
+    assert_eq!(last, 20);
+}
+
 #[test]
 fn an_answer_is_bounded() {
     let entries: Vec<_> = (0..200).map(|number| entry(number, "a1")).collect();
