--- a/daisyhinge/src/dispatch/fleet/allotment.rs
+++ b/daisyhinge/src/dispatch/fleet/allotment.rs
@@ -16,6 +16,7 @@
 /// An active entry, as shares depend on it.
 struct ActivePeer {
     vm: VmName,
+    data_centre: CentreName,
     region: Option<RegionName>,
     address: SocketAddr,
 }
@@ -54,26 +55,27 @@
         }
     }
 
-    /// Entries of each other region through which its replicas may be reached, the preferred one
-    /// first; none if callers are not sent to this entry.
-    pub fn list_relays(&self) -> BTreeMap<RegionName, Vec<SocketAddr>> {
+    /// Entries of each data centre of another region through which its replicas may be reached, the
+    /// preferred one first; none if callers are not sent to this entry.
+    pub fn list_relays(&self) -> BTreeMap<CentreName, Vec<SocketAddr>> {
         let (is_active, peers) = self.list_peers();
-        let mut relays: BTreeMap<RegionName, Vec<(u64, SocketAddr)>> = BTreeMap::new();
+        let mut relays: BTreeMap<CentreName, Vec<(u64, SocketAddr)>> = BTreeMap::new();
         if !is_active {
             return BTreeMap::new();
         }
         let own = self.place.region_of(&self.place.data_centre);
         for peer in peers {
-            let Some(region) = peer.region.filter(|region| Some(region) != own) else {
+            if peer.region.as_ref() == own {
                 continue;
-            };
+            }
             let hash = hash_pair(self.place.vm.as_str(), peer.vm.as_str());
-            relays.entry(region).or_default().push((hash, peer.address));
+            let centre = relays.entry(peer.data_centre).or_default();
+            centre.push((hash, peer.address));
         }
-        let ordered = relays.into_iter().map(|(region, mut peers)| {
+        let ordered = relays.into_iter().map(|(centre, mut peers)| {
             peers.sort_unstable();
             let addresses = peers.into_iter().map(|(_, address)| address);
-            (region, addresses.collect())
+            (centre, addresses.collect())
         });
         ordered.collect()
     }
@@ -103,6 +105,7 @@
         let peers = others.filter_map(|vm| self.entries.get(vm));
         let peers = peers.map(|entry| ActivePeer {
             vm: entry.vm.clone(),
+            data_centre: entry.data_centre.clone(),
             region: self.place.region_of(&entry.data_centre).cloned(),
             address: entry.address,
         });
--- a/daisyhinge/src/shell/forward/relay/link.rs
+++ b/daisyhinge/src/shell/forward/relay/link.rs
@@ -1,6 +1,6 @@
-//! The entry that asks: one link to an entry of each other region.
+//! The entry that asks: one link to an entry of each data centre of other regions.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -40,40 +40,51 @@
 #[derive(Clone, Debug)]
 pub(in crate::shell::forward) struct PeerLink {
     address: SocketAddr,
+    region: Option<RegionName>,
     client: RelayLinkClient,
     /// When anything was last heard, in microseconds of the process's clock.
     heard: Arc<AtomicU64>,
 }
 
-/// The links, by region.
+/// The links, by data centre.
 #[derive(Debug, Default)]
 pub(in crate::shell::forward) struct PeerLinks {
-    links: Mutex<BTreeMap<RegionName, PeerLink>>,
+    links: Mutex<BTreeMap<CentreName, PeerLink>>,
     avoided: Mutex<BTreeMap<SocketAddr, MonotonicTime>>,
 }
 
 impl PeerLinks {
-    /// The link that leads to a replica, if it is in another region.
+    /// The link that leads to a replica in another region: to its data centre, or to its region.
     pub(in crate::shell::forward) fn find(
         &self,
         state: &ForwardState,
         replica: ReplicaIndex,
     ) -> Option<PeerLink> {
-        let region = {
-            let dispatcher = state.dispatcher.lock();
-            let known = dispatcher.fleet.replica(replica)?;
-            if known.is_near() {
-                return None;
-            }
-            let centre = &known.record.data_centre;
-            dispatcher.fleet.place().region_of(centre)?.clone()
-        };
-        self.links.lock().get(&region).cloned()
+        let dispatcher = state.dispatcher.lock();
+        let known = dispatcher.fleet.replica(replica)?;
+        if known.is_near() {
+            return None;
+        }
+        let centre = &known.record.data_centre;
+        let region = dispatcher.fleet.place().region_of(centre);
+        let links = self.links.lock();
+        let beside = || links.values().find(|link| link.region.as_ref() == region);
+        links.get(centre).or_else(beside).cloned()
     }
 
     /// Whether a link to the region is open.
     pub(in crate::shell::forward) fn holds(&self, region: &RegionName) -> bool {
-        self.links.lock().contains_key(region)
+        let links = self.links.lock();
+        links
+            .values()
+            .any(|link| link.region.as_ref() == Some(region))
+    }
+
+    /// Regions that links lead to.
+    fn list_regions(&self) -> BTreeSet<RegionName> {
+        let links = self.links.lock();
+        let regions = links.values().filter_map(|link| link.region.clone());
+        regions.collect()
     }
 
     /// Closes all links.
@@ -161,29 +172,29 @@
     })
 }
 
-/// Keeps a link to an entry of each other region, time and again; entries listen for them on
-/// `port`.
+/// Keeps a link to an entry of each data centre of other regions, time and again; entries listen
+/// for them on `port`.
 pub async fn run_links(state: Arc<ForwardState>, port: u16) {
     loop {
         let wanted = state.dispatcher.lock().fleet.list_relays();
         keep_wanted(&state, &wanted, port);
-        for (region, peers) in wanted {
-            if !state.links.links.lock().contains_key(&region) {
-                open_first(&state, region, &peers, port).await;
+        for (centre, peers) in wanted {
+            if !state.links.links.lock().contains_key(&centre) {
+                open_first(&state, centre, &peers, port).await;
             }
         }
-        let linked = state.links.links.lock().keys().cloned().collect();
+        let linked = state.links.list_regions();
         state.dispatcher.lock().fleet.take_linked(linked);
         tokio::time::sleep(LOOK_SPAN).await;
     }
 }
 
 /// Drops links to entries that are no longer wanted.
-fn keep_wanted(state: &ForwardState, wanted: &BTreeMap<RegionName, Vec<SocketAddr>>, port: u16) {
+fn keep_wanted(state: &ForwardState, wanted: &BTreeMap<CentreName, Vec<SocketAddr>>, port: u16) {
     let now = state.clock.now();
     state.links.avoided.lock().retain(|_, until| now < *until);
-    state.links.links.lock().retain(|region, link| {
-        let peers = wanted.get(region);
+    state.links.links.lock().retain(|centre, link| {
+        let peers = wanted.get(centre);
         let listed = peers.is_some_and(|peers| {
             let mut addresses = peers.iter().map(|peer| SocketAddr::new(peer.ip(), port));
             addresses.any(|address| address == link.address)
@@ -196,7 +207,7 @@
 }
 
 /// Opens a link to the first entry that is not avoided.
-async fn open_first(state: &ForwardState, region: RegionName, peers: &[SocketAddr], port: u16) {
+async fn open_first(state: &ForwardState, centre: CentreName, peers: &[SocketAddr], port: u16) {
     let addresses = peers.iter().map(|peer| SocketAddr::new(peer.ip(), port));
     let first = {
         let avoided = state.links.avoided.lock();
@@ -216,11 +227,16 @@
     let transport = Transport::from((stream, Bincode::default()));
     let client = RelayLinkClient::new(client::Config::default(), transport).spawn();
     let heard = Arc::new(AtomicU64::new(0));
+    let region = {
+        let dispatcher = state.dispatcher.lock();
+        dispatcher.fleet.place().region_of(&centre).cloned()
+    };
     let link = PeerLink {
         address,
+        region,
         client,
         heard,
     };
     state.note_peer(address, true);
-    state.links.links.lock().insert(region, link);
+    state.links.links.lock().insert(centre, link);
 }
