Give the imports of the library one direction

Cause: 18 modules reached themselves by their imports: entry state with what follows, keeps and peers; driving with metering; the control task with its disk and peers; partitions with plans; the forward state with its links. What both sides need stands below them now: connections to control and to other entries, the table of kept replicas, the control task's inputs, requests on their way, the links. The table notes by a function that it is handed. Nothing else changed.

--- a/daisyhinge/src/search/choice.rs
+++ b/daisyhinge/src/search/choice.rs
@@ -5,7 +5,7 @@
 use rand::RngExt;
 
 use crate::prelude::*;
-use crate::search::partition::PartitionKey;
+use crate::search::plan::PartitionKey;
 use crate::search::route::{RouteKey, RouteState, RouteTable};
 use crate::vocabulary::clock::span_to_micros;
 use crate::vocabulary::replica::UseState;
--- a/daisyhinge/src/search/claiming.rs
+++ b/daisyhinge/src/search/claiming.rs
@@ -5,8 +5,8 @@
 
 use crate::prelude::*;
 use crate::search::choice::{ChoiceNeed, FAR_DISTANCE};
+use crate::search::plan::DispatchKind;
 use crate::search::route::RouteTable;
-use crate::search::scatter::DispatchKind;
 use crate::search::{RequestSearch, SearchAction, SearchPhase};
 use crate::vocabulary::answer::{AnswerPart, QueryAnswer};
 use crate::vocabulary::claim::{ClaimEnding, ClaimOutcome, ClaimReply};
--- a/daisyhinge/src/search/partition.rs
+++ b/daisyhinge/src/search/partition.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::prelude::*;
-use crate::search::plan::{PinnedShard, PinnedSnapshot};
+use crate::search::plan::{PartitionKey, PinnedShard, PinnedSnapshot};
 use crate::vocabulary::announcement::HeldSnapshot;
 use crate::vocabulary::environment::WHOLE_PPM;
 
@@ -17,32 +17,6 @@
 /// How long a partition is remembered after the last replica that held it was heard of.
 pub const PARTITION_KEEP: Duration = Duration::from_mins(10);
 
-/// What tells one partition from another. Two that differ are never mixed, also under the same
-/// snapshot number.
-#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub struct PartitionKey {
-    /// The snapshot.
-    pub snapshot: SnapshotNumber,
-    /// Generation of the partition.
-    pub generation: u64,
-    /// Number of shards.
-    pub shards: u32,
-    /// Weight of all shards.
-    pub whole_weight: u64,
-}
-
-impl PartitionKey {
-    /// The partition that a replica says it holds a shard of.
-    pub fn of(held: &HeldSnapshot) -> Self {
-        Self {
-            snapshot: held.snapshot,
-            generation: held.generation,
-            shards: held.shards,
-            whole_weight: held.whole_weight,
-        }
-    }
-}
-
 /// Whether a replica's place in a partition is possible at all.
 pub fn is_possible(held: &HeldSnapshot) -> bool {
     held.shards <= SHARDS_MAX && held.shard.0 < held.shards && held.weight <= held.whole_weight
--- a/daisyhinge/src/search/plan.rs
+++ b/daisyhinge/src/search/plan.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::prelude::*;
-use crate::search::partition::PartitionKey;
+use crate::vocabulary::announcement::HeldSnapshot;
 use crate::vocabulary::query::AnswerPreference;
 
 /// Attempts that one request may number; requests of one entry are this far apart.
@@ -64,6 +64,42 @@
     pub known: bool,
 }
 
+/// Why an attempt is sent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum DispatchKind {
+    Primary,
+    /// In place of one that certainly did not run.
+    Replaced,
+    Hedge,
+    Retry,
+}
+
+/// What tells one partition from another. Two that differ are never mixed, also under the same
+/// snapshot number.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct PartitionKey {
+    /// The snapshot.
+    pub snapshot: SnapshotNumber,
+    /// Generation of the partition.
+    pub generation: u64,
+    /// Number of shards.
+    pub shards: u32,
+    /// Weight of all shards.
+    pub whole_weight: u64,
+}
+
+impl PartitionKey {
+    /// The partition that a replica says it holds a shard of.
+    pub fn of(held: &HeldSnapshot) -> Self {
+        Self {
+            snapshot: held.snapshot,
+            generation: held.generation,
+            shards: held.shards,
+            whole_weight: held.whole_weight,
+        }
+    }
+}
+
 /// The snapshot that a request is pinned to, with every shard of its partition.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct PinnedSnapshot {
--- a/daisyhinge/src/search/reply.rs
+++ b/daisyhinge/src/search/reply.rs
@@ -2,8 +2,8 @@
 
 use crate::prelude::*;
 use crate::search::outcome::DispatchEnd;
+use crate::search::plan::DispatchKind;
 use crate::search::route::RouteTable;
-use crate::search::scatter::DispatchKind;
 use crate::search::shard::ShardState;
 use crate::search::suspect::Suspicion;
 use crate::search::{RequestSearch, SearchAction, SearchPhase};
--- a/daisyhinge/src/search/route.rs
+++ b/daisyhinge/src/search/route.rs
@@ -12,7 +12,8 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::prelude::*;
-use crate::search::partition::{PartitionKey, PartitionTable, choose_partition};
+use crate::search::partition::{PartitionTable, choose_partition};
+use crate::search::plan::PartitionKey;
 use crate::search::plan::PinnedSnapshot;
 use crate::search::poison::PoisonTable;
 use crate::vocabulary::replica::{TableAsk, TableDelta};
--- a/daisyhinge/src/search/route/publication.rs
+++ b/daisyhinge/src/search/route/publication.rs
@@ -5,7 +5,8 @@
 use crate::prelude::*;
 use crate::rendezvous::{centre_distance, find_keeper};
 use crate::search::estimate::RouteEstimate;
-use crate::search::partition::{PartitionKey, PartitionTable, ShardReplica, is_possible};
+use crate::search::partition::{PartitionTable, ShardReplica, is_possible};
+use crate::search::plan::PartitionKey;
 use crate::search::route::RouteTable;
 use crate::search::route::state::{
     CentreRow, KeeperRow, Publication, ReplicaRow, RouteState, ServiceRow,
--- a/daisyhinge/src/search/route/state.rs
+++ b/daisyhinge/src/search/route/state.rs
@@ -3,7 +3,8 @@
 use crate::prelude::*;
 use crate::search::budget::ExtraBudget;
 use crate::search::estimate::{LatencyEstimate, RouteEstimate};
-use crate::search::partition::{PartitionKey, PartitionTable, UNHELD_MAX};
+use crate::search::partition::{PartitionTable, UNHELD_MAX};
+use crate::search::plan::PartitionKey;
 use crate::vocabulary::replica::{KeeperLoad, ReplicaRecord, TableAsk, UseState};
 
 /// What a choice reads of a replica. Small and flat, one per row.
--- a/daisyhinge/src/search/scatter.rs
+++ b/daisyhinge/src/search/scatter.rs
@@ -5,6 +5,7 @@
 use crate::prelude::*;
 use crate::search::choice::{FAR_DISTANCE, REGION_DISTANCE, RouteChoice};
 use crate::search::outcome::DispatchEnd;
+use crate::search::plan::DispatchKind;
 use crate::search::plan::{PinnedShard, PinnedSnapshot};
 use crate::search::route::RouteTable;
 use crate::search::shard::{RunningTry, ShardRow, ShardState};
@@ -23,16 +24,6 @@
 /// A shard is late once this many hedge delays went by after its attempt began.
 const LATE_DELAYS: u32 = 2;
 
-/// Why an attempt is sent.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum DispatchKind {
-    Primary,
-    /// In place of one that certainly did not run.
-    Replaced,
-    Hedge,
-    Retry,
-}
-
 impl RequestSearch {
     /// Pins a snapshot.
     pub(super) fn pin(&mut self, routes: &RouteTable) -> bool {
--- a/daisyhinge/src/search/suspect.rs
+++ b/daisyhinge/src/search/suspect.rs
@@ -6,9 +6,9 @@
 
 use crate::prelude::*;
 use crate::search::choice::FAR_DISTANCE;
+use crate::search::plan::DispatchKind;
 use crate::search::poison::CRASHES_MAX;
 use crate::search::route::RouteTable;
-use crate::search::scatter::DispatchKind;
 use crate::search::{RequestSearch, SearchAction};
 use crate::vocabulary::event::EventKind;
 
--- a/daisyhinge/src/shell/control.rs
+++ b/daisyhinge/src/shell/control.rs
@@ -36,14 +36,16 @@
 mod driver;
 pub mod folder;
 mod found;
+mod input;
 pub mod link;
 mod peer;
 mod serve;
 mod site;
 
+use driver::ControlDriver;
 pub use driver::SiteBoard;
-use driver::{ControlDriver, DriverInput};
 use folder::DataFolder;
+use input::DriverInput;
 
 /// Longest wait for a change, a read or a claim.
 const ASK_SPAN: Duration = Duration::from_secs(5);
--- a/daisyhinge/src/shell/control/disk.rs
+++ b/daisyhinge/src/shell/control/disk.rs
@@ -6,8 +6,8 @@
 use tokio::sync::mpsc;
 
 use super::ControlFault;
-use super::driver::DriverInput;
 use super::folder::DataFolder;
+use super::input::DriverInput;
 use crate::control::log::LogSnapshot;
 use crate::control::store::StoreWriter;
 use crate::control::voter::SaveBatch;
--- a/daisyhinge/src/shell/control/driver.rs
+++ b/daisyhinge/src/shell/control/driver.rs
@@ -13,17 +13,17 @@
 use super::codec::BOOK_CODEC;
 use super::disk::{DiskJob, DiskThread, spawn_disk};
 use super::folder::DataFolder;
+use super::input::DriverInput;
 use super::peer::{PEER_QUEUE_MAX, PeerSender};
 use super::{ControlFault, EventSink};
-use crate::control::core::{ControlCore, CoreAction, CoreAsk, CoreEvent, CoreReply};
+use crate::control::core::{ControlCore, CoreAction, CoreEvent, CoreReply};
 use crate::control::limits::LogLimits;
-use crate::control::member::{VoterId, VoterSet};
+use crate::control::member::VoterId;
 use crate::control::message::VoterMessage;
 use crate::control::store::OpenedStore;
 use crate::control::voter::VoterMachine;
 use crate::prelude::*;
 use crate::shell::clock::ProcessClock;
-use crate::vocabulary::control::ControlStatus;
 use crate::vocabulary::site::SiteState;
 
 /// Time between ticks.
@@ -33,38 +33,6 @@
 /// Addresses of control VMs that are remembered besides the members'.
 const ADDRESSES_MAX: usize = 1_024;
 
-/// What the task is told.
-#[derive(Debug)]
-pub(super) enum DriverInput {
-    /// Somebody asks.
-    Ask {
-        ask: CoreAsk,
-        reply: oneshot::Sender<CoreReply>,
-    },
-    /// Somebody asks for the state.
-    Status(oneshot::Sender<ControlStatus>),
-    /// Somebody asks where the leader is; none if this VM leads.
-    Leader(oneshot::Sender<Option<SocketAddr>>),
-    /// Messages came in from a VM that is reached at that address.
-    Delivered {
-        from: VoterId,
-        address: SocketAddr,
-        messages: Vec<VoterMessage>,
-    },
-    /// A VM of a known name showed another identity.
-    IdentityChanged { id: VoterId, address: SocketAddr },
-    /// A VM asks to take part.
-    JoinAsked { id: VoterId, address: SocketAddr },
-    /// Found the log.
-    Found(VoterSet),
-    /// Up to that save all is synced.
-    Saved(u64),
-    /// The data folder can't be written.
-    DiskFailed(ControlFault),
-    /// Stop.
-    Stop,
-}
-
 /// What a control process shows of the deployment without asking its task.
 #[derive(Debug, Default)]
 pub struct SiteBoard {
--- a/daisyhinge/src/shell/control/found.rs
+++ b/daisyhinge/src/shell/control/found.rs
@@ -6,7 +6,7 @@
 use futures::future::join_all;
 
 use super::ControlShell;
-use super::driver::DriverInput;
+use super::input::DriverInput;
 use super::link::HelloReply;
 use super::peer::{ask_hello, call_context, connect_voter};
 use crate::control::member::{VoterMember, VoterSet};
--- a/daisyhinge/src/shell/control/peer.rs
+++ b/daisyhinge/src/shell/control/peer.rs
@@ -11,7 +11,7 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-use super::driver::DriverInput;
+use super::input::DriverInput;
 use super::link::{HelloReply, VOTER_PREFACE, VoterLinkClient};
 use crate::control::member::VoterId;
 use crate::control::message::{VoterBody, VoterMessage};
--- a/daisyhinge/src/shell/control/serve.rs
+++ b/daisyhinge/src/shell/control/serve.rs
@@ -16,7 +16,7 @@
 use tokio::task::JoinSet;
 
 use super::ControlShell;
-use super::driver::DriverInput;
+use super::input::DriverInput;
 use super::link::{HelloReply, VOTER_PREFACE, VoterLink, VoterLinkClient};
 use super::peer::{call_context, connect_voter};
 use crate::control::member::VoterId;
--- a/daisyhinge/src/shell/entry.rs
+++ b/daisyhinge/src/shell/entry.rs
@@ -1,10 +1,14 @@
 //! The entry process: takes callers' requests, keeps replicas, follows control.
 
 pub mod answering;
+pub mod control_pool;
+mod counting;
 pub mod driving;
 pub mod following;
 pub mod keeping;
+pub mod keeping_table;
 pub mod metering;
+pub mod peer_pool;
 pub mod peering;
 pub mod progress;
 pub mod querying;
--- /dev/null
+++ b/daisyhinge/src/shell/entry/control_pool.rs
@@ -0,0 +1,50 @@
+//! The connection to control.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use tarpc::client::Config;
+
+use crate::shell::link::ControlLinkClient;
+use crate::shell::transport::connect_link;
+
+/// Longest wait for a control VM.
+pub(super) const CONTROL_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// The control VM that answered last.
+#[derive(Debug, Default)]
+pub struct ControlPool {
+    current: Mutex<ControlChoice>,
+}
+
+#[derive(Debug, Default)]
+struct ControlChoice {
+    index: usize,
+    link: Option<ControlLinkClient>,
+}
+
+impl ControlPool {
+    /// A link to it, opened when first needed.
+    pub(super) async fn link(&self, control: &[SocketAddr]) -> Option<ControlLinkClient> {
+        let index = {
+            let current = self.current.lock();
+            if let Some(link) = &current.link {
+                return Some(link.clone());
+            }
+            current.index
+        };
+        let address = *control.get(index % control.len().max(1))?;
+        let transport = connect_link(address, CONTROL_TIMEOUT).await?;
+        let link = ControlLinkClient::new(Config::default(), transport).spawn();
+        self.current.lock().link = Some(link.clone());
+        Some(link)
+    }
+
+    /// Goes on to the next control VM.
+    pub(super) fn advance(&self) {
+        let mut current = self.current.lock();
+        current.index = current.index.wrapping_add(1);
+        current.link = None;
+    }
+}
--- a/daisyhinge/src/shell/entry/following.rs
+++ b/daisyhinge/src/shell/entry/following.rs
@@ -1,19 +1,15 @@
 //! Follows control's freshness and other entries' tables.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use futures::future::join_all;
-use parking_lot::Mutex;
-use tarpc::client::Config;
 
 use crate::keeper::roster::RosterEvent;
 use crate::prelude::*;
+use crate::shell::entry::control_pool::CONTROL_TIMEOUT;
 use crate::shell::entry::keeping::{step_roster, table_delta};
 use crate::shell::entry::state::EntryState;
-use crate::shell::link::ControlLinkClient;
-use crate::shell::transport::connect_link;
 use crate::vocabulary::claim::{ClaimAsk, ClaimEnd, ClaimReply};
 use crate::vocabulary::event::{EventDraft, EventKind};
 use crate::vocabulary::freshness::{FreshAsk, FreshProof};
@@ -25,51 +21,12 @@
 /// How soon another control VM is asked after a failure.
 const FRESH_RETRY: Duration = Duration::from_millis(50);
 
-/// Longest wait for a control VM.
-const CONTROL_TIMEOUT: Duration = Duration::from_millis(700);
-
 /// How often other entries' tables are asked for.
 const TABLE_PERIOD: Duration = Duration::from_millis(100);
 
 /// Rounds over all control VMs for a claim before it is given up as unavailable.
 const CLAIM_ROUNDS: usize = 2;
 
-/// The control VM that answered last.
-#[derive(Debug, Default)]
-pub struct ControlPool {
-    current: Mutex<ControlChoice>,
-}
-
-#[derive(Debug, Default)]
-struct ControlChoice {
-    index: usize,
-    link: Option<ControlLinkClient>,
-}
-
-impl ControlPool {
-    async fn link(&self, control: &[SocketAddr]) -> Option<ControlLinkClient> {
-        let index = {
-            let current = self.current.lock();
-            if let Some(link) = &current.link {
-                return Some(link.clone());
-            }
-            current.index
-        };
-        let address = *control.get(index % control.len().max(1))?;
-        let transport = connect_link(address, CONTROL_TIMEOUT).await?;
-        let link = ControlLinkClient::new(Config::default(), transport).spawn();
-        self.current.lock().link = Some(link.clone());
-        Some(link)
-    }
-
-    /// Goes on to the next control VM.
-    fn advance(&self) {
-        let mut current = self.current.lock();
-        current.index = current.index.wrapping_add(1);
-        current.link = None;
-    }
-}
-
 /// Asks for proofs of freshness until the process stops.
 pub async fn follow_control(state: Arc<EntryState>) {
     let mut held = false;
--- a/daisyhinge/src/shell/entry/metering.rs
+++ b/daisyhinge/src/shell/entry/metering.rs
@@ -34,25 +34,6 @@
     result
 }
 
-/// Counts what a search noted of one of its sub-requests.
-pub fn count_note(state: &EntryState, service: &ServiceName, draft: &EventDraft) {
-    let metrics = state.metrics.open_service(service);
-    let counter = match draft.kind {
-        EventKind::SubDispatched => &metrics.sub_requests,
-        EventKind::SubHedged => &metrics.hedges,
-        EventKind::SubRetried => &metrics.retries,
-        EventKind::BudgetSpent => &metrics.budget_spent,
-        EventKind::SubCancelled => &metrics.cancelled,
-        EventKind::RequestPoisoned => &state.metrics.poisoned_requests,
-        EventKind::SubFailed => {
-            metrics.record_sub_failure(draft.code.unwrap_or(ResultCode::Ok));
-            return;
-        }
-        _ => return,
-    };
-    counter.inc();
-}
-
 /// One request while it runs. Dropped before its end, it counts as given up by its caller.
 #[derive(Debug)]
 struct RequestMeter {
--- a/daisyhinge/src/shell/entry/peering.rs
+++ b/daisyhinge/src/shell/entry/peering.rs
@@ -1,36 +1,22 @@
 //! Calls between entries.
 
-use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
 
 use futures::StreamExt;
-use parking_lot::Mutex;
-use tarpc::client::Config;
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
 use tokio::net::TcpListener;
 
-use crate::prelude::*;
 use crate::shell::entry::keeping::announcing::{take_announcement, take_leave};
 use crate::shell::entry::keeping::running::run_sub;
 use crate::shell::entry::keeping::table_delta;
+use crate::shell::entry::peer_pool::CALLS_MAX;
 use crate::shell::entry::state::EntryState;
-use crate::shell::link::{PeerLink, PeerLinkClient};
-use crate::shell::transport::{connect_link, wrap_stream};
+use crate::shell::link::PeerLink;
+use crate::shell::transport::wrap_stream;
 use crate::vocabulary::announcement::{AnnounceReply, ReplicaAnnouncement, ReplicaLeave};
 use crate::vocabulary::replica::{TableAsk, TableDelta};
-use crate::vocabulary::subrequest::{SubAsk, SubRefusal, SubReply};
-
-/// Longest wait for a connection to another entry.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-
-/// Longest wait for a reply about tables and announcements.
-const CALL_TIMEOUT: Duration = Duration::from_secs(1);
-
-/// Calls in flight on one connection at most.
-const CALLS_MAX: usize = 4_096;
+use crate::vocabulary::subrequest::{SubAsk, SubReply};
 
 /// Serves other entries until the process stops.
 pub async fn serve_peers(state: Arc<EntryState>, listener: TcpListener) {
@@ -73,95 +59,3 @@
         table_delta(&self.state, ask)
     }
 }
-
-/// One multiplexed connection to each other entry, opened when first needed.
-#[derive(Debug, Default)]
-pub struct PeerPool {
-    links: Mutex<HashMap<SocketAddr, PeerLinkClient>>,
-}
-
-impl PeerPool {
-    async fn link(&self, address: SocketAddr) -> Option<PeerLinkClient> {
-        if let Some(link) = self.links.lock().get(&address) {
-            return Some(link.clone());
-        }
-        let transport = connect_link(address, CONNECT_TIMEOUT).await?;
-        let mut config = Config::default();
-        config.max_in_flight_requests = CALLS_MAX;
-        config.pending_request_buffer = CALLS_MAX;
-        let link = PeerLinkClient::new(config, transport).spawn();
-        Some(self.links.lock().entry(address).or_insert(link).clone())
-    }
-
-    fn forget(&self, address: SocketAddr) {
-        self.links.lock().remove(&address);
-    }
-
-    /// Runs a sub-request at the keeper behind `address`. Dropping the future cancels it there.
-    ///
-    /// # Errors
-    ///
-    /// The keeper's refusal, or [`ResultCode::KeeperUnreachable`].
-    pub async fn run(&self, address: SocketAddr, ask: SubAsk) -> SubReply {
-        let failed = |run| SubRefusal::with_run(ResultCode::KeeperUnreachable, run);
-        let Some(link) = self.link(address).await else {
-            return Err(failed(RunState::NotRun));
-        };
-        let left = Duration::from_micros(ask.expires_us);
-        match link.run(context_for(left), ask).await {
-            Ok(reply) => reply,
-            Err(tarpc::client::RpcError::DeadlineExceeded) => Err(SubRefusal {
-                code: ResultCode::SubRequestExpired,
-                ..failed(RunState::Unknown)
-            }),
-            Err(_) => {
-                self.forget(address);
-                Err(failed(RunState::Unknown))
-            }
-        }
-    }
-
-    /// Forwards an announcement.
-    pub async fn announce(
-        &self,
-        address: SocketAddr,
-        announcement: ReplicaAnnouncement,
-    ) -> Option<AnnounceReply> {
-        let link = self.link(address).await?;
-        let reply = link.announce(context_for(CALL_TIMEOUT), announcement).await;
-        self.keep_or_forget(address, reply)
-    }
-
-    /// Forwards a leave.
-    pub async fn leave(&self, address: SocketAddr, leave: ReplicaLeave) -> Option<AnnounceReply> {
-        let link = self.link(address).await?;
-        let reply = link.leave(context_for(CALL_TIMEOUT), leave).await;
-        self.keep_or_forget(address, reply)
-    }
-
-    /// Asks for what changed in a keeper's table.
-    pub async fn table(&self, address: SocketAddr, ask: TableAsk) -> Option<TableDelta> {
-        let link = self.link(address).await?;
-        let reply = link.table(context_for(CALL_TIMEOUT), ask).await;
-        self.keep_or_forget(address, reply)
-    }
-
-    fn keep_or_forget<T>(
-        &self,
-        address: SocketAddr,
-        reply: Result<T, tarpc::client::RpcError>,
-    ) -> Option<T> {
-        if let Ok(reply) = reply {
-            Some(reply)
-        } else {
-            self.forget(address);
-            None
-        }
-    }
-}
-
-fn context_for(left: Duration) -> Context {
-    let mut context = tarpc::context::current();
-    context.deadline = Instant::now() + left;
-    context
-}
--- a/daisyhinge/src/shell/entry/state.rs
+++ b/daisyhinge/src/shell/entry/state.rs
@@ -20,9 +20,9 @@
 use crate::search::plan::SEQUENCE_STRIDE;
 use crate::search::route::RouteTable;
 use crate::shell::clock::{ProcessClock, wall_micros};
-use crate::shell::entry::following::ControlPool;
-use crate::shell::entry::keeping::KeepingTable;
-use crate::shell::entry::peering::PeerPool;
+use crate::shell::entry::control_pool::ControlPool;
+use crate::shell::entry::keeping_table::KeepingTable;
+use crate::shell::entry::peer_pool::PeerPool;
 use crate::vocabulary::environment::{EnvironmentDocument, ServiceEntry};
 use crate::vocabulary::event::EventDraft;
 use crate::vocabulary::setting::EntrySettings;
--- a/daisyhinge/src/shell/forward.rs
+++ b/daisyhinge/src/shell/forward.rs
@@ -11,6 +11,7 @@
 mod attempt;
 mod connection;
 pub mod listen;
+mod outgoing;
 mod pool;
 pub mod relay;
 mod run;
--- a/daisyhinge/src/shell/forward/account.rs
+++ b/daisyhinge/src/shell/forward/account.rs
@@ -1,6 +1,6 @@
 //! Accounts for a request in the log and the counters, once it is over.
 
-use super::attempt::OutgoingRequest;
+use super::outgoing::OutgoingRequest;
 use super::run::{RequestOutcome, name_end};
 use super::state::{ActiveSite, ForwardState};
 use crate::dispatch::request::{AttemptAccount, RequestPlan, TargetAccount, Verdict};
--- a/daisyhinge/src/shell/forward/answer.rs
+++ b/daisyhinge/src/shell/forward/answer.rs
@@ -11,7 +11,7 @@
 use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
 
 use super::account::note_outcome;
-use super::attempt::OutgoingRequest;
+use super::outgoing::OutgoingRequest;
 use super::run::{RequestOutcome, run_request};
 use super::state::{ActiveSite, ForwardState};
 use super::wire::{read_text, strip_connection_headers, write_code, write_number};
--- a/daisyhinge/src/shell/forward/attempt.rs
+++ b/daisyhinge/src/shell/forward/attempt.rs
@@ -6,11 +6,13 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::Request;
 use hyper::header::{CONTENT_ENCODING, HeaderValue};
-use hyper::{HeaderMap, Method, Request, Uri};
 
 use super::connection::{ExchangeFault, ReplicaConnection, WholeAnswer};
-use super::relay::link::{PeerLink, try_relay};
+use super::outgoing::OutgoingRequest;
+use super::relay::link::try_relay;
+use super::relay::table::PeerLink;
 use super::state::ForwardState;
 use super::wire::{read_text, write_number};
 use crate::dispatch::fleet::ReplicaIndex;
@@ -30,21 +32,6 @@
 /// Status of a server that is not the one that was named.
 const STATUS_WRONG_SERVER: u16 = 421;
 
-/// A caller's request as it is sent on.
-#[derive(Clone, Debug)]
-pub(super) struct OutgoingRequest {
-    pub method: Method,
-    pub target: Uri,
-    /// Headers that are sent on unchanged.
-    pub headers: HeaderMap,
-    pub body: Bytes,
-    pub id: Option<HeaderValue>,
-    pub kind: RouteKind,
-    /// Records that are wanted of each part, if the route gathers.
-    pub top_records: Option<usize>,
-    pub ends: MonotonicTime,
-}
-
 /// What an attempt brought.
 #[derive(Debug)]
 pub(super) struct AttemptReport {
@@ -93,7 +80,7 @@
     replica: ReplicaIndex,
 ) -> Option<(PeerLink, usize)> {
     let top_records = request.top_records.filter(|_| request.body.is_empty())?;
-    let link = state.links.find(state, replica)?;
+    let link = state.links.find(&state.dispatcher.lock().fleet, replica)?;
     Some((link, top_records))
 }
 
--- a/daisyhinge/src/shell/forward/relay.rs
+++ b/daisyhinge/src/shell/forward/relay.rs
@@ -9,6 +9,7 @@
 pub mod head;
 pub mod link;
 pub mod serve;
+pub(super) mod table;
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
--- a/daisyhinge/src/shell/forward/relay/link.rs
+++ b/daisyhinge/src/shell/forward/relay/link.rs
@@ -1,6 +1,6 @@
 //! The entry that asks: one link to an entry of each data centre of other regions.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -9,7 +9,6 @@
 use bytes::Bytes;
 use hyper::HeaderMap;
 use hyper::header::HeaderValue;
-use parking_lot::Mutex;
 use tarpc::serde_transport::Transport;
 use tarpc::tokio_serde::formats::Bincode;
 use tarpc::{client, context};
@@ -17,12 +16,13 @@
 use tokio::time::timeout;
 
 use super::head::write_head;
+use super::table::PeerLink;
 use super::{RelayAsk, RelayLinkClient, RelayPart};
 use crate::dispatch::fleet::ReplicaIndex;
 use crate::dispatch::request::AttemptEnd;
 use crate::prelude::*;
-use crate::shell::forward::attempt::OutgoingRequest;
 use crate::shell::forward::connection::WholeAnswer;
+use crate::shell::forward::outgoing::OutgoingRequest;
 use crate::shell::forward::state::ForwardState;
 use crate::vocabulary::clock::span_to_micros;
 
@@ -33,70 +33,6 @@
 /// Time without any answer after which a link that was asked counts as hanging: longer than a
 /// replica pauses.
 const HANG_SPAN: Duration = Duration::from_millis(300);
-/// Time for which an entry whose link hung or broke is not asked again.
-const AVOID_SPAN: Duration = Duration::from_secs(3);
-
-/// A link to an entry of another region.
-#[derive(Clone, Debug)]
-pub(in crate::shell::forward) struct PeerLink {
-    address: SocketAddr,
-    region: Option<RegionName>,
-    client: RelayLinkClient,
-    /// When anything was last heard, in microseconds of the process's clock.
-    heard: Arc<AtomicU64>,
-}
-
-/// The links, by data centre.
-#[derive(Debug, Default)]
-pub(in crate::shell::forward) struct PeerLinks {
-    links: Mutex<BTreeMap<CentreName, PeerLink>>,
-    avoided: Mutex<BTreeMap<SocketAddr, MonotonicTime>>,
-}
-
-impl PeerLinks {
-    /// The link that leads to a replica in another region: to its data centre, or to its region.
-    pub(in crate::shell::forward) fn find(
-        &self,
-        state: &ForwardState,
-        replica: ReplicaIndex,
-    ) -> Option<PeerLink> {
-        let dispatcher = state.dispatcher.lock();
-        let known = dispatcher.fleet.replica(replica)?;
-        if known.is_near() {
-            return None;
-        }
-        let centre = &known.record.data_centre;
-        let region = dispatcher.fleet.place().region_of(centre);
-        let links = self.links.lock();
-        let beside = || links.values().find(|link| link.region.as_ref() == region);
-        links.get(centre).or_else(beside).cloned()
-    }
-
-    /// Whether a link to the region is open.
-    pub(in crate::shell::forward) fn holds(&self, region: &RegionName) -> bool {
-        let links = self.links.lock();
-        links
-            .values()
-            .any(|link| link.region.as_ref() == Some(region))
-    }
-
-    /// Regions that links lead to.
-    fn list_regions(&self) -> BTreeSet<RegionName> {
-        let links = self.links.lock();
-        let regions = links.values().filter_map(|link| link.region.clone());
-        regions.collect()
-    }
-
-    /// Closes all links.
-    pub(in crate::shell::forward) fn clear(&self) {
-        self.links.lock().clear();
-    }
-
-    fn drop_link(&self, now: MonotonicTime, address: SocketAddr) {
-        self.links.lock().retain(|_, link| link.address != address);
-        self.avoided.lock().insert(address, now + AVOID_SPAN);
-    }
-}
 
 /// Sends a request to a replica through the entry at the other end.
 pub(in crate::shell::forward) async fn try_relay(
--- a/daisyhinge/src/shell/forward/relay/serve.rs
+++ b/daisyhinge/src/shell/forward/relay/serve.rs
@@ -19,8 +19,9 @@
 use crate::dispatch::merge::merge_parts;
 use crate::dispatch::request::AttemptEnd;
 use crate::prelude::*;
-use crate::shell::forward::attempt::{OutgoingRequest, try_attempt};
+use crate::shell::forward::attempt::try_attempt;
 use crate::shell::forward::connection::WholeAnswer;
+use crate::shell::forward::outgoing::OutgoingRequest;
 use crate::shell::forward::state::ForwardState;
 use crate::vocabulary::site::RouteKind;
 
--- a/daisyhinge/src/shell/forward/run.rs
+++ b/daisyhinge/src/shell/forward/run.rs
@@ -7,8 +7,9 @@
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 
-use super::attempt::{AttemptReport, OutgoingRequest, run_attempt};
+use super::attempt::{AttemptReport, run_attempt};
 use super::connection::WholeAnswer;
+use super::outgoing::OutgoingRequest;
 use super::state::ForwardState;
 use crate::dispatch::request::{
     AttemptEnd, RequestAction, RequestEvent, RequestMachine, RequestPlan, TargetAccount, Verdict,
--- a/daisyhinge/src/shell/forward/state.rs
+++ b/daisyhinge/src/shell/forward/state.rs
@@ -9,7 +9,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::pool::ConnectionPool;
-use super::relay::link::PeerLinks;
+use super::relay::table::PeerLinks;
 use super::wire::HeaderNames;
 use crate::dispatch::Dispatcher;
 use crate::dispatch::budget::BudgetLimits;
