Tell a root of a probe that its keeper ran

Cause, traced of the mixed run: a keeper that knew of a crash ran a request alone for a root that no record had reached, and convicted it when its server crashed; the root heard of a reset only, took it for the first crash and sent a probe of its own: a third crash after the first was known. Ruled out: a keeper or root that knew nothing.

The shell and its model in the mixed test share one function for what roots are told.

--- a/daisyhinge/src/keeper.rs
+++ b/daisyhinge/src/keeper.rs
@@ -141,6 +141,11 @@
         }
     }
 
+    /// Whether an attempt runs alone, since its request is suspect.
+    pub fn ran_alone(&self, attempt: AttemptId) -> bool {
+        self.slots.ran_alone(attempt)
+    }
+
     /// The last announcement.
     pub fn announcement(&self) -> &ReplicaAnnouncement {
         &self.announcement
--- a/daisyhinge/src/keeper/roster.rs
+++ b/daisyhinge/src/keeper/roster.rs
@@ -116,6 +116,12 @@
         Some(row.gate(self.lease_ends))
     }
 
+    /// Whether an attempt at a replica runs alone, since its request is suspect.
+    pub fn ran_alone(&self, replica: &ReplicaName, attempt: AttemptId) -> bool {
+        let row = self.rows.get(replica);
+        row.is_some_and(|row| row.keeper.ran_alone(attempt))
+    }
+
     /// Load of a replica, carried back in every reply.
     pub fn load(&self, replica: &ReplicaName) -> KeeperLoad {
         let row = self.rows.get(replica);
--- a/daisyhinge/src/keeper/slots.rs
+++ b/daisyhinge/src/keeper/slots.rs
@@ -117,6 +117,12 @@
         self.rows.iter().any(|row| row.alone)
     }
 
+    /// Whether `attempt` runs alone, since its request was suspect when it was sent.
+    pub fn ran_alone(&self, attempt: AttemptId) -> bool {
+        let mut rows = self.rows.iter();
+        rows.any(|row| row.alone && row.ticket.attempt == attempt)
+    }
+
     /// Whether no sub-request has a connection.
     pub fn is_cut_off(&self) -> bool {
         !self.rows.iter().any(|row| row.connected)
--- a/daisyhinge/src/keeper/ticket.rs
+++ b/daisyhinge/src/keeper/ticket.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 
 use crate::prelude::*;
+use crate::vocabulary::clock::span_to_millis;
+use crate::vocabulary::subrequest::SubRefusal;
 
 /// The few fields of a sub-request that the keeper decides by.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -84,3 +86,24 @@
         }
     }
 }
+
+/// What a root is told of a dispatch that brought no answer. If it `was_probe` without the root's
+/// knowledge, since its keeper knew of a crash, a reset convicts the request.
+pub fn refuse_end(end: RunEnd, was_probe: bool) -> SubRefusal {
+    let refusal = SubRefusal::with_run;
+    match end {
+        RunEnd::NotSent => refusal(ResultCode::SlotsBusy, RunState::NotRun),
+        RunEnd::ConnectFailed => refusal(ResultCode::ConnectFailed, RunState::NotRun),
+        RunEnd::Reset if was_probe => refusal(ResultCode::RequestPoisoned, RunState::Unknown),
+        RunEnd::Reset => refusal(ResultCode::ConnectionReset, RunState::Unknown),
+        RunEnd::Shed { retry } => SubRefusal {
+            retry_ms: span_to_millis(retry),
+            ..refusal(ResultCode::ServerShed, RunState::NotRun)
+        },
+        RunEnd::NotHeld => refusal(ResultCode::SnapshotNotHeld, RunState::NotRun),
+        RunEnd::Failed => refusal(ResultCode::ServerFailed, RunState::Unknown),
+        RunEnd::BadAnswer(code) => refusal(code, RunState::Ran),
+        RunEnd::Expired => refusal(ResultCode::SubRequestExpired, RunState::Unknown),
+        RunEnd::Answered { .. } => refusal(ResultCode::AnswerDamaged, RunState::Ran),
+    }
+}
--- a/daisyhinge/src/shell/entry/keeping/sending.rs
+++ b/daisyhinge/src/shell/entry/keeping/sending.rs
@@ -6,14 +6,13 @@
 use tokio::sync::oneshot;
 
 use crate::keeper::event::KeeperEvent;
-use crate::keeper::ticket::{RunEnd, SubTicket};
+use crate::keeper::ticket::{RunEnd, SubTicket, refuse_end};
 use crate::prelude::*;
 use crate::shell::backend::{BackendReply, send_cancel, send_subrequest};
 use crate::shell::entry::keeping::step_replica;
 use crate::shell::entry::keeping_table::SendTarget;
 use crate::shell::entry::state::EntryState;
 use crate::shell::pool::ServerPool;
-use crate::vocabulary::clock::span_to_millis;
 use crate::vocabulary::subrequest::{SubAnswer, SubAsk, SubRefusal, SubReply};
 
 /// How long the answer to a cancelled dispatch may take after the reply to its cancel.
@@ -86,6 +85,12 @@
         attempt: ask.attempt,
         end: reply.end,
     };
+    let alone = {
+        let keeping = state.keeping.lock();
+        keeping.roster().ran_alone(&ask.replica, ask.attempt)
+    };
+    // The root knows of its own probes.
+    let was_probe = alone && !waiter.ticket.suspect;
     step_replica(state, &ask.replica, event);
     let load = state.keeping.lock().roster().load(&ask.replica);
     let result = match (reply.end, reply.body) {
@@ -97,7 +102,7 @@
         }),
         (end, _) => Err(SubRefusal {
             load,
-            ..refuse_end(end)
+            ..refuse_end(end, was_probe)
         }),
     };
     answer_root(waiter.reply, result);
@@ -109,25 +114,6 @@
     }
 }
 
-/// What a root is told of a dispatch that brought no answer.
-fn refuse_end(end: RunEnd) -> SubRefusal {
-    let refusal = SubRefusal::with_run;
-    match end {
-        RunEnd::NotSent => refusal(ResultCode::SlotsBusy, RunState::NotRun),
-        RunEnd::ConnectFailed => refusal(ResultCode::ConnectFailed, RunState::NotRun),
-        RunEnd::Reset => refusal(ResultCode::ConnectionReset, RunState::Unknown),
-        RunEnd::Shed { retry } => SubRefusal {
-            retry_ms: span_to_millis(retry),
-            ..refusal(ResultCode::ServerShed, RunState::NotRun)
-        },
-        RunEnd::NotHeld => refusal(ResultCode::SnapshotNotHeld, RunState::NotRun),
-        RunEnd::Failed => refusal(ResultCode::ServerFailed, RunState::Unknown),
-        RunEnd::BadAnswer(code) => refusal(code, RunState::Ran),
-        RunEnd::Expired => refusal(ResultCode::SubRequestExpired, RunState::Unknown),
-        RunEnd::Answered { .. } => refusal(ResultCode::AnswerDamaged, RunState::Ran),
-    }
-}
-
 /// Asks the backend server to stop the work of a dispatch.
 ///
 /// A backend server that stops answers the dispatch as well, so its connection is left open for
--- a/daisyhinge/tests/mixed.rs
+++ b/daisyhinge/tests/mixed.rs
@@ -41,6 +41,9 @@
 
 /// Runs in CI.
 const RUNS: u64 = 3;
+/// Seeds that failed once: three crashes by a request that was known to crash servers; the last one
+/// where a keeper ran a probe that its root did not know of.
+const FAILED_ONCE: [u64; 3] = [400_052, 800_036, 920_276];
 
 fn read_number(name: &str, default: u64) -> u64 {
     let text = std::env::var(name).ok();
@@ -52,7 +55,9 @@
     let first = read_number("DAISYHINGE_SEED", 1);
     let count = read_number("DAISYHINGE_MIXED_RUNS", RUNS);
     let mut total = RunCounts::default();
-    for seed in first..first + count {
+    let chosen = std::env::var("DAISYHINGE_SEED").is_ok();
+    let again = FAILED_ONCE.iter().copied().filter(|_| !chosen);
+    for seed in (first..first + count).chain(again) {
         let run = std::panic::catch_unwind(|| World::new(seed).run());
         let counts = run.unwrap_or_else(|_| panic!("mixed run {seed} failed"));
         total.add(&counts);
--- a/daisyhinge/tests/mixed/keeping_side.rs
+++ b/daisyhinge/tests/mixed/keeping_side.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use daisyhinge::keeper::crash::CrashVerdict;
 use daisyhinge::keeper::roster::{RosterAction, RosterEvent};
-use daisyhinge::keeper::ticket::{RunEnd, SubTicket};
+use daisyhinge::keeper::ticket::{RunEnd, SubTicket, refuse_end};
 use daisyhinge::keeper::{KeeperAction, KeeperEvent};
 use daisyhinge::prelude::*;
 use daisyhinge::vocabulary::freshness::RUN_TAIL;
@@ -178,6 +178,8 @@
             self.learn_of_reset(waiter.ticket.digest);
         }
         let replica = waiter.ask.replica.clone();
+        let alone = self.entries[index].roster.ran_alone(&replica, attempt);
+        let was_probe = alone && !waiter.ticket.suspect;
         self.step_replica(index, replica.clone(), KeeperEvent::Ended { attempt, end });
         if self.chance(20) {
             self.step_replica(index, replica.clone(), KeeperEvent::Ended { attempt, end });
@@ -205,7 +207,7 @@
             }),
             (end, _) => Err(SubRefusal {
                 load,
-                ..refuse_end(end)
+                ..refuse_end(end, was_probe)
             }),
         };
         self.answer_root(index, &waiter, reply);
@@ -264,19 +266,3 @@
         );
     }
 }
-
-/// What a root is told of a dispatch that brought no answer, as the shell tells it.
-fn refuse_end(end: RunEnd) -> SubRefusal {
-    let refusal = SubRefusal::with_run;
-    match end {
-        RunEnd::NotSent => refusal(ResultCode::SlotsBusy, RunState::NotRun),
-        RunEnd::ConnectFailed => refusal(ResultCode::ConnectFailed, RunState::NotRun),
-        RunEnd::Reset => refusal(ResultCode::ConnectionReset, RunState::Unknown),
-        RunEnd::Shed { .. } => refusal(ResultCode::ServerShed, RunState::NotRun),
-        RunEnd::NotHeld => refusal(ResultCode::SnapshotNotHeld, RunState::NotRun),
-        RunEnd::Failed => refusal(ResultCode::ServerFailed, RunState::Unknown),
-        RunEnd::BadAnswer(code) => refusal(code, RunState::Ran),
-        RunEnd::Expired => refusal(ResultCode::SubRequestExpired, RunState::Unknown),
-        RunEnd::Answered { .. } => refusal(ResultCode::AnswerDamaged, RunState::Ran),
-    }
-}
