Forget links where an entry is no longer active

Found on reading the diff: an entry that left the active set kept counting far replicas as reached without opening a connection. A test over 76 entries fails before and passes now; no figure was measured, since inactive entries get few requests.

--- a/daisyhinge/src/dispatch/fleet/allotment.rs
+++ b/daisyhinge/src/dispatch/fleet/allotment.rs
@@ -37,6 +37,7 @@
             let state = self.services.get(&replica.record.service);
             let cold_rate = state.and_then(|state| state.cold_per_second);
             replica.connections_kept = 0;
+            replica.linked = false;
             if !is_active {
                 replica.connections_max = 0;
                 replica.cold_rate = cold_rate.map(|_| 0.0);
--- a/daisyhinge/src/dispatch/fleet/replica.rs
+++ b/daisyhinge/src/dispatch/fleet/replica.rs
@@ -182,6 +182,11 @@
         self.nearness != Nearness::OtherRegion
     }
 
+    /// Whether it is reached through a link to an entry beside it.
+    pub fn is_linked(&self) -> bool {
+        self.linked
+    }
+
     /// Connections that are open and not in use.
     pub fn idle(&self) -> usize {
         self.idle
--- a/daisyhinge/tests/dispatch/choice.rs
+++ b/daisyhinge/tests/dispatch/choice.rs
@@ -129,12 +129,9 @@
     }
 }
 
-/// 76 entries, of which 30 are active: all of their open connections take less than half of
-/// what a replica accepts, so that as many find room while those of a former process linger.
-#[test]
-fn open_connections_leave_room_for_as_many() {
-    let mut kept = 0;
-    let entries: Vec<EntryPresence> = (0..76_u8)
+/// 76 entries of three regions.
+fn many_entries() -> Vec<EntryPresence> {
+    (0..76_u8)
         .map(|number| EntryPresence {
             vm: format!("entry-{number}").into(),
             incarnation: 1,
@@ -144,7 +141,38 @@
             stamp: 1,
             holder: 1,
         })
-        .collect();
+        .collect()
+}
+
+/// An entry that callers are no longer sent to drops its links, and must not count on them.
+#[test]
+fn an_entry_that_is_no_longer_active_counts_on_no_link() {
+    let entries = many_entries();
+    let mut changed = 0;
+    for entry in &entries {
+        let mut dispatcher = dispatcher_at(&entry.vm, &entry.data_centre, 70);
+        dispatcher.fleet.take_entries(vec![entry.clone()]);
+        let regions = ["north", "south", "east"].map(RegionName::from);
+        dispatcher.fleet.take_linked(regions.into());
+        let linked = |dispatcher: &Dispatcher| {
+            let mut replicas = dispatcher.fleet.replicas();
+            replicas.any(|(_, replica)| replica.is_linked())
+        };
+        assert!(linked(&dispatcher), "it is active alone");
+        dispatcher.fleet.take_entries(entries.clone());
+        let is_active = !dispatcher.fleet.list_relays().is_empty();
+        assert_eq!(linked(&dispatcher), is_active);
+        changed += u32::from(!is_active);
+    }
+    assert!(changed > 40, "{changed}");
+}
+
+/// 76 entries, of which 21 are active: all of their open connections take less than half of
+/// what a replica accepts, so that as many find room while those of a former process linger.
+#[test]
+fn open_connections_leave_room_for_as_many() {
+    let mut kept = 0;
+    let entries = many_entries();
     for entry in &entries {
         let mut dispatcher = dispatcher_at(&entry.vm, &entry.data_centre, 70);
         dispatcher.fleet.take_entries(entries.clone());
