--- a/daisyhinge/src/dispatch/request.rs
+++ b/daisyhinge/src/dispatch/request.rs
@@ -107,7 +107,7 @@
             .map(|(name, _)| name)
     }
 
-    /// Targets that were late, missing or needed more than one attempt, for the log.
+    /// Targets that are missing or needed more than one attempt, for the log.
     pub fn list_accounts(&self) -> Vec<TargetAccount> {
         let pairs = self.names.iter().zip(&self.targets);
         pairs
--- a/daisyhinge/src/shell/forward/relay.rs
+++ b/daisyhinge/src/shell/forward/relay.rs
@@ -35,7 +35,7 @@
 pub struct RelayReply {
     /// How the attempt ended.
     pub end: AttemptEnd,
-    /// The part, if it was answered.
+    /// The part, if a signed answer came; it counts only if `end` says so.
     pub part: Option<RelayPart>,
 }
 
--- a/daisyhinge/tests/forward.rs
+++ b/daisyhinge/tests/forward.rs
@@ -1,27 +1,26 @@
 //! Answers of replicas that are damaged, foreign or late, over loopback: a caller never gets one as
 //! its own.
 
+#[path = "support/known_replica.rs"]
+mod known_replica;
+
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
-use daisyhinge::dispatch::budget::BudgetLimits;
 use daisyhinge::dispatch::fleet::FleetPlace;
 use daisyhinge::prelude::*;
 use daisyhinge::shell::forward::listen::serve_callers;
 use daisyhinge::shell::forward::state::{ForwardSettings, ForwardState};
-use daisyhinge::shell::forward::wire::HeaderNames;
-use daisyhinge::vocabulary::registration::{ReplicaPhase, ReplicaRecord, SyncReply};
 use daisyhinge::vocabulary::site::{
-    CallerLimits, RouteKind, RouteTarget, SiteConfig, SiteDocument, SiteRoute, SiteService,
-    SiteState, SplitPart,
+    CallerLimits, RouteKind, RouteTarget, SiteConfig, SiteRoute, SiteService, SplitPart,
 };
 use http_body_util::{BodyExt, Full};
-use hyper::header::HeaderName;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use known_replica::{BUDGET, header_names, tell_replica};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
@@ -141,51 +140,12 @@
             data_centre: "a".into(),
             regions: [("a".into(), "north".into())].into(),
         },
-        budget: BudgetLimits {
-            ratio: 0.2,
-            slack: 50.0,
-            window: Duration::from_secs(10),
-        },
-        names: HeaderNames {
-            request_id: HeaderName::from_static("x-id"),
-            deadline: HeaderName::from_static("x-left"),
-            signature: HeaderName::from_static("x-seal"),
-            expected_replica: HeaderName::from_static("x-expect"),
-            not_run: HeaderName::from_static("x-not-run"),
-            part_signatures: HeaderName::from_static("x-seals"),
-            missing_shards: HeaderName::from_static("x-missing"),
-        },
+        budget: BUDGET,
+        names: header_names(),
         decode: read_site,
     });
-    let replica = ReplicaRecord {
-        name: "replica-1".into(),
-        service: "card".into(),
-        address: SocketAddr::new(host, REPLICA_PORT),
-        data_centre: "a".into(),
-        slots: 2,
-        phase: ReplicaPhase::Ready,
-        born_ms: Some(1),
-        sequence: 1,
-        cold_left_ms: 0,
-        holder: 1,
-    };
-    let site = SiteState {
-        revision: 1,
-        document: Some(SiteDocument {
-            version: 1,
-            bytes: Bytes::new(),
-        }),
-        ..SiteState::default()
-    };
-    let reply = SyncReply {
-        epoch: 1,
-        mark: 1,
-        replicas: vec![replica],
-        entries: Vec::new(),
-        site: Some(Arc::new(site)),
-        quorum_age_ms: Some(0),
-        control: Vec::new(),
-    };
+    let replica = SocketAddr::new(host, REPLICA_PORT);
+    let reply = tell_replica(replica, "card", "a", Vec::new());
     state.take_reply(reply, true);
     state
 }
--- a/daisyhinge/tests/relay.rs
+++ b/daisyhinge/tests/relay.rs
@@ -1,11 +1,13 @@
 //! Parts of another region through an entry there, over loopback.
 
+#[path = "support/known_replica.rs"]
+mod known_replica;
+
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use daisyhinge::dispatch::budget::BudgetLimits;
 use daisyhinge::dispatch::fleet::FleetPlace;
 use daisyhinge::prelude::*;
 use daisyhinge::shell::forward::listen::serve_callers;
@@ -13,21 +15,18 @@
 use daisyhinge::shell::forward::relay::link::run_links;
 use daisyhinge::shell::forward::relay::serve::bind_relay;
 use daisyhinge::shell::forward::state::{ForwardSettings, ForwardState};
-use daisyhinge::shell::forward::wire::HeaderNames;
 use daisyhinge::shell::http_port::HttpPort;
 use daisyhinge::shell::http_port::reply::{ReplyBody, reply_text};
-use daisyhinge::vocabulary::registration::{
-    EntryPhase, EntryPresence, ReplicaPhase, ReplicaRecord, SyncReply,
-};
+use daisyhinge::vocabulary::registration::{EntryPhase, EntryPresence};
 use daisyhinge::vocabulary::site::{
-    CallerLimits, GatherPlan, RouteKind, RouteTarget, SiteConfig, SiteDocument, SiteRoute,
-    SiteService, SiteState,
+    CallerLimits, GatherPlan, RouteKind, RouteTarget, SiteConfig, SiteRoute, SiteService,
 };
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, Uri};
 use hyper_util::rt::TokioIo;
+use known_replica::{BUDGET, header_names, tell_replica};
 use parking_lot::Mutex;
 use proptest::prelude::*;
 use tokio::net::{TcpListener, TcpStream};
@@ -44,18 +43,6 @@
     IpAddr::from([127, 62, 0, number])
 }
 
-fn names() -> HeaderNames {
-    HeaderNames {
-        request_id: HeaderName::from_static("x-id"),
-        deadline: HeaderName::from_static("x-left"),
-        signature: HeaderName::from_static("x-seal"),
-        expected_replica: HeaderName::from_static("x-expect"),
-        not_run: HeaderName::from_static("x-not-run"),
-        part_signatures: HeaderName::from_static("x-seals"),
-        missing_shards: HeaderName::from_static("x-missing"),
-    }
-}
-
 #[expect(clippy::unnecessary_wraps, reason = "a decoder may refuse")]
 fn read_site(_: &[u8]) -> Result<SiteConfig, ResultCode> {
     let shard = ServiceName::from("shard");
@@ -110,43 +97,13 @@
                 .map(|(centre, region)| (centre.into(), region.into()))
                 .into(),
         },
-        budget: BudgetLimits {
-            ratio: 0.2,
-            slack: 50.0,
-            window: Duration::from_secs(10),
-        },
-        names: names(),
+        budget: BUDGET,
+        names: header_names(),
         decode: read_site,
     });
-    let replica = ReplicaRecord {
-        name: "replica-1".into(),
-        service: "shard".into(),
-        address: SocketAddr::new(host(9), REPLICA_PORT),
-        data_centre: "b".into(),
-        slots: 2,
-        phase: ReplicaPhase::Ready,
-        born_ms: Some(1),
-        sequence: 1,
-        cold_left_ms: 0,
-        holder: 1,
-    };
-    let site = SiteState {
-        revision: 1,
-        document: Some(SiteDocument {
-            version: 1,
-            bytes: Bytes::new(),
-        }),
-        ..SiteState::default()
-    };
-    let reply = SyncReply {
-        epoch: 1,
-        mark: 1,
-        replicas: vec![replica],
-        entries: vec![presence(1, "a"), presence(2, "b")],
-        site: Some(Arc::new(site)),
-        quorum_age_ms: Some(0),
-        control: Vec::new(),
-    };
+    let replica = SocketAddr::new(host(9), REPLICA_PORT);
+    let entries = vec![presence(1, "a"), presence(2, "b")];
+    let reply = tell_replica(replica, "shard", "b", entries);
     state.take_reply(reply, true);
     state
 }
--- /dev/null
+++ b/daisyhinge/tests/support/known_replica.rs
@@ -0,0 +1,68 @@
+//! What an entry that forwards requests is told in tests: header names, one replica, one state.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use daisyhinge::dispatch::budget::BudgetLimits;
+use daisyhinge::shell::forward::wire::HeaderNames;
+use daisyhinge::vocabulary::registration::{EntryPresence, ReplicaPhase, ReplicaRecord, SyncReply};
+use daisyhinge::vocabulary::site::{SiteDocument, SiteState};
+use hyper::header::HeaderName;
+
+pub const BUDGET: BudgetLimits = BudgetLimits {
+    ratio: 0.2,
+    slack: 50.0,
+    window: Duration::from_secs(10),
+};
+
+pub fn header_names() -> HeaderNames {
+    HeaderNames {
+        request_id: HeaderName::from_static("x-id"),
+        deadline: HeaderName::from_static("x-left"),
+        signature: HeaderName::from_static("x-seal"),
+        expected_replica: HeaderName::from_static("x-expect"),
+        not_run: HeaderName::from_static("x-not-run"),
+        part_signatures: HeaderName::from_static("x-seals"),
+        missing_shards: HeaderName::from_static("x-missing"),
+    }
+}
+
+/// A state with one replica, `replica-1`, of a service at a data centre.
+pub fn tell_replica(
+    address: SocketAddr,
+    service: &str,
+    centre: &str,
+    entries: Vec<EntryPresence>,
+) -> SyncReply {
+    let replica = ReplicaRecord {
+        name: "replica-1".into(),
+        service: service.into(),
+        address,
+        data_centre: centre.into(),
+        slots: 2,
+        phase: ReplicaPhase::Ready,
+        born_ms: Some(1),
+        sequence: 1,
+        cold_left_ms: 0,
+        holder: 1,
+    };
+    let site = SiteState {
+        revision: 1,
+        document: Some(SiteDocument {
+            version: 1,
+            bytes: Bytes::new(),
+        }),
+        ..SiteState::default()
+    };
+    SyncReply {
+        epoch: 1,
+        mark: 1,
+        replicas: vec![replica],
+        entries,
+        site: Some(Arc::new(site)),
+        quorum_age_ms: Some(0),
+        control: Vec::new(),
+    }
+}
