Answer connections that wait to be accepted when an entry stops

The entry's port was closed in the same step in which the word to stop came; connections that the kernel had taken and the entry had not were reset with it. The test met this when its 10 ms of waiting were over before the entry had run, so it was no matter of load alone: callers meet it too. Ruled out: a port taken by another test (each stand has its own address). Before: a new test with 8 connections that wait at the stop fails each time (reset). The older test now waits until the replica has the request, and looks for the closed port once serving has ended, since closing comes up to 50 ms after the word to stop. HttpPort of control and directory closes as before.

--- a/daisyhinge/tests/forward.rs
+++ b/daisyhinge/tests/forward.rs
@@ -23,6 +23,7 @@
 use known_replica::{BUDGET, header_names, tell_replica};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
 const CALLER_PORT: u16 = 27_852;
@@ -152,7 +153,11 @@
 
 async fn ask(host: IpAddr, id: &str) -> Response<Bytes> {
     let stream = TcpStream::connect(SocketAddr::new(host, CALLER_PORT)).await;
-    let stream = TokioIo::new(stream.expect("it listens"));
+    ask_on(stream.expect("it listens"), id).await
+}
+
+async fn ask_on(stream: TcpStream, id: &str) -> Response<Bytes> {
+    let stream = TokioIo::new(stream);
     let (mut sender, connection) = hyper::client::conn::http1::handshake(stream)
         .await
         .expect("a connection");
@@ -174,6 +179,7 @@
     host: IpAddr,
     seen: Arc<SeenConnections>,
     stop: CancellationToken,
+    serving: JoinHandle<Result<(), ResultCode>>,
 }
 
 async fn open_stand(number: u8, script: AnswerScript) -> Stand {
@@ -186,11 +192,16 @@
     let address = SocketAddr::new(host, CALLER_PORT);
     let stop = CancellationToken::new();
     let serving = serve_callers(state, address, stop.clone(), Duration::from_secs(1));
-    tokio::spawn(serving);
+    let serving = tokio::spawn(serving);
     while TcpStream::connect(address).await.is_err() {
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
-    Stand { host, seen, stop }
+    Stand {
+        host,
+        seen,
+        stop,
+        serving,
+    }
 }
 
 /// Two requests, one after the other. Returns their answers and the connections that the replica
@@ -335,13 +346,44 @@
     };
     let stand = open_stand(11, late).await;
     let asking = tokio::spawn(ask(stand.host, "id-1"));
-    tokio::time::sleep(Duration::from_millis(10)).await;
+    while stand.seen.opened.load(Ordering::Relaxed) == 0 {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
     stand.stop.cancel();
     let answer = asking.await.expect("it ends");
     assert_eq!(
         (answer.status().as_u16(), &**answer.body()),
         (200, &b"label"[..])
     );
+    stand
+        .serving
+        .await
+        .expect("it ends")
+        .expect("it has stopped");
     let refused = TcpStream::connect(SocketAddr::new(stand.host, CALLER_PORT)).await;
     assert!(refused.is_err(), "it takes no more connections");
 }
+
+/// Callers whose connections the kernel has taken, but not yet the entry, when it is told to stop.
+#[tokio::test]
+async fn connections_that_wait_at_the_stop_are_answered() {
+    let script = |id: &str| ReplicaAnswer {
+        bytes: whole(id, "label"),
+        then: AfterAnswer::Stay,
+    };
+    let stand = open_stand(12, script).await;
+    let address = SocketAddr::new(stand.host, CALLER_PORT);
+    // No task of the entry runs between these lines.
+    let connect = |_| std::net::TcpStream::connect(address).expect("it listens");
+    let streams: Vec<_> = (0..8).map(connect).collect();
+    stand.stop.cancel();
+    let mut asking = tokio::task::JoinSet::new();
+    for (number, stream) in streams.into_iter().enumerate() {
+        stream.set_nonblocking(true).expect("a socket");
+        let stream = TcpStream::from_std(stream).expect("a socket");
+        asking.spawn(async move { ask_on(stream, &format!("id-{number}")).await });
+    }
+    for answer in asking.join_all().await {
+        assert_eq!(answer.status(), 200);
+    }
+}
