Follow the nearest control process, and go back to it

Entries preferred a control process only if the first two octets of its address were theirs, else any, and never went back: after a start from three seeds and after control had been killed, half of them followed another region. Ruled out: direct requests to replicas of other regions (1.6 MB). Change: control processes tell their data centres; an entry prefers its data centre, then its region, and probes a nearer one after 1.5 s without giving up the one it follows. The guess from addresses is gone.

--- a/daisyhinge/src/dispatch/fleet.rs
+++ b/daisyhinge/src/dispatch/fleet.rs
@@ -40,7 +40,8 @@
         self.regions.get(centre)
     }
 
-    fn nearness_of(&self, centre: &CentreName) -> Nearness {
+    /// How far a data centre is.
+    pub fn nearness_of(&self, centre: &CentreName) -> Nearness {
         if *centre == self.data_centre {
             Nearness::SameCentre
         } else if self.region_of(centre) == self.region_of(&self.data_centre) {
--- a/daisyhinge/src/lib.rs
+++ b/daisyhinge/src/lib.rs
@@ -23,4 +23,5 @@
 pub mod setting;
 pub mod shell;
 pub mod timeline;
+pub mod upstream;
 pub mod vocabulary;
--- a/daisyhinge/src/shell/site/follow.rs
+++ b/daisyhinge/src/shell/site/follow.rs
@@ -1,14 +1,17 @@
 //! The entry's side: follows the nearest control process that a quorum stands behind.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use futures::future::{BoxFuture, Fuse, FusedFuture};
+use futures::{FutureExt, future};
 use tokio::sync::watch;
 
 use super::{SiteLinkClient, call_context, connect_site};
-use crate::prelude::*;
+use crate::dispatch::fleet::FleetPlace;
+use crate::shell::clock::ProcessClock;
+use crate::upstream::ControlList;
 use crate::vocabulary::registration::{EntryPhase, SyncAsk, SyncCaller, SyncReply};
 
 /// Longest wait for something new.
@@ -21,22 +24,16 @@
 const QUORUM_AGE_MAX: Duration = Duration::from_millis(1_500);
 /// Time for which a control process is followed that has not seen a quorum since it started.
 const START_SPAN: Duration = Duration::from_millis(1_200);
-/// Control processes that are remembered.
-const ADDRESSES_MAX: usize = 256;
 
 /// Who follows, and where control processes are.
 #[derive(Clone, Debug)]
 pub struct FollowSettings {
-    /// The entry's VM.
-    pub vm: VmName,
-    /// Its data centre.
-    pub data_centre: CentreName,
+    /// Where the entry is.
+    pub place: FleetPlace,
     /// Where callers connect to it.
     pub address: SocketAddr,
     /// Control processes that are known at the start, as followers connect to them.
     pub seeds: Vec<SocketAddr>,
-    /// Orders control processes: those of a lower rank are preferred.
-    pub rank: fn(&SocketAddr, &SocketAddr) -> u8,
 }
 
 /// Takes what is told; the flag says whether a quorum stands behind it.
@@ -45,122 +42,193 @@
 /// Tells of the link to control: gained or lost, with the address.
 pub type LinkSink = Arc<dyn Fn(SocketAddr, bool) + Send + Sync>;
 
+/// A connection to a control process.
+struct ControlLink {
+    address: SocketAddr,
+    client: SiteLinkClient,
+    opened: Instant,
+}
+
+/// A nearer control process on its way to be followed; unset if it does not serve.
+type NearerProbe = Fuse<BoxFuture<'static, Option<ControlLink>>>;
+
+/// What happened while a question was open.
+enum FollowEvent {
+    Reply(Option<SyncReply>),
+    PhaseChanged,
+    Closed,
+    Probed(Option<ControlLink>),
+}
+
 /// What the follower knows of control processes.
-struct FollowState {
+struct ControlFollower {
     settings: FollowSettings,
+    clock: ProcessClock,
     incarnation: u64,
-    /// Known control processes, with how often each was left since it last served.
-    addresses: BTreeMap<SocketAddr, u32>,
+    list: ControlList,
     epoch: u64,
     mark: u64,
     revision: u64,
+    sink: ReplySink,
+    link: LinkSink,
 }
 
-/// Follows until it is dropped. `phases` says whether the entry takes requests.
+/// Follows until it is dropped or `phases` ends. `phases` says whether the entry takes requests.
 pub async fn run_following(
     settings: FollowSettings,
     mut phases: watch::Receiver<EntryPhase>,
     sink: ReplySink,
     link: LinkSink,
 ) {
-    let addresses = settings.seeds.iter().map(|seed| (*seed, 0)).collect();
-    let mut state = FollowState {
+    let incarnation = rand::random();
+    let list = ControlList::open(settings.place.clone(), settings.seeds.clone(), incarnation);
+    let mut follower = ControlFollower {
         settings,
-        incarnation: rand::random(),
-        addresses,
+        clock: ProcessClock::open(),
+        incarnation,
+        list,
         epoch: 0,
         mark: 0,
         revision: 0,
+        sink,
+        link,
     };
-    loop {
-        let Some(address) = state.next_address() else {
-            return;
+    while let Some(address) = follower.list.next_address() {
+        let left = match open_link(address).await {
+            Some(opened) => follower.follow_link(opened, &mut phases).await,
+            None => address,
         };
-        if let Some(client) = connect_site(address).await {
-            link(address, true);
-            state
-                .follow_connection(address, &client, &mut phases, &sink)
-                .await;
-            link(address, false);
+        if phases.has_changed().is_err() {
+            return;
         }
-        let left = state.addresses.entry(address).or_default();
-        *left += 1;
-        let all_left = state.addresses.values().all(|left| *left > 0);
-        if all_left {
+        if follower.list.note_left(left) {
             tokio::time::sleep(RETRY_SPAN).await;
-            state.addresses.values_mut().for_each(|left| *left -= 1);
         }
     }
 }
 
-impl FollowState {
-    /// The control process that was left least often, and of these the nearest.
-    fn next_address(&self) -> Option<SocketAddr> {
-        let settings = &self.settings;
-        let rank = |address: &SocketAddr| (settings.rank)(&settings.address, address);
-        let order = |(address, left): &(&SocketAddr, &u32)| {
-            let spread = self.incarnation ^ u64::from(hash_octets(address));
-            (**left, rank(address), spread)
-        };
-        let best = self.addresses.iter().min_by_key(order);
-        best.map(|(address, _)| *address)
-    }
+async fn open_link(address: SocketAddr) -> Option<ControlLink> {
+    let client = connect_site(address).await?;
+    Some(ControlLink {
+        address,
+        client,
+        opened: Instant::now(),
+    })
+}
+
+/// Connects to a control process and asks whether it serves.
+async fn probe_control(address: SocketAddr) -> Option<ControlLink> {
+    let link = open_link(address).await?;
+    let ask = SyncAsk {
+        caller: SyncCaller::Probe,
+        epoch: 0,
+        mark: 0,
+        revision: 0,
+        wait_ms: 0,
+    };
+    let reply = link.client.sync(call_context(ANSWER_SPAN), ask).await;
+    reply.ok().filter(is_fresh).map(|_| link)
+}
 
-    async fn follow_connection(
+/// Whether a quorum confirmed lately what a control process tells.
+fn is_fresh(reply: &SyncReply) -> bool {
+    let age = reply.quorum_age_ms.map(Duration::from_millis);
+    age.is_some_and(|age| age < QUORUM_AGE_MAX)
+}
+
+impl ControlFollower {
+    /// Follows one control process, or nearer ones as they turn up, until it does not serve.
+    /// Returns the address that was followed last.
+    async fn follow_link(
         &mut self,
-        address: SocketAddr,
-        client: &SiteLinkClient,
+        mut held: ControlLink,
         phases: &mut watch::Receiver<EntryPhase>,
-        sink: &ReplySink,
-    ) {
-        let mut first = true;
-        let opened = Instant::now();
+    ) -> SocketAddr {
+        self.begin(&held);
+        let mut probe = Fuse::terminated();
+        let mut wait = Duration::ZERO;
         loop {
-            let phase = *phases.borrow_and_update();
-            let wait = if first { Duration::ZERO } else { WAIT_SPAN };
-            let ask = self.ask(phase, wait);
-            let call = client.sync(call_context(wait + ANSWER_SPAN), ask);
-            let reply = tokio::select! {
-                reply = call => reply,
-                // What changed here is told at once.
-                changed = phases.changed() => {
-                    if changed.is_err() {
-                        return;
+            self.look_nearer(&mut probe);
+            match self.wait_event(&held, wait, phases, &mut probe).await {
+                FollowEvent::Reply(Some(reply)) => {
+                    wait = WAIT_SPAN;
+                    let fresh = is_fresh(&reply);
+                    let starting = reply.quorum_age_ms.is_none();
+                    self.take_reply(reply, fresh);
+                    if !fresh && starting && held.opened.elapsed() < START_SPAN {
+                        // All of them may have just started: going from one to the next would
+                        // only keep them from finding a leader.
+                        tokio::time::sleep(RETRY_SPAN).await;
+                        wait = Duration::ZERO;
+                    } else if !fresh {
+                        break;
                     }
-                    first = true;
-                    continue;
                 }
-            };
-            let Ok(reply) = reply else {
-                return;
-            };
-            first = false;
-            let fresh = reply
-                .quorum_age_ms
-                .is_some_and(|age| Duration::from_millis(age) < QUORUM_AGE_MAX);
-            let starting = reply.quorum_age_ms.is_none();
-            self.note_reply(&reply, address.port());
-            sink(reply, fresh);
-            if fresh {
-                self.addresses.insert(address, 0);
-            } else if starting && opened.elapsed() < START_SPAN {
-                // All of them may have just started: going from one to the next would only keep
-                // them from finding a leader.
-                tokio::time::sleep(RETRY_SPAN).await;
-                first = true;
+                FollowEvent::Reply(None) | FollowEvent::Closed => break,
+                // What changed here is told at once.
+                FollowEvent::PhaseChanged => wait = Duration::ZERO,
+                FollowEvent::Probed(None) => {}
+                FollowEvent::Probed(Some(nearer)) => {
+                    (self.link)(held.address, false);
+                    held = nearer;
+                    self.begin(&held);
+                    wait = Duration::ZERO;
+                }
+            }
+        }
+        (self.link)(held.address, false);
+        held.address
+    }
+
+    fn begin(&mut self, held: &ControlLink) {
+        (self.link)(held.address, true);
+        self.list.note_followed(held.address);
+    }
+
+    /// Starts to try a nearer control process, unless one is being tried.
+    fn look_nearer(&mut self, probe: &mut NearerProbe) {
+        if !probe.is_terminated() {
+            return;
+        }
+        if let Some(address) = self.list.find_nearer(self.clock.now()) {
+            *probe = probe_control(address).boxed().fuse();
+        }
+    }
+
+    async fn wait_event(
+        &self,
+        held: &ControlLink,
+        wait: Duration,
+        phases: &mut watch::Receiver<EntryPhase>,
+        probe: &mut NearerProbe,
+    ) -> FollowEvent {
+        let phase = *phases.borrow_and_update();
+        let ask = self.ask(phase, wait);
+        let call = held.client.sync(call_context(wait + ANSWER_SPAN), ask);
+        let probed = async {
+            if probe.is_terminated() {
+                future::pending().await
             } else {
-                return;
+                probe.await
             }
+        };
+        tokio::select! {
+            reply = call => FollowEvent::Reply(reply.ok()),
+            changed = phases.changed() => match changed {
+                Ok(()) => FollowEvent::PhaseChanged,
+                Err(_closed) => FollowEvent::Closed,
+            },
+            nearer = probed => FollowEvent::Probed(nearer),
         }
     }
 
     fn ask(&self, phase: EntryPhase, wait: Duration) -> SyncAsk {
         SyncAsk {
             caller: SyncCaller::Entry {
-                vm: self.settings.vm.clone(),
+                vm: self.settings.place.vm.clone(),
                 incarnation: self.incarnation,
                 address: self.settings.address,
-                data_centre: self.settings.data_centre.clone(),
+                data_centre: self.settings.place.data_centre.clone(),
                 phase,
             },
             epoch: self.epoch,
@@ -170,32 +238,16 @@
         }
     }
 
-    fn note_reply(&mut self, reply: &SyncReply, port: u16) {
+    fn take_reply(&mut self, reply: SyncReply, fresh: bool) {
         self.epoch = reply.epoch;
         self.mark = reply.mark;
         if let Some(site) = &reply.site {
             self.revision = self.revision.max(site.revision);
         }
-        let listed: Vec<SocketAddr> = reply
-            .control
-            .iter()
-            .map(|address| SocketAddr::new(address.ip(), port))
-            .collect();
-        if !listed.is_empty() {
-            let seeds = &self.settings.seeds;
-            self.addresses
-                .retain(|address, _| listed.contains(address) || seeds.contains(address));
-        }
-        for address in listed.into_iter().take(ADDRESSES_MAX) {
-            self.addresses.entry(address).or_default();
+        self.list.take_listed(&reply.control);
+        if fresh {
+            self.list.note_served(self.clock.now());
         }
-    }
-}
-
-/// Spreads followers over control processes of the same rank.
-fn hash_octets(address: &SocketAddr) -> u32 {
-    match address {
-        SocketAddr::V4(address) => u32::from(*address.ip()).wrapping_mul(0x9e37_79b9),
-        SocketAddr::V6(address) => u32::from(address.port()),
+        (self.sink)(reply, fresh);
     }
 }
--- a/daisyhinge/src/shell/site/gossip.rs
+++ b/daisyhinge/src/shell/site/gossip.rs
@@ -18,7 +18,8 @@
 const RETRY_SPAN: Duration = Duration::from_millis(200);
 
 /// Follows every other member of control, as members come and go.
-pub(super) async fn run_gossip(keeper: SiteKeeper, own: SocketAddr) {
+pub(super) async fn run_gossip(keeper: SiteKeeper) {
+    let own = keeper.place().address;
     let mut members = keeper.shell().board().members.subscribe();
     let mut following: BTreeMap<SocketAddr, JoinHandle<()>> = BTreeMap::new();
     loop {
@@ -35,6 +36,7 @@
             }
             stays
         });
+        keeper.keep_centres(&listed);
         for address in listed {
             following
                 .entry(address)
@@ -51,7 +53,8 @@
     let mut mark = 0;
     loop {
         if let Some(client) = connect_site(address).await {
-            follow_connection(&keeper, &client, &mut epoch, &mut mark).await;
+            let member = (address, &client);
+            follow_connection(&keeper, member, &mut epoch, &mut mark).await;
         }
         tokio::time::sleep(RETRY_SPAN).await;
     }
@@ -59,7 +62,7 @@
 
 async fn follow_connection(
     keeper: &SiteKeeper,
-    client: &SiteLinkClient,
+    (address, client): (SocketAddr, &SiteLinkClient),
     epoch: &mut u64,
     mark: &mut u64,
 ) {
@@ -77,6 +80,7 @@
         };
         *epoch = reply.epoch;
         *mark = reply.mark;
+        keeper.note_centre(address, reply.data_centre);
         keeper.update(|now, registry| {
             registry.note_holder(now, reply.epoch);
             for record in reply.replicas {
--- a/daisyhinge/src/shell/site/serve.rs
+++ b/daisyhinge/src/shell/site/serve.rs
@@ -1,5 +1,6 @@
 //! The control process's side: the registry, and the answers to those who follow.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -20,7 +21,7 @@
 use crate::shell::control::ControlShell;
 use crate::vocabulary::clock::span_to_millis;
 use crate::vocabulary::registration::{
-    EntryPresence, ReplicaRecord, SyncAsk, SyncCaller, SyncReply,
+    ControlPlace, EntryPresence, ReplicaRecord, SyncAsk, SyncCaller, SyncReply,
 };
 use crate::vocabulary::site::SiteState;
 
@@ -35,11 +36,23 @@
 /// Longest wait that a caller may ask for.
 const WAIT_MAX: Duration = Duration::from_secs(5);
 
+/// Where a control process is.
+#[derive(Clone, Debug)]
+pub struct KeeperPlace {
+    /// Where followers connect to it.
+    pub address: SocketAddr,
+    /// Its data centre.
+    pub data_centre: CentreName,
+}
+
 /// The registry of a control process; clones share it.
 #[derive(Clone, Debug)]
 pub struct SiteKeeper {
     shell: ControlShell,
+    place: KeeperPlace,
     registry: Arc<Mutex<ServerRegistry>>,
+    /// Data centres of the control processes that have told theirs, by address.
+    centres: Arc<Mutex<BTreeMap<SocketAddr, CentreName>>>,
     /// The registry's newest mark.
     mark: Arc<watch::Sender<u64>>,
     /// The state that entries are told.
@@ -47,23 +60,26 @@
 }
 
 impl SiteKeeper {
-    /// Serves followers on `address` and follows the other control processes, which listen on
+    /// Serves followers at `place` and follows the other control processes, which listen on
     /// the same port. Needs a tokio runtime.
     ///
     /// # Errors
     /// [`ResultCode::BindFailed`] if the address cannot be had.
     pub async fn spawn(
         shell: ControlShell,
-        address: SocketAddr,
+        place: KeeperPlace,
         beat_span: Duration,
     ) -> Result<Self, ResultCode> {
-        let listener = TcpListener::bind(address)
+        let listener = TcpListener::bind(place.address)
             .await
             .map_err(|_error| ResultCode::BindFailed)?;
         let registry = ServerRegistry::open(rand::random(), beat_span);
+        let centres = BTreeMap::from([(place.address, place.data_centre.clone())]);
         let keeper = Self {
             shell,
+            place,
             registry: Arc::new(Mutex::new(registry)),
+            centres: Arc::new(Mutex::new(centres)),
             mark: Arc::new(watch::Sender::new(0)),
             told: Arc::new(watch::Sender::new(Arc::default())),
         };
@@ -72,7 +88,7 @@
         tokio::spawn(async move { tell_states(states, &told, TELL_SPAN).await });
         tokio::spawn(run_server(keeper.clone(), listener));
         tokio::spawn(run_expiry(keeper.clone()));
-        tokio::spawn(super::gossip::run_gossip(keeper.clone(), address));
+        tokio::spawn(super::gossip::run_gossip(keeper.clone()));
         Ok(keeper)
     }
 
@@ -81,6 +97,37 @@
         &self.shell
     }
 
+    /// Where this process is.
+    pub(super) fn place(&self) -> &KeeperPlace {
+        &self.place
+    }
+
+    /// Notes the data centre of another control process.
+    pub(super) fn note_centre(&self, address: SocketAddr, centre: CentreName) {
+        self.centres.lock().insert(address, centre);
+    }
+
+    /// Forgets the data centres of all but `members` and of this process.
+    pub(super) fn keep_centres(&self, members: &[SocketAddr]) {
+        let own = self.place.address;
+        let kept = |address: &SocketAddr| *address == own || members.contains(address);
+        self.centres.lock().retain(|address, _| kept(address));
+    }
+
+    /// The members of control, as followers reach them.
+    fn list_control(&self) -> Vec<ControlPlace> {
+        let members = self.shell.board().members.borrow().clone();
+        let centres = self.centres.lock();
+        let place = |member: SocketAddr| {
+            let address = SocketAddr::new(member.ip(), self.place.address.port());
+            ControlPlace {
+                address,
+                data_centre: centres.get(&address).cloned(),
+            }
+        };
+        members.into_iter().map(place).collect()
+    }
+
     fn now(&self) -> MonotonicTime {
         self.shell.clock().now()
     }
@@ -145,7 +192,24 @@
         self.update(|now, registry| registry.take_entry(now, presence));
     }
 
+    /// An answer that tells only of this process.
+    fn answer_probe(&self) -> SyncReply {
+        SyncReply {
+            epoch: self.epoch(),
+            mark: 0,
+            replicas: Vec::new(),
+            entries: Vec::new(),
+            site: None,
+            quorum_age_ms: self.shell.quorum_age().map(span_to_millis),
+            data_centre: self.place.data_centre.clone(),
+            control: Vec::new(),
+        }
+    }
+
     async fn answer(&self, ask: SyncAsk) -> SyncReply {
+        if ask.caller == SyncCaller::Probe {
+            return self.answer_probe();
+        }
         let is_entry = matches!(ask.caller, SyncCaller::Entry { .. });
         self.note_caller(ask.caller);
         let mark = if ask.epoch == self.epoch() {
@@ -167,7 +231,7 @@
         let _: Result<(), _> = tokio::time::timeout(wait, changed).await;
         let site = Arc::clone(&self.told.borrow());
         let now = self.now();
-        let control = self.shell.board().members.borrow().clone();
+        let control = self.list_control();
         let registry = self.registry.lock();
         SyncReply {
             epoch: registry.epoch(),
@@ -176,6 +240,7 @@
             entries: registry.entries_after(mark),
             site: newer(&site).then_some(site),
             quorum_age_ms: self.shell.quorum_age().map(span_to_millis),
+            data_centre: self.place.data_centre.clone(),
             control,
         }
     }
--- a/daisyhinge/src/vocabulary/registration.rs
+++ b/daisyhinge/src/vocabulary/registration.rs
@@ -80,6 +80,15 @@
     pub holder: u64,
 }
 
+/// Where a control process is.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ControlPlace {
+    /// Where followers reach it.
+    pub address: SocketAddr,
+    /// Its data centre, if it has told.
+    pub data_centre: Option<CentreName>,
+}
+
 /// Who asks for the state.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum SyncCaller {
@@ -98,6 +107,9 @@
     },
     /// Another control process.
     Control,
+    /// An entry that follows another process and wants to know whether this one serves; it is told
+    /// nothing else.
+    Probe,
 }
 
 /// Asks for what changed; answered as soon as there is something.
@@ -130,6 +142,8 @@
     pub site: Option<Arc<crate::vocabulary::site::SiteState>>,
     /// How long ago a quorum of control is known to have confirmed this state, in milliseconds.
     pub quorum_age_ms: Option<u64>,
+    /// Data centre of the answering process.
+    pub data_centre: CentreName,
     /// Where control processes are reached.
-    pub control: Vec<SocketAddr>,
+    pub control: Vec<ControlPlace>,
 }
--- a/daisyhinge/tests/support/known_replica.rs
+++ b/daisyhinge/tests/support/known_replica.rs
@@ -63,6 +63,7 @@
         entries,
         site: Some(Arc::new(site)),
         quorum_age_ms: Some(0),
+        data_centre: centre.into(),
         control: Vec::new(),
     }
 }
