Hold the first election after a start in the order of identities

Cause: after a final fault all control processes start within some ms. Nine timers drawn from 200 ms fall within the 120 ms that a first round of pre-votes takes, so that several voters become candidates and split the votes; the next try came 500 to 1,000 ms later. Besides, connecting to a VM without power hung for 500 ms, and entries stayed 1.2 s with a control process whose disk was lost. Change: a voter stands by its place in the order of identities, asks again after 150 ms while no leader is known (at most 2 s from its start), and of two that ask at once the later one withdraws; connections are opened before the first message, 200 ms at most; an entry leaves a control process that knows no members after 300 ms, and asks a starting one each 40 ms. Pre-votes bind nobody, so safety is as before. Before: test of nine voters that start together, 200 seeds: slowest 899 ms, fails its bound of 500. After: slowest 243 ms; started over half a second 310 ms from when a quorum is there.

--- a/daisyhinge/src/control/voter.rs
+++ b/daisyhinge/src/control/voter.rs
@@ -31,9 +31,6 @@
 pub const HEARTBEAT_SPAN: Duration = Duration::from_millis(100);
 /// Shortest silence after which a voter stands for election; the longest is twice that.
 pub const ELECTION_SPAN: Duration = Duration::from_millis(500);
-/// Shortest silence after its start after which a voter stands; the longest is twice that. A
-/// leader that is there is heard of sooner.
-pub const FIRST_ELECTION_SPAN: Duration = Duration::from_millis(200);
 /// Silence of a quorum after which a leader steps down.
 pub const STEP_DOWN_SPAN: Duration = Duration::from_millis(900);
 /// Largest snapshot that is accepted, in bytes.
@@ -78,6 +75,9 @@
     /// When the leader was last heard of.
     leader_heard: Option<MonotonicTime>,
     election_at: MonotonicTime,
+    /// Until when it takes part in the first election after its start; unset once a leader was
+    /// heard of.
+    starting_until: Option<MonotonicTime>,
     commit: u64,
     applied: u64,
     /// Last entry that agrees with the leader of the current term.
@@ -130,6 +130,7 @@
             leader_operator: None,
             leader_heard: None,
             election_at: now,
+            starting_until: None,
             commit: snapshot_index,
             applied: snapshot_index,
             verified: 0,
@@ -145,7 +146,7 @@
             incoming: None,
             rng,
         };
-        machine.start_election_timer(now, FIRST_ELECTION_SPAN);
+        machine.begin_first_election(now);
         machine
     }
 
--- a/daisyhinge/src/control/voter/election.rs
+++ b/daisyhinge/src/control/voter/election.rs
@@ -1,4 +1,9 @@
 //! Elections of a voter.
+//!
+//! After a loss of power all voters start at nearly the same moment, and nobody is served before
+//! they have a leader. In this first election they therefore stand one after the other in the
+//! order of their identities, ask again soon, and of two that ask at the same time the later one
+//! in that order withdraws. Pre-votes bind nobody, so this only decides who asks.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -10,17 +15,64 @@
 use crate::control::message::{LogEnd, VoterBody};
 use crate::prelude::*;
 
+/// Time after its start before the first voter in the order stands: the others start as well.
+const FIRST_WAIT: Duration = Duration::from_millis(60);
+/// Time between one voter's first standing and that of the next in the order.
+const FIRST_STEP: Duration = Duration::from_millis(30);
+/// Longest time that is added to either at random.
+const FIRST_JITTER_MS: u64 = 15;
+/// Time after which a voter stands again in the first election, or stands after it has granted a
+/// pre-vote.
+const FIRST_RETRY_SPAN: Duration = Duration::from_millis(150);
+/// Longest time that counts as the first election.
+const FIRST_ELECTION_MAX: Duration = Duration::from_secs(2);
+
 impl VoterMachine {
     pub(super) fn restart_election_timer(&mut self, now: MonotonicTime) {
-        self.start_election_timer(now, ELECTION_SPAN);
-    }
-
-    pub(super) fn start_election_timer(&mut self, now: MonotonicTime, span: Duration) {
-        let span_ms = u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
+        if self.is_starting(now) {
+            self.wait_first(now, FIRST_RETRY_SPAN);
+            return;
+        }
+        let span_ms = u64::try_from(ELECTION_SPAN.as_millis()).unwrap_or(u64::MAX);
         let wait_ms = self.rng.random_range(span_ms..2 * span_ms);
         self.election_at = now + Duration::from_millis(wait_ms);
     }
 
+    /// Sets when it stands for the first time after its start.
+    pub(super) fn begin_first_election(&mut self, now: MonotonicTime) {
+        self.starting_until = Some(now + FIRST_ELECTION_MAX);
+        self.wait_first(now, FIRST_WAIT);
+    }
+
+    /// Stands after `span` and its place in the order, unless a leader is heard of.
+    fn wait_first(&mut self, now: MonotonicTime, span: Duration) {
+        let voters = self.voters().voters();
+        let before = voters.filter(|member| member.id < self.id).count();
+        let before = u32::try_from(before).unwrap_or(u32::MAX);
+        let jitter = Duration::from_millis(self.rng.random_range(0..FIRST_JITTER_MS));
+        self.election_at = now + span + FIRST_STEP.saturating_mul(before) + jitter;
+    }
+
+    /// Whether no leader was heard of since its start, which was not long ago.
+    fn is_starting(&self, now: MonotonicTime) -> bool {
+        !self.is_leader() && self.starting_until.is_some_and(|until| now < until)
+    }
+
+    /// Whether it asks for pre-votes in the first election and goes before `other`, whose log ends
+    /// at `end`.
+    fn goes_before(&self, now: MonotonicTime, other: &VoterId, end: LogEnd) -> bool {
+        let asking = matches!(self.role, VoterRole::PreCandidate(_));
+        asking && self.is_starting(now) && self.id < *other && end <= self.log_end()
+    }
+
+    /// Leaves the first election to another one, for a while.
+    fn yield_first(&mut self, now: MonotonicTime) {
+        if self.is_starting(now) && !matches!(self.role, VoterRole::Candidate(_)) {
+            self.role = VoterRole::Follower;
+            self.wait_first(now, FIRST_RETRY_SPAN);
+        }
+    }
+
     /// When this voter last had evidence that a quorum stands behind what it holds: as leader a
     /// confirmed question, as follower a message of its leader.
     pub fn quorum_seen_at(&self) -> Option<MonotonicTime> {
@@ -90,8 +142,13 @@
         end: LogEnd,
         actions: &mut Vec<VoterAction>,
     ) {
-        let granted =
-            term > self.hard.term && end >= self.log_end() && !self.has_recent_leader(now);
+        let granted = term > self.hard.term
+            && end >= self.log_end()
+            && !self.has_recent_leader(now)
+            && !self.goes_before(now, from, end);
+        if granted {
+            self.yield_first(now);
+        }
         let reply_term = if granted { term } else { self.hard.term };
         let body = VoterBody::PreVoteReply { granted };
         self.send(from, reply_term, body, actions);
--- a/daisyhinge/src/control/voter/follow.rs
+++ b/daisyhinge/src/control/voter/follow.rs
@@ -31,6 +31,7 @@
         );
         self.become_follower(now, term, Some(from.clone()), actions);
         self.leader_heard = Some(now);
+        self.starting_until = None;
         true
     }
 
--- a/daisyhinge/src/shell/control/peer.rs
+++ b/daisyhinge/src/shell/control/peer.rs
@@ -17,11 +17,11 @@
 use crate::control::message::{VoterBody, VoterMessage};
 
 /// Longest wait for a connection.
-const CONNECT_SPAN: Duration = Duration::from_millis(500);
+const CONNECT_SPAN: Duration = Duration::from_millis(200);
 /// Longest wait for a call.
 const CALL_SPAN: Duration = Duration::from_secs(1);
 /// Pause after a failure.
-const RETRY_SPAN: Duration = Duration::from_millis(100);
+const RETRY_SPAN: Duration = Duration::from_millis(50);
 /// Pause after another identity answered.
 const IDENTITY_RETRY_SPAN: Duration = Duration::from_millis(500);
 /// Messages that wait for a connection; more are dropped, and sent again by their sender.
@@ -75,7 +75,8 @@
 
 impl PeerSender {
     pub(super) async fn run(self, mut queue: mpsc::Receiver<VoterMessage>) {
-        let mut client: Option<VoterLinkClient> = None;
+        // The first message, which may decide an election, is not to wait for it.
+        let mut client = self.connect().await;
         while let Some(first) = queue.recv().await {
             if client.is_none() {
                 client = self.connect().await;
--- a/daisyhinge/src/shell/site.rs
+++ b/daisyhinge/src/shell/site.rs
@@ -22,7 +22,7 @@
 use crate::vocabulary::registration::{SyncAsk, SyncReply};
 
 /// Longest wait for a connection.
-const CONNECT_SPAN: Duration = Duration::from_millis(400);
+const CONNECT_SPAN: Duration = Duration::from_millis(200);
 
 /// Calls that a control process takes from entries and other control processes.
 #[tarpc::service]
--- a/daisyhinge/src/shell/site/follow.rs
+++ b/daisyhinge/src/shell/site/follow.rs
@@ -22,8 +22,12 @@
 const RETRY_SPAN: Duration = Duration::from_millis(100);
 /// Evidence of a quorum older than this sends an entry to another control process.
 const QUORUM_AGE_MAX: Duration = Duration::from_millis(1_500);
+/// Time between questions to a control process that has not seen a quorum since it started.
+const START_POLL_SPAN: Duration = Duration::from_millis(40);
 /// Time for which a control process is followed that has not seen a quorum since it started.
 const START_SPAN: Duration = Duration::from_millis(1_200);
+/// The same for one that knows no members: its disk was lost, or the log is not founded yet.
+const EMPTY_SPAN: Duration = Duration::from_millis(300);
 
 /// Who follows, and where control processes are.
 #[derive(Clone, Debug)]
@@ -130,6 +134,16 @@
     reply.ok().filter(is_fresh).map(|_| link)
 }
 
+/// How long a control process is followed from when it was connected to, though no quorum
+/// confirms what it tells.
+fn find_start_span(reply: &SyncReply) -> Duration {
+    match (reply.quorum_age_ms, reply.control.is_empty()) {
+        (Some(_), _) => Duration::ZERO,
+        (None, true) => EMPTY_SPAN,
+        (None, false) => START_SPAN,
+    }
+}
+
 /// Whether a quorum confirmed lately what a control process tells.
 fn is_fresh(reply: &SyncReply) -> bool {
     let age = reply.quorum_age_ms.map(Duration::from_millis);
@@ -153,12 +167,12 @@
                 FollowEvent::Reply(Some(reply)) => {
                     wait = WAIT_SPAN;
                     let fresh = is_fresh(&reply);
-                    let starting = reply.quorum_age_ms.is_none();
+                    let span = find_start_span(&reply);
                     self.take_reply(reply, fresh);
-                    if !fresh && starting && held.opened.elapsed() < START_SPAN {
+                    if !fresh && held.opened.elapsed() < span {
                         // All of them may have just started: going from one to the next would
                         // only keep them from finding a leader.
-                        tokio::time::sleep(RETRY_SPAN).await;
+                        tokio::time::sleep(START_POLL_SPAN).await;
                         wait = Duration::ZERO;
                     } else if !fresh {
                         break;
--- a/daisyhinge/tests/control_restart.rs
+++ b/daisyhinge/tests/control_restart.rs
@@ -16,8 +16,10 @@
 
 const VOTERS: u64 = 9;
 const START: MonotonicTime = MonotonicTime(1_000_000);
-/// Processes start within this time of one another.
-const SPREAD_US: u64 = 30_000;
+/// Processes start within this time of one another, as after a kill.
+const KILL_SPREAD_US: u64 = 30_000;
+/// The same after a loss of power.
+const POWER_SPREAD_US: u64 = 500_000;
 /// Way between two regions, a connection being opened for the first message.
 const WAY_US: u64 = 12_000;
 const FIRST_WAY_US: u64 = 60_000;
@@ -68,10 +70,10 @@
 }
 
 impl Restart {
-    fn open(seed: u64) -> Self {
+    fn open(seed: u64, spread_us: u64) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let starts: Vec<u64> = (0..VOTERS)
-            .map(|_| rng.random_range(0..SPREAD_US))
+            .map(|_| rng.random_range(0..spread_us))
             .collect();
         let voters = (0..VOTERS).zip(&starts).map(|(place, start)| {
             let now = MonotonicTime(START.0 + start);
@@ -118,8 +120,11 @@
         self.letters.push(Some(message));
     }
 
-    /// Time until there is a leader.
+    /// Time until there is a leader, from when a quorum has started.
     fn run(&mut self) -> Duration {
+        let mut starts = self.starts.clone();
+        starts.sort_unstable();
+        let quorum_at = starts[starts.len() / 2];
         for tick in 0.. {
             let at = tick * TICK_US;
             while let Some(Reverse((due, number))) = self.mail.peek().copied() {
@@ -131,6 +136,10 @@
                 let message = self.letters[place].take().expect("it is delivered once");
                 let to = (0..VOTERS).position(|place| make_id(place) == message.to);
                 let to = to.expect("a voter");
+                if self.starts[to] > due {
+                    // Nobody is there yet; the sender does not hear of it.
+                    continue;
+                }
                 self.step(due, to, VoterEvent::Received(message));
             }
             for place in 0..self.voters.len() {
@@ -139,22 +148,31 @@
                 }
             }
             if self.voters.iter().any(VoterMachine::is_leader) {
-                return Duration::from_micros(at);
+                return Duration::from_micros(at.saturating_sub(quorum_at));
             }
         }
         unreachable!("a leader is found")
     }
 }
 
+fn run_all(spread_us: u64) -> Vec<Duration> {
+    let mut spans: Vec<Duration> = (1..=200)
+        .map(|seed| Restart::open(seed, spread_us).run())
+        .collect();
+    spans.sort_unstable();
+    spans
+}
+
 /// Nobody is served before there is a leader, so it must not depend on who draws which number.
 #[test]
 fn nine_voters_that_start_together_have_a_leader_within_half_a_second() {
-    let mut spans: Vec<Duration> = (1..=200).map(|seed| Restart::open(seed).run()).collect();
-    spans.sort_unstable();
-    assert!(spans[189] <= Duration::from_millis(500), "{:?}", spans[189]);
-    assert!(
-        spans[199] <= Duration::from_millis(1_500),
-        "{:?}",
-        spans[199]
-    );
+    let spans = run_all(KILL_SPREAD_US);
+    assert!(spans[199] <= Duration::from_millis(500), "{spans:?}");
+}
+
+#[test]
+fn nine_voters_that_start_one_after_the_other_have_one_as_soon_after_a_quorum_is_there() {
+    let spans = run_all(POWER_SPREAD_US);
+    assert!(spans[189] <= Duration::from_millis(500), "{spans:?}");
+    assert!(spans[199] <= Duration::from_millis(800), "{spans:?}");
 }
