Store and send configurations compressed

Weighed: differences between versions, which need the version before at every receiver. A configuration repeats the same names, deflate makes it a fifth or less. The form of the log's entries changes; a log written before can't be read.

--- a/daisyhinge/src/shell/forward/state.rs
+++ b/daisyhinge/src/shell/forward/state.rs
@@ -150,7 +150,8 @@
         if document.version <= held {
             return;
         }
-        match (self.decode)(&document.bytes) {
+        let config = document.unpack().and_then(|text| (self.decode)(&text));
+        match config {
             Ok(config) => {
                 self.dispatcher.lock().take_config(&config);
                 let site = ActiveSite {
--- a/daisyhinge/src/vocabulary.rs
+++ b/daisyhinge/src/vocabulary.rs
@@ -7,6 +7,7 @@
 pub mod clock;
 pub mod code;
 pub mod control;
+pub mod document;
 pub mod environment;
 pub mod event;
 pub mod fault;
--- a/daisyhinge/src/vocabulary/site.rs
+++ b/daisyhinge/src/vocabulary/site.rs
@@ -4,19 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
 use crate::prelude::*;
-
-/// A configuration as an operator sent it.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct SiteDocument {
-    /// Its version, which the operator chose; the highest one is in force.
-    pub version: u64,
-    /// The bytes that were sent, so that they can be read back unchanged.
-    pub bytes: Bytes,
-}
+pub use crate::vocabulary::document::SiteDocument;
 
 /// What control keeps for a deployment.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
--- a/daisyhinge/tests/site.rs
+++ b/daisyhinge/tests/site.rs
@@ -28,15 +28,13 @@
 }
 
 fn document(version: u64, text: &'static str) -> SiteChange {
-    SiteChange::Apply(SiteDocument {
-        version,
-        bytes: Bytes::from_static(text.as_bytes()),
-    })
+    SiteChange::Apply(SiteDocument::pack(version, text.as_bytes()))
 }
 
 fn held(book: &BookKeeper) -> (u64, Bytes) {
     let document = book.state().site.document.as_ref().expect("a document");
-    (document.version, document.bytes.clone())
+    let text = document.unpack().expect("it was packed");
+    (document.version, text.into())
 }
 
 #[test]
@@ -190,3 +188,30 @@
     let entries: Vec<_> = (0..200).map(|number| entry(number, "a1")).collect();
     assert_eq!(list(&entries, "a", &[]).len(), ADDRESSES_MAX);
 }
+
+#[test]
+fn a_document_comes_back_as_it_was_sent_and_is_stored_smaller() {
+    let service = |number: u32| {
+        format!("{{\"name\":\"shard-{number}\",\"connections\":70,\"protocol\":\"h1\"}},")
+    };
+    let text: String = (0..200).map(service).collect();
+    let document = SiteDocument::pack(3, text.as_bytes());
+    assert_eq!(document.unpack(), Ok(text.clone().into_bytes()));
+    assert!(document.packed_bytes() * 5 < text.len());
+    let empty = SiteDocument::pack(4, b"");
+    assert_eq!(empty.unpack(), Ok(Vec::new()));
+}
+
+#[test]
+fn a_document_that_is_cut_has_a_number() {
+    let cut = cut_document(&SiteDocument::pack(3, b"some text that is long enough"));
+    assert_eq!(cut.unpack(), Err(ResultCode::RecordDamaged));
+}
+
+/// The same document without the end of its packed bytes.
+fn cut_document(document: &SiteDocument) -> SiteDocument {
+    let mut value = serde_json::to_value(document).expect("a document");
+    let packed = value["packed"].as_array_mut().expect("bytes");
+    packed.truncate(packed.len() / 2);
+    serde_json::from_value(value).expect("a document")
+}
--- a/daisyhinge/tests/support/known_replica.rs
+++ b/daisyhinge/tests/support/known_replica.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use daisyhinge::dispatch::budget::BudgetLimits;
 use daisyhinge::shell::forward::wire::HeaderNames;
 use daisyhinge::vocabulary::registration::{EntryPresence, ReplicaPhase, ReplicaRecord, SyncReply};
@@ -50,10 +49,7 @@
     };
     let site = SiteState {
         revision: 1,
-        document: Some(SiteDocument {
-            version: 1,
-            bytes: Bytes::new(),
-        }),
+        document: Some(SiteDocument::pack(1, b"")),
         ..SiteState::default()
     };
     SyncReply {
