Give up connections early; let a busy peer count as a refusal that did not arrive

Change: a connection is given up after 60 ms and the way to the replica, which costs no extra request, since nothing was sent; an entry without room says so, and the asker counts it as a refusal.

--- a/daisyhinge/src/dispatch/fleet.rs
+++ b/daisyhinge/src/dispatch/fleet.rs
@@ -298,11 +298,17 @@
         })
     }
 
-    /// A replica that may be sent one more request, by its name.
-    pub fn find_open(&self, now: MonotonicTime, name: &ReplicaName) -> Option<ReplicaIndex> {
-        let index = *self.names.get(name)?;
-        let replica = self.replicas.get(&index)?;
-        (self.may_send(index) && replica.has_room(now)).then_some(index)
+    /// Whether the replica of a name may be sent one more request.
+    pub fn find_open(&self, now: MonotonicTime, name: &ReplicaName) -> Choice {
+        let known = self.names.get(name);
+        let Some(index) = known.copied().filter(|index| self.may_send(*index)) else {
+            return Choice::Absent;
+        };
+        match self.replicas.get(&index) {
+            Some(replica) if replica.has_room(now) => Choice::Replica(index),
+            Some(_) => Choice::Busy,
+            None => Choice::Absent,
+        }
     }
 
     /// Notes that an attempt is sent.
--- a/daisyhinge/src/dispatch/request/message.rs
+++ b/daisyhinge/src/dispatch/request/message.rs
@@ -41,6 +41,9 @@
     WrongServer,
     /// It was sent and may have run.
     Lost,
+    /// It was not sent: the entry through which it goes has as many requests at the replica as it
+    /// may.
+    PeerBusy,
 }
 
 impl From<AttemptEnd> for AttemptFinish {
@@ -48,7 +51,7 @@
         match end {
             AttemptEnd::Answered => Self::Answered,
             AttemptEnd::Failed => Self::Failed,
-            AttemptEnd::NotRun => Self::Shed,
+            AttemptEnd::NotRun | AttemptEnd::PeerBusy => Self::Shed,
             AttemptEnd::NotSent => Self::Unreachable,
             AttemptEnd::Withdrawn => Self::Cancelled,
             AttemptEnd::WrongServer => Self::WrongServer,
--- a/daisyhinge/src/dispatch/request/target.rs
+++ b/daisyhinge/src/dispatch/request/target.rs
@@ -112,7 +112,7 @@
                 self.refusals += 1;
                 self.reason = Some(ResultCode::ServerShed);
             }
-            AttemptEnd::NotSent | AttemptEnd::Withdrawn => {
+            AttemptEnd::NotSent | AttemptEnd::Withdrawn | AttemptEnd::PeerBusy => {
                 self.runs -= 1;
                 self.unreached += 1;
                 self.arrived = self.runs + self.refusals > 0;
--- a/daisyhinge/src/shell/forward/attempt.rs
+++ b/daisyhinge/src/shell/forward/attempt.rs
@@ -21,8 +21,9 @@
 use crate::vocabulary::clock::span_to_micros;
 use crate::vocabulary::site::RouteKind;
 
-/// Longest wait for a connection.
-const CONNECT_SPAN: Duration = Duration::from_millis(450);
+/// Longest wait for a connection besides the way to the replica; nothing was sent then, so that
+/// another one may be asked at no cost.
+const CONNECT_SPAN: Duration = Duration::from_millis(60);
 /// Longest idle time of a connection that carries a request which may not be repeated.
 const UNSAFE_IDLE_MAX: Duration = Duration::from_secs(1);
 /// Longest idle time of any connection.
@@ -46,6 +47,7 @@
     replica: ReplicaIndex,
     name: ReplicaName,
     address: SocketAddr,
+    way_span: Duration,
 }
 
 /// Sends a request to a replica and reads its answer.
@@ -117,11 +119,12 @@
 
 fn find_place(state: &ForwardState, replica: ReplicaIndex) -> Option<AttemptPlace> {
     let dispatcher = state.dispatcher.lock();
-    let record = &dispatcher.fleet.replica(replica)?.record;
+    let known = dispatcher.fleet.replica(replica)?;
     Some(AttemptPlace {
         replica,
-        name: record.name.clone(),
-        address: record.address,
+        name: known.record.name.clone(),
+        address: known.record.address,
+        way_span: known.nearness().way_span(),
     })
 }
 
@@ -139,7 +142,8 @@
     }
     state.counters.connections_opened.inc();
     let connect = ReplicaConnection::connect(place.address);
-    match tokio::time::timeout(CONNECT_SPAN, connect).await {
+    let longest = CONNECT_SPAN + place.way_span;
+    match tokio::time::timeout(longest, connect).await {
         Ok(Some(connection)) => Ok(connection),
         _ => Err(AttemptEnd::NotSent),
     }
--- a/daisyhinge/src/shell/forward/relay/serve.rs
+++ b/daisyhinge/src/shell/forward/relay/serve.rs
@@ -15,7 +15,7 @@
 
 use super::head::read_head;
 use super::{RelayAsk, RelayLink, RelayPart, RelayReply};
-use crate::dispatch::fleet::{AttemptFinish, ReplicaIndex};
+use crate::dispatch::fleet::{AttemptFinish, Choice, ReplicaIndex};
 use crate::dispatch::merge::merge_parts;
 use crate::dispatch::request::AttemptEnd;
 use crate::prelude::*;
@@ -78,16 +78,11 @@
 impl RelayLink for RelayServer {
     async fn relay(self, _: Context, ask: RelayAsk) -> RelayReply {
         let Some(request) = read_request(&self.state, &ask) else {
-            return RelayReply {
-                end: AttemptEnd::Withdrawn,
-                part: None,
-            };
+            return refuse_part(AttemptEnd::Withdrawn);
         };
-        let Some(mut attempt) = RelayAttempt::begin(&self.state, &ask.replica) else {
-            return RelayReply {
-                end: AttemptEnd::Withdrawn,
-                part: None,
-            };
+        let mut attempt = match RelayAttempt::begin(&self.state, &ask.replica) {
+            Ok(attempt) => attempt,
+            Err(end) => return refuse_part(end),
         };
         let result = try_attempt(&self.state, &request, attempt.replica).await;
         let (end, answer) = match result {
@@ -100,6 +95,11 @@
     }
 }
 
+/// A reply to what is not sent on.
+fn refuse_part(end: AttemptEnd) -> RelayReply {
+    RelayReply { end, part: None }
+}
+
 fn read_request(state: &ForwardState, ask: &RelayAsk) -> Option<OutgoingRequest> {
     let mut head = read_head(&ask.head)?;
     let id = head.headers.remove(&state.names.request_id);
@@ -134,14 +134,18 @@
 }
 
 impl<'state> RelayAttempt<'state> {
-    /// Begins one; unset if the replica may not be sent one more request.
-    fn begin(state: &'state ForwardState, name: &ReplicaName) -> Option<Self> {
+    /// Begins one, or says why the replica may not be sent one more request.
+    fn begin(state: &'state ForwardState, name: &ReplicaName) -> Result<Self, AttemptEnd> {
         let now = state.clock.now();
         let mut dispatcher = state.dispatcher.lock();
-        let replica = dispatcher.fleet.find_open(now, name)?;
+        let replica = match dispatcher.fleet.find_open(now, name) {
+            Choice::Replica(replica) => replica,
+            Choice::Busy => return Err(AttemptEnd::PeerBusy),
+            Choice::Absent => return Err(AttemptEnd::Withdrawn),
+        };
         let attempt = dispatcher.next_attempt();
         dispatcher.fleet.begin(now, replica, attempt);
-        Some(Self {
+        Ok(Self {
             state,
             replica,
             attempt,
--- a/daisyhinge/src/shell/forward/run.rs
+++ b/daisyhinge/src/shell/forward/run.rs
@@ -167,5 +167,6 @@
         AttemptEnd::Withdrawn => "withdrawn",
         AttemptEnd::WrongServer => "wrong_server",
         AttemptEnd::Lost => "lost",
+        AttemptEnd::PeerBusy => "peer_busy",
     }
 }
--- a/daisyhinge/tests/dispatch/requests.rs
+++ b/daisyhinge/tests/dispatch/requests.rs
@@ -183,6 +183,21 @@
     assert_eq!(play.verdict, Some(Verdict::Answer { missing: 0 }));
 }
 
+/// Another entry that has no room at a replica has sent nothing: the next attempt is no extra one,
+/// and requests go elsewhere.
+#[test]
+fn a_busy_peer_costs_no_extra_request() {
+    let mut play = begin(safe(gather(1, 1.0)), dispatcher(1));
+    let left = play.dispatcher.budget(&shard_name(0)).left();
+    for turn in 0..2 {
+        play.end(10 + turn as u64, turn, AttemptEnd::PeerBusy);
+    }
+    assert_eq!(play.sent.len(), 3);
+    assert!(play.dispatcher.budget(&shard_name(0)).left() >= left);
+    play.end(20, 2, AttemptEnd::Answered);
+    assert_eq!(play.verdict, Some(Verdict::Answer { missing: 0 }));
+}
+
 #[test]
 fn a_refusal_by_every_server_is_a_true_refusal() {
     let mut play = begin(unsafe_route(single("shard-0")), dispatcher(1));
