Overtake an attempt that is still connecting at no extra request

Change: an attempt passes a gate right before it is written. When another replica is due and the attempt has not passed, the gate is closed and the next attempt is no extra one; what was never written is truly refused.

--- a/daisyhinge/src/dispatch/request.rs
+++ b/daisyhinge/src/dispatch/request.rs
@@ -99,6 +99,17 @@
         self.targets.iter().map(|target| target.sent).sum()
     }
 
+    /// Tells whether anything of an attempt under way was written; until then it counts as written.
+    pub fn note_written(&mut self, attempt: u64, written: bool) {
+        let running = self
+            .targets
+            .iter_mut()
+            .flat_map(|target| &mut target.running);
+        for ran in running.filter(|ran| ran.attempt == attempt) {
+            ran.written = written;
+        }
+    }
+
     /// Targets without an answer.
     pub fn missing(&self) -> impl Iterator<Item = &ServiceName> {
         let pairs = self.names.iter().zip(&self.targets);
@@ -223,7 +234,7 @@
         dispatcher
             .fleet
             .finish(now, ran.replica, attempt, end.into());
-        target.note_end(now, attempt, end);
+        target.note_end(now, ran, end);
         if end == AttemptEnd::Answered {
             let took = now.since(ran.sent);
             dispatcher.note_latency(&self.plan.route, ran.replica, took);
@@ -246,15 +257,16 @@
         if target.phase != TargetPhase::Open {
             return;
         }
-        let waiting = !target.running.is_empty();
+        let waiting = target.is_waiting();
         if waiting && (kind == RouteKind::Unsafe || now < target.hedge_at) {
             target.due = (kind == RouteKind::Safe).then_some(target.hedge_at);
             return;
         }
-        let spent = target.runs >= attempts_max
+        let runs = target.runs_written();
+        let spent = runs >= attempts_max
             || target.refusals >= REFUSALS_MAX
             || target.unreached >= UNREACHED_MAX
-            || (kind == RouteKind::Unsafe && target.runs > 0);
+            || (kind == RouteKind::Unsafe && runs > 0);
         if spent {
             target.close_unless(waiting, ResultCode::ServerFailed);
             return;
@@ -285,7 +297,10 @@
         let share = dispatcher.fleet.slack_share();
         let budget = dispatcher.budget(&self.names[index]);
         let target = &mut self.targets[index];
-        let waiting = !target.running.is_empty();
+        // Nothing of these has arrived, so that the next attempt is no extra one.
+        let overtaken = target.overtake_connecting().into_iter();
+        actions.extend(overtaken.map(|attempt| RequestAction::Overtake { attempt }));
+        let waiting = target.is_waiting();
         let repeats = target.arrived;
         let granted = if waiting {
             budget.take_hedge(now)
--- a/daisyhinge/src/dispatch/request/message.rs
+++ b/daisyhinge/src/dispatch/request/message.rs
@@ -122,6 +122,11 @@
         /// Whether an earlier attempt for the target was sent.
         repeats: bool,
     },
+    /// Do not write an attempt any more that is still connecting: another one takes its place.
+    Overtake {
+        /// Number of the attempt.
+        attempt: u64,
+    },
     /// Stop an attempt.
     Cancel {
         /// Number of the attempt.
--- a/daisyhinge/src/dispatch/request/target.rs
+++ b/daisyhinge/src/dispatch/request/target.rs
@@ -22,6 +22,17 @@
     pub attempt: u64,
     pub replica: ReplicaIndex,
     pub sent: MonotonicTime,
+    /// Whether anything of it may have been written.
+    pub written: bool,
+    /// Whether another attempt was sent in its place; it is not written any more.
+    pub overtaken: bool,
+}
+
+impl RunningAttempt {
+    /// Whether nothing of it was written yet, though it may be.
+    fn is_connecting(&self) -> bool {
+        !self.written && !self.overtaken
+    }
 }
 
 /// One target.
@@ -69,6 +80,8 @@
             attempt: account.attempt,
             replica: account.replica,
             sent: account.sent,
+            written: true,
+            overtaken: false,
         });
         self.accounts.push(account);
         self.tried.push(account.replica);
@@ -79,6 +92,30 @@
         self.hedge_at = hedge_at;
     }
 
+    /// Whether an attempt is under way that may still bring an answer.
+    pub(super) fn is_waiting(&self) -> bool {
+        self.running.iter().any(|ran| !ran.overtaken)
+    }
+
+    /// Attempts that may have run, without those of which nothing was written yet.
+    pub(super) fn runs_written(&self) -> u32 {
+        let connecting = self.running.iter().filter(|ran| ran.is_connecting());
+        let connecting = u32::try_from(connecting.count()).unwrap_or(u32::MAX);
+        self.runs.saturating_sub(connecting)
+    }
+
+    /// Keeps attempts of which nothing was written from being written. Returns them.
+    pub(super) fn overtake_connecting(&mut self) -> Vec<u64> {
+        let mut overtaken = Vec::new();
+        for ran in self.running.iter_mut().filter(|ran| ran.is_connecting()) {
+            ran.overtaken = true;
+            overtaken.push(ran.attempt);
+            self.runs -= 1;
+        }
+        self.arrived = self.runs + self.refusals > 0;
+        overtaken
+    }
+
     /// Takes an attempt out of those under way.
     pub(super) fn take_running(&mut self, attempt: u64) -> Option<RunningAttempt> {
         let place = self.running.iter().position(|ran| ran.attempt == attempt)?;
@@ -96,11 +133,16 @@
         }
     }
 
-    pub(super) fn note_end(&mut self, now: MonotonicTime, attempt: u64, end: AttemptEnd) {
+    pub(super) fn note_end(&mut self, now: MonotonicTime, ran: RunningAttempt, end: AttemptEnd) {
+        let attempt = ran.attempt;
         let accounts = &mut self.accounts;
         if let Some(account) = accounts.iter_mut().find(|one| one.attempt == attempt) {
             account.end = Some((end, now));
         }
+        if ran.overtaken {
+            self.unreached += 1;
+            return;
+        }
         match end {
             AttemptEnd::Answered => self.phase = TargetPhase::Answered(attempt),
             AttemptEnd::Failed => {
--- a/daisyhinge/src/dispatch/request/verdict.rs
+++ b/daisyhinge/src/dispatch/request/verdict.rs
@@ -46,10 +46,7 @@
         if let Some(attempt) = relayed.filter(|_| !gather) {
             return Verdict::Relay { attempt };
         }
-        let may_have_run = self
-            .targets
-            .iter()
-            .any(|target| target.runs > 0 || !target.running.is_empty());
+        let may_have_run = self.targets.iter().any(|target| target.runs_written() > 0);
         let passed = now >= self.plan.ends;
         let reason = self.targets.iter().find_map(|target| target.reason);
         let code = match (passed, gather && may_have_run) {
--- a/daisyhinge/src/shell/forward.rs
+++ b/daisyhinge/src/shell/forward.rs
@@ -10,6 +10,7 @@
 mod answer;
 mod attempt;
 mod connection;
+mod gate;
 pub mod listen;
 mod outgoing;
 mod pool;
--- a/daisyhinge/src/shell/forward/attempt.rs
+++ b/daisyhinge/src/shell/forward/attempt.rs
@@ -10,6 +10,7 @@
 use hyper::header::{CONTENT_ENCODING, HeaderValue};
 
 use super::connection::{ExchangeFault, ReplicaConnection, WholeAnswer};
+use super::gate::AttemptGate;
 use super::outgoing::OutgoingRequest;
 use super::relay::link::try_relay;
 use super::relay::table::PeerLink;
@@ -56,13 +57,15 @@
     request: Arc<OutgoingRequest>,
     attempt: u64,
     replica: ReplicaIndex,
+    gate: Arc<AttemptGate>,
 ) -> AttemptReport {
     let result = match find_link(&state, &request, replica) {
         Some((link, top_records)) => {
             state.counters.relayed.inc();
+            gate.pass();
             try_relay(&state, &link, &request, top_records, replica).await
         }
-        None => try_attempt(&state, &request, replica).await,
+        None => try_attempt(&state, &request, replica, &gate).await,
     };
     let (end, answer) = match result {
         Ok((end, answer)) => (end, Some(answer)),
@@ -91,13 +94,14 @@
     state: &ForwardState,
     request: &OutgoingRequest,
     replica: ReplicaIndex,
+    gate: &AttemptGate,
 ) -> Result<(AttemptEnd, WholeAnswer), AttemptEnd> {
     let place = find_place(state, replica).ok_or(AttemptEnd::Withdrawn)?;
     let connection = open_connection(state, request, &place).await;
     state.note_idle(replica);
     let mut connection = connection?;
     // Looked at again: the connection may have taken long.
-    if !state.dispatcher.lock().fleet.may_send(replica) {
+    if !state.dispatcher.lock().fleet.may_send(replica) || !gate.pass() {
         state.pool.put(replica, connection);
         return Err(AttemptEnd::Withdrawn);
     }
--- a/daisyhinge/src/shell/forward/relay/serve.rs
+++ b/daisyhinge/src/shell/forward/relay/serve.rs
@@ -21,6 +21,7 @@
 use crate::prelude::*;
 use crate::shell::forward::attempt::try_attempt;
 use crate::shell::forward::connection::WholeAnswer;
+use crate::shell::forward::gate::AttemptGate;
 use crate::shell::forward::outgoing::OutgoingRequest;
 use crate::shell::forward::state::ForwardState;
 use crate::vocabulary::site::RouteKind;
@@ -84,7 +85,13 @@
             Ok(attempt) => attempt,
             Err(end) => return refuse_part(end),
         };
-        let result = try_attempt(&self.state, &request, attempt.replica).await;
+        let result = try_attempt(
+            &self.state,
+            &request,
+            attempt.replica,
+            &AttemptGate::default(),
+        )
+        .await;
         let (end, answer) = match result {
             Ok((end, answer)) => (end, Some(answer)),
             Err(end) => (end, None),
--- a/daisyhinge/src/shell/forward/run.rs
+++ b/daisyhinge/src/shell/forward/run.rs
@@ -9,6 +9,7 @@
 
 use super::attempt::{AttemptReport, run_attempt};
 use super::connection::WholeAnswer;
+use super::gate::AttemptGate;
 use super::outgoing::OutgoingRequest;
 use super::state::ForwardState;
 use crate::dispatch::request::{
@@ -86,7 +87,13 @@
     let mut answers = Vec::new();
     let mut actions = Vec::new();
     let mut event = RequestEvent::Due;
+    // Of attempts that may not be written yet.
+    let mut gates: Vec<(u64, Arc<AttemptGate>)> = Vec::new();
     loop {
+        gates.retain(|(attempt, gate)| {
+            guard.machine.note_written(*attempt, gate.is_passed());
+            !gate.is_passed()
+        });
         guard.step(event, &mut actions);
         for action in actions.drain(..) {
             match action {
@@ -98,8 +105,11 @@
                 } => {
                     state.counters.repeats.inc_by(u64::from(repeats));
                     let (state, request) = (Arc::clone(state), Arc::clone(&request));
-                    running.push(run_attempt(state, request, attempt, replica));
+                    let gate = Arc::<AttemptGate>::default();
+                    gates.push((attempt, Arc::clone(&gate)));
+                    running.push(run_attempt(state, request, attempt, replica, gate));
                 }
+                RequestAction::Overtake { attempt } => close_gate(&gates, attempt),
                 // An attempt ends with the request, or runs out after it.
                 RequestAction::Cancel { .. } => {}
                 RequestAction::Finish(verdict) => {
@@ -121,6 +131,12 @@
     }
 }
 
+fn close_gate(gates: &[(u64, Arc<AttemptGate>)], attempt: u64) {
+    for (_, gate) in gates.iter().filter(|(number, _)| *number == attempt) {
+        gate.close();
+    }
+}
+
 fn note_report(
     state: &ForwardState,
     report: AttemptReport,
--- a/daisyhinge/tests/dispatch/requests.rs
+++ b/daisyhinge/tests/dispatch/requests.rs
@@ -17,6 +17,8 @@
     machine: RequestMachine,
     /// Attempts with their targets, in order.
     sent: Vec<(u64, usize)>,
+    /// Attempts that are not to be written any more.
+    overtaken: Vec<u64>,
     verdict: Option<Verdict>,
 }
 
@@ -30,6 +32,7 @@
         dispatcher,
         machine,
         sent: Vec::new(),
+        overtaken: Vec::new(),
         verdict: None,
     };
     play.step(0, RequestEvent::Due);
@@ -46,6 +49,7 @@
                 RequestAction::Send {
                     attempt, target, ..
                 } => self.sent.push((attempt, target)),
+                RequestAction::Overtake { attempt } => self.overtaken.push(attempt),
                 RequestAction::Cancel { .. } => {}
                 RequestAction::Finish(verdict) => {
                     assert!(self.verdict.is_none(), "finished twice");
@@ -198,6 +202,31 @@
     assert_eq!(play.verdict, Some(Verdict::Answer { missing: 0 }));
 }
 
+/// An attempt that is still connecting when another replica is asked has arrived nowhere: the other
+/// one is no extra request, and the first one is not written any more.
+#[test]
+fn what_is_still_connecting_is_overtaken_at_no_extra_request() {
+    let mut play = begin(safe(gather(1, 1.0)), dispatcher(1));
+    let left = play.dispatcher.budget(&shard_name(0)).left();
+    let (first, _) = play.sent[0];
+    play.machine.note_written(first, false);
+    play.step(60, RequestEvent::Due);
+    assert_eq!((play.sent.len(), &*play.overtaken), (2, &[first][..]));
+    assert!(play.dispatcher.budget(&shard_name(0)).left() >= left);
+    play.end(70, 0, AttemptEnd::NotSent);
+    play.end(80, 1, AttemptEnd::Answered);
+    assert_eq!(play.verdict, Some(Verdict::Answer { missing: 0 }));
+}
+
+#[test]
+fn what_was_never_written_is_truly_refused() {
+    let mut play = begin(unsafe_route(single("shard-0")), dispatcher(1));
+    let (first, _) = play.sent[0];
+    play.machine.note_written(first, false);
+    play.step(20_000, RequestEvent::Due);
+    assert!(matches!(play.verdict, Some(Verdict::Refused { .. })));
+}
+
 #[test]
 fn a_refusal_by_every_server_is_a_true_refusal() {
     let mut play = begin(unsafe_route(single("shard-0")), dispatcher(1));
--- a/daisyhinge/tests/dispatch/world.rs
+++ b/daisyhinge/tests/dispatch/world.rs
@@ -269,6 +269,7 @@
                         Event::Reach { server, job },
                     );
                 }
+                RequestAction::Overtake { .. } => {}
                 RequestAction::Cancel { attempt } => {
                     self.cancelled.insert(attempt * 10 + entry as u64);
                 }
