Split what has grown; test an early reply to a long body

Change: nearness and suspicion of a replica have files of their own, the stand of the forward tests too; a replica answers 200 KB early and reads on: the answer is passed on, only that body ever comes on the connection.

--- a/daisyhinge/src/dispatch/fleet.rs
+++ b/daisyhinge/src/dispatch/fleet.rs
@@ -15,9 +15,12 @@
 use crate::vocabulary::site::SiteConfig;
 
 mod allotment;
+mod nearness;
 mod replica;
+mod suspicion;
 use super::budget::SlackShare;
-pub use replica::{AttemptFinish, FleetReplica, Nearness};
+pub use nearness::Nearness;
+pub use replica::{AttemptFinish, FleetReplica};
 
 /// Names a replica at this entry; never used for another one.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
--- a/daisyhinge/src/dispatch/fleet/replica.rs
+++ b/daisyhinge/src/dispatch/fleet/replica.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use super::nearness::Nearness;
+use super::suspicion::Suspicion;
 use crate::prelude::*;
 use crate::vocabulary::clock::span_to_micros;
 use crate::vocabulary::registration::{ReplicaPhase, ReplicaRecord};
@@ -38,16 +40,7 @@
 const OVERDUE_FACTOR: f64 = 2.5;
 /// Time after which a request is overdue besides, in microseconds.
 const OVERDUE_SLACK_US: f64 = 7_000.0;
-/// Requests that a replica leaves unanswered in a row before it is passed over: a pause is no
-/// reason to go to another region.
-const SUSPECT_MIN: u32 = 2;
-/// First time for which it is passed over.
-const SUSPECT_FIRST: Duration = Duration::from_millis(500);
-/// By how much this time grows with each further such request, as a factor.
-const SUSPECT_GROWTH: u32 = 3;
-/// Longest such time.
-const SUSPECT_MAX: Duration = Duration::from_secs(4);
-/// How much slower a replica counts meanwhile.
+/// How much slower a replica counts that leaves requests unanswered.
 const SUSPECT_FACTOR: f64 = 6.0;
 /// How much slower a silent replica counts.
 const SILENT_FACTOR: f64 = 4.0;
@@ -58,28 +51,6 @@
 /// What each request under way adds to the expected latency, as a factor.
 const QUEUE_FACTOR: f64 = 0.3;
 
-/// How far a replica is.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub enum Nearness {
-    /// In the entry's data centre.
-    SameCentre,
-    /// In another data centre of its region.
-    SameRegion,
-    /// In another region.
-    OtherRegion,
-}
-
-impl Nearness {
-    /// Time to a replica and back that is assumed before it is known.
-    pub fn way_span(self) -> Duration {
-        match self {
-            Self::SameCentre => Duration::from_millis(1),
-            Self::SameRegion => Duration::from_millis(3),
-            Self::OtherRegion => Duration::from_millis(25),
-        }
-    }
-}
-
 /// How an attempt ended, as far as it tells of the replica.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AttemptFinish {
@@ -124,13 +95,7 @@
     running: Vec<(u64, MonotonicTime)>,
     failures: u32,
     down_until: MonotonicTime,
-    /// When it last answered anything.
-    answered: MonotonicTime,
-    /// Requests that it left unanswered, one after the other.
-    unanswered: u32,
-    /// When the last of them was given up.
-    unanswered_at: MonotonicTime,
-    suspect_until: MonotonicTime,
+    suspicion: Suspicion,
     /// Requests of this entry that may run at a time, as refusals and answers show.
     running_max: f64,
 }
@@ -154,10 +119,7 @@
             running: Vec::new(),
             failures: 0,
             down_until: MonotonicTime(0),
-            answered: MonotonicTime(0),
-            unanswered: 0,
-            unanswered_at: MonotonicTime(0),
-            suspect_until: MonotonicTime(0),
+            suspicion: Suspicion::default(),
             running_max: f64::from(u16::MAX),
         };
         replica.latency_us = replica.prior_us();
@@ -266,7 +228,7 @@
         } else {
             1.0
         };
-        let suspect = if now < self.suspect_until {
+        let suspect = if self.suspicion.holds(now) {
             SUSPECT_FACTOR
         } else {
             1.0
@@ -299,12 +261,10 @@
         match finish {
             AttemptFinish::Answered | AttemptFinish::Failed | AttemptFinish::Shed => {
                 self.failures = 0;
-                self.answered = now;
-                self.unanswered = 0;
-                self.suspect_until = now;
+                self.suspicion = Suspicion::cleared(now);
             }
-            AttemptFinish::Cancelled if self.answered < since => {
-                self.note_unanswered(now, since);
+            AttemptFinish::Cancelled if took > overdue_limit(self.average_us(now)) => {
+                self.suspicion.note_unanswered(now, since);
             }
             _ => {}
         }
@@ -325,7 +285,7 @@
             // It had not answered by now: the latency is at least this. One that answers nothing has
             // none.
             AttemptFinish::Cancelled
-                if took > self.average_us(now) && self.unanswered < SUSPECT_MIN =>
+                if took > self.average_us(now) && !self.suspicion.is_silent() =>
             {
                 self.sample(now, took);
             }
@@ -333,22 +293,6 @@
         }
     }
 
-    /// Notes that a request was given up before it was answered, and passes the replica over if it
-    /// was not the first one.
-    fn note_unanswered(&mut self, now: MonotonicTime, since: MonotonicTime) {
-        let is_overdue = micros(now.since(since)) > overdue_limit(self.average_us(now));
-        if !is_overdue || since < self.unanswered_at {
-            return;
-        }
-        self.unanswered = self.unanswered.saturating_add(1);
-        self.unanswered_at = now;
-        if let Some(further) = self.unanswered.checked_sub(SUSPECT_MIN) {
-            let growth = SUSPECT_GROWTH.saturating_pow(further);
-            let span = SUSPECT_FIRST.saturating_mul(growth).min(SUSPECT_MAX);
-            self.suspect_until = now + span;
-        }
-    }
-
     fn sample(&mut self, now: MonotonicTime, took: f64) {
         let known = self.average_us(now);
         let took = took.min(known * SAMPLE_RISE_MAX);
--- a/daisyhinge/tests/forward.rs
+++ b/daisyhinge/tests/forward.rs
@@ -3,218 +3,24 @@
 
 #[path = "support/known_replica.rs"]
 mod known_replica;
+#[path = "forward/stand.rs"]
+mod stand;
 
 use std::net::{IpAddr, SocketAddr};
-use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use bytes::Bytes;
-use daisyhinge::dispatch::fleet::FleetPlace;
-use daisyhinge::prelude::*;
 use daisyhinge::shell::forward::listen::serve_callers;
-use daisyhinge::shell::forward::state::{ForwardSettings, ForwardState};
-use daisyhinge::vocabulary::site::{
-    CallerLimits, RouteKind, RouteTarget, SiteConfig, SiteRoute, SiteService, SplitPart,
+use http_body_util::Full;
+use hyper::Request;
+use stand::{
+    AfterAnswer, AnswerScript, CALLER_PORT, REPLICA_PORT, ReplicaAnswer, ask, ask_on, open_entry,
+    open_stand, play, send_on, whole,
 };
-use http_body_util::{BodyExt, Full};
-use hyper::{Request, Response};
-use hyper_util::rt::TokioIo;
-use known_replica::{BUDGET, header_names, tell_replica};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
-const CALLER_PORT: u16 = 27_852;
-const REPLICA_PORT: u16 = 27_853;
-
-/// What a stand-in for a replica writes for a request of that identifier.
-type AnswerScript = fn(id: &str) -> ReplicaAnswer;
-
-/// Bytes of an answer, and what comes after them.
-struct ReplicaAnswer {
-    bytes: String,
-    then: AfterAnswer,
-}
-
-enum AfterAnswer {
-    /// The connection stays.
-    Stay,
-    /// It ends.
-    Close,
-    /// It is reset.
-    Reset,
-    /// More bytes come a little later.
-    Late(String),
-}
-
-fn whole(id: &str, body: &str) -> String {
-    let length = body.len();
-    format!("HTTP/1.1 200 OK\r\nx-seal: s\r\nx-id: {id}\r\ncontent-length: {length}\r\n\r\n{body}")
-}
-
-/// Connections as a replica sees them.
-#[derive(Debug, Default)]
-struct SeenConnections {
-    opened: AtomicUsize,
-    /// Those that the entry closed.
-    ended: AtomicUsize,
-}
-
-async fn run_replica(listener: TcpListener, script: AnswerScript, seen: Arc<SeenConnections>) {
-    while let Ok((stream, _)) = listener.accept().await {
-        seen.opened.fetch_add(1, Ordering::Relaxed);
-        tokio::spawn(answer_requests(stream, script, Arc::clone(&seen)));
-    }
-}
-
-async fn answer_requests(mut stream: TcpStream, script: AnswerScript, seen: Arc<SeenConnections>) {
-    let mut read = Vec::new();
-    let mut buffer = [0; 4_096];
-    while let Ok(count) = stream.read(&mut buffer).await {
-        if count == 0 {
-            seen.ended.fetch_add(1, Ordering::Relaxed);
-            return;
-        }
-        read.extend_from_slice(&buffer[..count]);
-        let text = String::from_utf8_lossy(&read).into_owned();
-        if !text.ends_with("\r\n\r\n") {
-            continue;
-        }
-        read.clear();
-        let id = text.lines().find_map(|line| line.strip_prefix("x-id: "));
-        let answer = script(id.expect("an identifier"));
-        if stream.write_all(answer.bytes.as_bytes()).await.is_err() {
-            return;
-        }
-        match answer.then {
-            AfterAnswer::Stay => {}
-            AfterAnswer::Close => return,
-            AfterAnswer::Reset => {
-                tokio::time::sleep(Duration::from_millis(30)).await;
-                let _ends_with_a_reset = stream.set_zero_linger();
-                return;
-            }
-            AfterAnswer::Late(bytes) => {
-                tokio::time::sleep(Duration::from_millis(20)).await;
-                drop(stream.write_all(bytes.as_bytes()).await);
-            }
-        }
-    }
-}
-
-#[expect(clippy::unnecessary_wraps, reason = "a decoder may refuse")]
-fn read_site(_: &[u8]) -> Result<SiteConfig, ResultCode> {
-    let service = ServiceName::from("card");
-    let route = SiteRoute {
-        name: "card".into(),
-        host: "labels.example".into(),
-        path_prefix: "/card/".into(),
-        kind: RouteKind::Safe,
-        timeout: Duration::from_secs(1),
-        objective: Duration::from_millis(300),
-        attempts_max: 1,
-        priority: 1,
-        allowed_regions: Arc::from([]),
-        target: RouteTarget::Split(Arc::from([SplitPart {
-            service: service.clone(),
-            weight: 1,
-        }])),
-    };
-    Ok(SiteConfig {
-        version: 1,
-        routes: vec![Arc::new(route)],
-        services: vec![SiteService {
-            name: service,
-            connections_max: 10,
-            cold_per_second: None,
-        }],
-        limits: CallerLimits::default(),
-    })
-}
-
-fn open_entry(host: IpAddr) -> Arc<ForwardState> {
-    let state = ForwardState::open(ForwardSettings {
-        place: FleetPlace {
-            vm: "entry-1".into(),
-            data_centre: "a".into(),
-            regions: [("a".into(), "north".into())].into(),
-        },
-        budget: BUDGET,
-        names: header_names(),
-        decode: read_site,
-    });
-    let replica = SocketAddr::new(host, REPLICA_PORT);
-    let reply = tell_replica(replica, "card", "a", Vec::new());
-    state.take_reply(reply, true);
-    state
-}
-
-async fn ask(host: IpAddr, id: &str) -> Response<Bytes> {
-    let stream = TcpStream::connect(SocketAddr::new(host, CALLER_PORT)).await;
-    ask_on(stream.expect("it listens"), id).await
-}
-
-async fn ask_on(stream: TcpStream, id: &str) -> Response<Bytes> {
-    let stream = TokioIo::new(stream);
-    let (mut sender, connection) = hyper::client::conn::http1::handshake(stream)
-        .await
-        .expect("a connection");
-    // Ends with this call.
-    let mut driving = tokio::task::JoinSet::new();
-    driving.spawn(connection);
-    let request = Request::get("/card/1")
-        .header("host", "labels.example")
-        .header("x-id", id)
-        .body(Full::<Bytes>::default());
-    let answer = sender.send_request(request.expect("a request")).await;
-    let (head, body) = answer.expect("an answer").into_parts();
-    let body = body.collect().await.expect("a whole answer").to_bytes();
-    Response::from_parts(head, body)
-}
-
-/// An entry and a replica that answers by a script.
-struct Stand {
-    host: IpAddr,
-    seen: Arc<SeenConnections>,
-    stop: CancellationToken,
-    serving: JoinHandle<Result<(), ResultCode>>,
-}
-
-async fn open_stand(number: u8, script: AnswerScript) -> Stand {
-    let host = IpAddr::from([127, 63, 0, number]);
-    let listener = TcpListener::bind(SocketAddr::new(host, REPLICA_PORT)).await;
-    let seen = Arc::new(SeenConnections::default());
-    let running = run_replica(listener.expect("a free port"), script, Arc::clone(&seen));
-    tokio::spawn(running);
-    let state = open_entry(host);
-    let address = SocketAddr::new(host, CALLER_PORT);
-    let stop = CancellationToken::new();
-    let serving = serve_callers(state, address, stop.clone(), Duration::from_secs(1));
-    let serving = tokio::spawn(serving);
-    while TcpStream::connect(address).await.is_err() {
-        tokio::time::sleep(Duration::from_millis(5)).await;
-    }
-    Stand {
-        host,
-        seen,
-        stop,
-        serving,
-    }
-}
-
-/// Two requests, one after the other. Returns their answers and the connections that the replica
-/// saw.
-async fn play(number: u8, script: AnswerScript) -> (Response<Bytes>, Response<Bytes>, usize) {
-    let stand = open_stand(number, script).await;
-    let first = ask(stand.host, "id-1").await;
-    tokio::time::sleep(Duration::from_millis(60)).await;
-    let second = ask(stand.host, "id-2").await;
-    stand.stop.cancel();
-    (first, second, stand.seen.opened.load(Ordering::Relaxed))
-}
-
 #[tokio::test]
 async fn a_whole_answer_is_passed_on_and_its_connection_used_again() {
     let script = |id: &str| ReplicaAnswer {
@@ -387,3 +193,62 @@
         assert_eq!(answer.status(), 200);
     }
 }
+
+/// A replica that answers a long body before it has read it, and reads on later: nothing but the
+/// rest of that body ever comes on the connection.
+#[tokio::test]
+async fn an_early_answer_to_a_long_body_is_passed_on_and_its_connection_left() {
+    const LENGTH: usize = 200 << 10;
+    let host = IpAddr::from([127, 63, 0, 13]);
+    let replica = SocketAddr::new(host, REPLICA_PORT);
+    let listener = TcpListener::bind(replica).await.expect("a free port");
+    let reading = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let mut read = Vec::new();
+        let mut buffer = [0; 1_024];
+        while !read.windows(4).any(|part| part == b"\r\n\r\n") {
+            let count = stream.read(&mut buffer).await.expect("a head");
+            read.extend_from_slice(&buffer[..count]);
+        }
+        let answer = whole("id-1", "label");
+        stream
+            .write_all(answer.as_bytes())
+            .await
+            .expect("it is read");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        while let Ok(count) = stream.read(&mut buffer).await {
+            if count == 0 {
+                break;
+            }
+            read.extend_from_slice(&buffer[..count]);
+        }
+        let end = read.windows(4).position(|part| part == b"\r\n\r\n");
+        let body = read.split_off(end.expect("a head") + 4);
+        (listener, body)
+    });
+    let state = open_entry(host);
+    let address = SocketAddr::new(host, CALLER_PORT);
+    let stop = CancellationToken::new();
+    let serving = serve_callers(state, address, stop.clone(), Duration::from_secs(1));
+    tokio::spawn(serving);
+    while TcpStream::connect(address).await.is_err() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let stream = TcpStream::connect(address).await.expect("it listens");
+    let first = Request::post("/card/1")
+        .header("host", "labels.example")
+        .header("x-id", "id-1")
+        .body(Full::from(vec![b'b'; LENGTH]));
+    let answer = send_on(stream, first.expect("a request")).await;
+    assert_eq!(
+        (answer.status().as_u16(), &**answer.body()),
+        (200, &b"label"[..])
+    );
+    // The replica has not ended the connection; a second request must not go there.
+    let second = tokio::time::timeout(Duration::from_millis(50), ask(host, "id-2"));
+    drop(second.await);
+    let (_listener, body) = reading.await.expect("it ends");
+    assert!(body.len() <= LENGTH);
+    assert!(body.iter().all(|byte| *byte == b'b'), "only that body");
+    stop.cancel();
+}
