Send the head of a request over a link once

Change: the first part on a link carries the head under a number, the others the number; the receiver keeps 32, the sender counts on the last 16, and sends the whole head again if it is not known any more. Tests on loopback and of both tables.

--- a/daisyhinge/src/shell/forward/answer.rs
+++ b/daisyhinge/src/shell/forward/answer.rs
@@ -116,6 +116,7 @@
     let id = headers.remove(&state.names.request_id);
     let target = head.uri.path_and_query().map_or("/", |path| path.as_str());
     OutgoingRequest {
+        number: state.next_number(),
         method: head.method,
         target: target
             .parse()
--- a/daisyhinge/src/shell/forward/outgoing.rs
+++ b/daisyhinge/src/shell/forward/outgoing.rs
@@ -10,6 +10,8 @@
 /// A caller's request as it is sent on.
 #[derive(Clone, Debug)]
 pub(super) struct OutgoingRequest {
+    /// Names the request in this process.
+    pub number: u64,
     pub method: Method,
     pub target: Uri,
     /// Headers that are sent on unchanged.
--- a/daisyhinge/src/shell/forward/relay.rs
+++ b/daisyhinge/src/shell/forward/relay.rs
@@ -7,6 +7,7 @@
 //! not needed for merging. Without a link, or if one hangs, replicas are asked directly.
 
 pub mod head;
+pub mod known;
 pub mod link;
 pub mod serve;
 pub(super) mod table;
@@ -17,6 +18,20 @@
 use crate::dispatch::request::AttemptEnd;
 use crate::prelude::*;
 
+/// The head of a request on its way over a link: method, target and headers as text, a line each.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum HeadRef {
+    /// Sent whole, and kept for further parts of the request.
+    Whole {
+        /// Names the request on this link.
+        number: u64,
+        /// The text.
+        text: Bytes,
+    },
+    /// Sent before.
+    Known(u64),
+}
+
 /// Asks another entry to send a request to a replica of its region.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RelayAsk {
@@ -26,8 +41,8 @@
     pub left_ms: u32,
     /// Records of the part that are wanted at most, the greatest ones.
     pub top_records: u32,
-    /// Method, target and headers of the request as text, a line each.
-    pub head: Bytes,
+    /// The head of the request.
+    pub head: HeadRef,
 }
 
 /// What came of it.
@@ -37,6 +52,8 @@
     pub end: AttemptEnd,
     /// The part, if a signed answer came; it counts only if `end` says so.
     pub part: Option<RelayPart>,
+    /// Whether nothing was done, since the head is not known any more.
+    pub head_unknown: bool,
 }
 
 /// A part as far as it is merged.
--- a/daisyhinge/src/shell/forward/relay/link.rs
+++ b/daisyhinge/src/shell/forward/relay/link.rs
@@ -17,7 +17,7 @@
 
 use super::head::write_head;
 use super::table::PeerLink;
-use super::{RelayAsk, RelayLinkClient, RelayPart};
+use super::{HeadRef, RelayAsk, RelayLinkClient, RelayPart, RelayReply};
 use crate::dispatch::fleet::ReplicaIndex;
 use crate::dispatch::request::AttemptEnd;
 use crate::prelude::*;
@@ -42,7 +42,32 @@
     top_records: usize,
     replica: ReplicaIndex,
 ) -> Result<(AttemptEnd, WholeAnswer), AttemptEnd> {
-    let ask = build_ask(state, request, top_records, replica).ok_or(AttemptEnd::Withdrawn)?;
+    let number = request.number;
+    let text = || build_head(state, request);
+    let head = link.sent_heads.lock().refer(number, text);
+    let ask = build_ask(state, request, top_records, replica, head);
+    let ask = ask.ok_or(AttemptEnd::Withdrawn)?;
+    let mut reply = call_link(state, link, request, ask.clone()).await?;
+    if reply.head_unknown {
+        let text = text();
+        let head = HeadRef::Whole { number, text };
+        reply = call_link(state, link, request, RelayAsk { head, ..ask }).await?;
+    }
+    let answer = reply.part.and_then(|part| read_part(state, part));
+    match answer {
+        Some(answer) => Ok((reply.end, answer)),
+        None if reply.end == AttemptEnd::Answered => Err(AttemptEnd::Lost),
+        None => Err(reply.end),
+    }
+}
+
+/// Calls the other end, and leaves the link if it hangs.
+async fn call_link(
+    state: &ForwardState,
+    link: &PeerLink,
+    request: &OutgoingRequest,
+    ask: RelayAsk,
+) -> Result<RelayReply, AttemptEnd> {
     let mut context = context::current();
     context.deadline = Instant::now() + request.ends.since(state.clock.now());
     let sent = state.clock.now();
@@ -65,12 +90,16 @@
         return Err(AttemptEnd::Lost);
     };
     link.heard.store(state.clock.now().0, Ordering::Relaxed);
-    let answer = reply.part.and_then(|part| read_part(state, part));
-    match answer {
-        Some(answer) => Ok((reply.end, answer)),
-        None if reply.end == AttemptEnd::Answered => Err(AttemptEnd::Lost),
-        None => Err(reply.end),
+    Ok(reply)
+}
+
+fn build_head(state: &ForwardState, request: &OutgoingRequest) -> Bytes {
+    let mut headers = request.headers.clone();
+    headers.remove(&state.names.deadline);
+    if let Some(id) = &request.id {
+        headers.insert(state.names.request_id.clone(), id.clone());
     }
+    write_head(&request.method, &request.target, &headers)
 }
 
 fn build_ask(
@@ -78,22 +107,18 @@
     request: &OutgoingRequest,
     top_records: usize,
     replica: ReplicaIndex,
+    head: HeadRef,
 ) -> Option<RelayAsk> {
     let left_ms = span_to_micros(request.ends.since(state.clock.now())) / 1_000;
     let replica = {
         let dispatcher = state.dispatcher.lock();
         dispatcher.fleet.replica(replica)?.record.name.clone()
     };
-    let mut headers = request.headers.clone();
-    headers.remove(&state.names.deadline);
-    if let Some(id) = &request.id {
-        headers.insert(state.names.request_id.clone(), id.clone());
-    }
     Some(RelayAsk {
         replica,
         left_ms: u32::try_from(left_ms).ok().filter(|left| *left > 0)?,
         top_records: u32::try_from(top_records).ok()?,
-        head: write_head(&request.method, &request.target, &headers),
+        head,
     })
 }
 
@@ -171,6 +196,7 @@
         address,
         region,
         client,
+        sent_heads: Arc::default(),
         heard,
     };
     state.note_peer(address, true);
--- a/daisyhinge/src/shell/forward/relay/serve.rs
+++ b/daisyhinge/src/shell/forward/relay/serve.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use futures::StreamExt;
+use parking_lot::Mutex;
 use tarpc::context::Context;
 use tarpc::serde_transport::Transport;
 use tarpc::server::{BaseChannel, Channel};
@@ -14,6 +15,7 @@
 use tokio::task::JoinSet;
 
 use super::head::read_head;
+use super::known::KeptHeads;
 use super::{RelayAsk, RelayLink, RelayPart, RelayReply};
 use crate::dispatch::fleet::{AttemptFinish, Choice, ReplicaIndex};
 use crate::dispatch::merge::merge_parts;
@@ -63,7 +65,8 @@
     }
     let transport = Transport::from((stream, Bincode::default()));
     let channel = BaseChannel::with_defaults(transport);
-    let mut calls = std::pin::pin!(channel.execute(RelayServer { state }.serve()));
+    let heads = Arc::default();
+    let mut calls = std::pin::pin!(channel.execute(RelayServer { state, heads }.serve()));
     let mut running = JoinSet::new();
     while let Some(call) = calls.next().await {
         running.spawn(call);
@@ -74,11 +77,20 @@
 #[derive(Clone)]
 struct RelayServer {
     state: Arc<ForwardState>,
+    heads: Arc<Mutex<KeptHeads>>,
 }
 
 impl RelayLink for RelayServer {
     async fn relay(self, _: Context, ask: RelayAsk) -> RelayReply {
-        let Some(request) = read_request(&self.state, &ask) else {
+        let Some(text) = self.heads.lock().find(ask.head) else {
+            return RelayReply {
+                head_unknown: true,
+                ..refuse_part(AttemptEnd::Withdrawn)
+            };
+        };
+        let top_records = ask.top_records as usize;
+        let ends = self.state.clock.now() + Duration::from_millis(ask.left_ms.into());
+        let Some(request) = read_request(&self.state, &text, top_records, ends) else {
             return refuse_part(AttemptEnd::Withdrawn);
         };
         let mut attempt = match RelayAttempt::begin(&self.state, &ask.replica) {
@@ -97,35 +109,49 @@
             Err(end) => (end, None),
         };
         attempt.finish = end.into();
-        let part = answer.and_then(|answer| build_part(&self.state, &ask, &answer));
-        RelayReply { end, part }
+        let part = answer.and_then(|answer| build_part(&self.state, top_records, &answer));
+        RelayReply {
+            end,
+            part,
+            head_unknown: false,
+        }
     }
 }
 
 /// A reply to what is not sent on.
 fn refuse_part(end: AttemptEnd) -> RelayReply {
-    RelayReply { end, part: None }
+    RelayReply {
+        end,
+        part: None,
+        head_unknown: false,
+    }
 }
 
-fn read_request(state: &ForwardState, ask: &RelayAsk) -> Option<OutgoingRequest> {
-    let mut head = read_head(&ask.head)?;
+fn read_request(
+    state: &ForwardState,
+    text: &[u8],
+    top_records: usize,
+    ends: MonotonicTime,
+) -> Option<OutgoingRequest> {
+    let mut head = read_head(text)?;
     let id = head.headers.remove(&state.names.request_id);
     Some(OutgoingRequest {
+        number: state.next_number(),
         method: head.method,
         target: head.target,
         headers: head.headers,
         body: Bytes::new(),
         id,
         kind: RouteKind::Safe,
-        top_records: Some(ask.top_records as usize),
-        ends: state.clock.now() + Duration::from_millis(ask.left_ms.into()),
+        top_records: Some(top_records),
+        ends,
     })
 }
 
 /// The greatest records of a whole answer.
-fn build_part(state: &ForwardState, ask: &RelayAsk, answer: &WholeAnswer) -> Option<RelayPart> {
+fn build_part(state: &ForwardState, top_records: usize, answer: &WholeAnswer) -> Option<RelayPart> {
     let signature = answer.headers.get(&state.names.signature)?;
-    let records = merge_parts(std::iter::once(&*answer.body), ask.top_records as usize);
+    let records = merge_parts(std::iter::once(&*answer.body), top_records);
     Some(RelayPart {
         signature: Bytes::copy_from_slice(signature.as_bytes()),
         records: records.into(),
--- a/daisyhinge/src/shell/forward/relay/table.rs
+++ b/daisyhinge/src/shell/forward/relay/table.rs
@@ -9,6 +9,7 @@
 use parking_lot::Mutex;
 
 use super::RelayLinkClient;
+use super::known::SentHeads;
 use crate::dispatch::fleet::{Fleet, ReplicaIndex};
 use crate::prelude::*;
 
@@ -21,6 +22,8 @@
     pub(super) address: SocketAddr,
     pub(super) region: Option<RegionName>,
     pub(super) client: RelayLinkClient,
+    /// Heads that were sent on it.
+    pub(super) sent_heads: Arc<Mutex<SentHeads>>,
     /// When anything was last heard, in microseconds of the process's clock.
     pub(super) heard: Arc<AtomicU64>,
 }
--- a/daisyhinge/src/shell/forward/state.rs
+++ b/daisyhinge/src/shell/forward/state.rs
@@ -1,7 +1,7 @@
 //! What all requests of an entry share.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use parking_lot::{Mutex, RwLock};
@@ -72,6 +72,8 @@
     confirmed: AtomicBool,
     told: Notify,
     decode: ConfigDecoder,
+    /// Number of the last request.
+    number: AtomicU64,
 }
 
 impl ForwardState {
@@ -91,6 +93,7 @@
             confirmed: AtomicBool::new(false),
             told: Notify::new(),
             decode: settings.decode,
+            number: AtomicU64::new(0),
         })
     }
 
@@ -165,6 +168,11 @@
         }
     }
 
+    /// A number for a request, which no other one of this process has.
+    pub(super) fn next_number(&self) -> u64 {
+        self.number.fetch_add(1, Ordering::Relaxed)
+    }
+
     /// Tells the choice how many idle connections to the replica there are.
     pub(super) fn note_idle(&self, replica: ReplicaIndex) {
         let idle = self.pool.idle(replica);
--- a/daisyhinge/tests/relay.rs
+++ b/daisyhinge/tests/relay.rs
@@ -12,8 +12,10 @@
 use daisyhinge::prelude::*;
 use daisyhinge::shell::forward::listen::serve_callers;
 use daisyhinge::shell::forward::relay::head::{read_head, write_head};
+use daisyhinge::shell::forward::relay::known::{KeptHeads, SentHeads};
 use daisyhinge::shell::forward::relay::link::run_links;
 use daisyhinge::shell::forward::relay::serve::bind_relay;
+use daisyhinge::shell::forward::relay::{HeadRef, RelayAsk, RelayLinkClient};
 use daisyhinge::shell::forward::state::{ForwardSettings, ForwardState};
 use daisyhinge::shell::http_port::HttpPort;
 use daisyhinge::shell::http_port::reply::{ReplyBody, reply_text};
@@ -29,6 +31,9 @@
 use known_replica::{BUDGET, header_names, tell_replica};
 use parking_lot::Mutex;
 use proptest::prelude::*;
+use tarpc::serde_transport::Transport;
+use tarpc::tokio_serde::formats::Bincode;
+use tarpc::{client, context};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
@@ -88,6 +93,10 @@
 
 /// An entry `number` at `centre` that knows both entries and the replica at data centre `b`.
 fn open_entry(number: u8, centre: &str) -> Arc<ForwardState> {
+    open_entry_at(number, centre, SocketAddr::new(host(9), REPLICA_PORT))
+}
+
+fn open_entry_at(number: u8, centre: &str, replica: SocketAddr) -> Arc<ForwardState> {
     let regions = [("a", "north"), ("b", "south")];
     let state = ForwardState::open(ForwardSettings {
         place: FleetPlace {
@@ -101,7 +110,6 @@
         names: header_names(),
         decode: read_site,
     });
-    let replica = SocketAddr::new(host(9), REPLICA_PORT);
     let entries = vec![presence(1, "a"), presence(2, "b")];
     let reply = tell_replica(replica, "shard", "b", entries);
     state.take_reply(reply, true);
@@ -222,6 +230,58 @@
     drop(silent);
 }
 
+/// The head of a request is sent once on a link. One that is not known any more is asked for again,
+/// and nothing is sent to the replica meanwhile.
+#[tokio::test]
+async fn a_head_that_is_not_known_is_sent_again() {
+    let seen = SeenHeads::default();
+    let noting = Arc::clone(&seen);
+    let answer =
+        move |request: Request<Incoming>| std::future::ready(answer_replica(&noting, &request));
+    let replica = HttpPort::bind(SocketAddr::new(host(19), REPLICA_PORT), answer).await;
+    let replica = replica.expect("a free port");
+    let far = open_entry_at(12, "b", SocketAddr::new(host(19), REPLICA_PORT));
+    let relay = SocketAddr::new(host(12), RELAY_PORT);
+    bind_relay(far, relay).await.expect("a free port");
+    let stream = TcpStream::connect(relay).await.expect("it listens");
+    let transport = Transport::from((stream, Bincode::default()));
+    let client = RelayLinkClient::new(client::Config::default(), transport).spawn();
+    let text = || Bytes::from_static(b"GET\n/sweep/1\nhost:labels.example\nx-id:id-7");
+    let ask = |head| RelayAsk {
+        replica: "replica-1".into(),
+        left_ms: 900,
+        top_records: 2,
+        head,
+    };
+    let mut sent = SentHeads::default();
+    let whole = sent.refer(7, text);
+    let known = sent.refer(7, || unreachable!("it was sent"));
+    assert_eq!(known, HeadRef::Known(7));
+    for (head, is_unknown) in [(known.clone(), true), (whole, false), (known, false)] {
+        let asked = seen.lock().len();
+        let reply = client.relay(context::current(), ask(head)).await;
+        let reply = reply.expect("a reply");
+        assert_eq!(reply.head_unknown, is_unknown);
+        assert_eq!(reply.part.is_none(), is_unknown);
+        assert_eq!(seen.lock().len() - asked, usize::from(!is_unknown));
+    }
+    replica.close().await;
+}
+
+/// What the sender takes for kept is kept, though calls of other requests came between.
+#[test]
+fn kept_heads_outlast_sent_ones() {
+    let mut sent = SentHeads::default();
+    let mut kept = KeptHeads::default();
+    for number in 0..200 {
+        let text = || Bytes::from(number.to_string());
+        assert_eq!(kept.find(sent.refer(number, text)), Some(text()));
+        let earlier = u64::from(number % 2 == 0) * number / 2;
+        let head = sent.refer(earlier, || Bytes::from(earlier.to_string()));
+        assert_eq!(kept.find(head), Some(Bytes::from(earlier.to_string())));
+    }
+}
+
 #[test]
 fn a_head_comes_back_as_it_was_written() {
     let mut headers = HeaderMap::new();
