Do not write what is still connecting once a request is answered

Cause: read in the last look over the change: attempts run on for 120 ms after their request was answered, so one that was still connecting could be sent then, for nobody. Change: the gates of a request are closed when it is over; a connection that comes about goes to the pool.

--- a/daisyhinge/src/dispatch/fleet/suspicion.rs
+++ b/daisyhinge/src/dispatch/fleet/suspicion.rs
@@ -4,8 +4,8 @@
 
 use crate::prelude::*;
 
-/// Requests that a replica leaves unanswered one after the other before it is passed over: a pause is no
-/// reason to go to another region.
+/// Requests that a replica leaves unanswered, one after the other, before it is passed over: a
+/// pause is no reason to go to another region.
 const SUSPECT_MIN: u32 = 2;
 /// First time for which it is passed over.
 const SUSPECT_FIRST: Duration = Duration::from_millis(500);
--- a/daisyhinge/src/shell/forward/run.rs
+++ b/daisyhinge/src/shell/forward/run.rs
@@ -114,6 +114,8 @@
                 RequestAction::Cancel { .. } => {}
                 RequestAction::Finish(verdict) => {
                     guard.over = true;
+                    // What is still connecting is not written any more.
+                    gates.iter().for_each(|(_, gate)| gate.close());
                     if matches!(verdict, Verdict::Answer { .. }) && !running.is_empty() {
                         tokio::spawn(run_out(running));
                     }
