--- a/daisyhinge/src/shell/forward/run.rs
+++ b/daisyhinge/src/shell/forward/run.rs
@@ -115,7 +115,9 @@
                 RequestAction::Finish(verdict) => {
                     guard.over = true;
                     // What is still connecting is not written any more.
-                    gates.iter().for_each(|(_, gate)| gate.close());
+                    for (_, gate) in &gates {
+                        gate.close();
+                    }
                     if matches!(verdict, Verdict::Answer { .. }) && !running.is_empty() {
                         tokio::spawn(run_out(running));
                     }
