Name requests by a digest in the log; tell a connection that ended from an unusable answer

Cause: the log named a request by its identifier, which is new with each try of a caller, and called a connection that ended before an answer 'lost', like a damaged or foreign answer. Change: request_ended carries the digest of host, method, path, query and body; an attempt whose connection ended before any part of an answer ends as 'reset', in the log and in the counter of attempts. No decision changes: both ends weigh the same for replica and target. Ruled out: the caller's address or another header as part of the digest.

--- a/daisyhinge/src/dispatch/request/message.rs
+++ b/daisyhinge/src/dispatch/request/message.rs
@@ -12,6 +12,8 @@
 /// Route and times that determine how a request is dispatched.
 #[derive(Clone, Debug)]
 pub struct RequestPlan {
+    /// Digest of the request, the same each time its caller sends it again.
+    pub digest: RequestDigest,
     /// Route that the request matched; sets its objective, attempts and targets.
     pub route: Arc<SiteRoute>,
     /// Time at which the request arrived.
@@ -41,10 +43,13 @@
     Withdrawn,
     /// Another server answers at the replica's address; the request did not run.
     WrongServer,
-    /// Sent, without a usable answer; the request may have run.
+    /// Sent, without a usable answer, for another reason than [`Self::Reset`]; the request may have
+    /// run.
     Lost,
     /// Not sent: the relaying entry is at its limit of concurrent requests to the replica.
     PeerBusy,
+    /// Sent; the connection ended before any part of an answer, as it does if the replica crashes.
+    Reset,
 }
 
 impl From<AttemptEnd> for ReplicaOutcome {
@@ -56,7 +61,7 @@
             AttemptEnd::NotSent => Self::Unreachable,
             AttemptEnd::Withdrawn => Self::Cancelled,
             AttemptEnd::WrongServer => Self::WrongServer,
-            AttemptEnd::Lost => Self::Broken,
+            AttemptEnd::Lost | AttemptEnd::Reset => Self::Broken,
         }
     }
 }
--- a/daisyhinge/src/dispatch/request/target.rs
+++ b/daisyhinge/src/dispatch/request/target.rs
@@ -177,7 +177,7 @@
                 self.arrived = self.runs + self.refusals > 0;
                 self.reason = Some(ResultCode::AnswerMismatch);
             }
-            AttemptEnd::Lost => self.reason = Some(ResultCode::ConnectionReset),
+            AttemptEnd::Lost | AttemptEnd::Reset => self.reason = Some(ResultCode::ConnectionReset),
         }
     }
 
--- a/daisyhinge/src/shell/entry/search_driver.rs
+++ b/daisyhinge/src/shell/entry/search_driver.rs
@@ -1,15 +1,14 @@
 //! Runs callers' requests: executes the actions of the search state machine.
 
 use std::collections::HashMap;
-use std::hash::{BuildHasher, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use foldhash::fast::FixedState;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::{AbortHandle, JoinSet};
 
+use crate::digest::digest_request;
 use crate::prelude::*;
 use crate::search::plan::SearchPlan;
 use crate::search::{RequestSearch, SearchAction, SearchEvent, SubPlan};
@@ -24,9 +23,6 @@
 use crate::vocabulary::query::CallerQuery;
 use crate::vocabulary::subrequest::{SubRefusal, SubReply, SubRequest};
 
-/// Seed of the request digest. It is part of the protocol because crash records contain digests.
-const DIGEST_SEED: u64 = 0x6469_6765_7374_0001;
-
 /// Retry delay in milliseconds for callers of an entry without a valid freshness lease.
 const LEASE_RETRY_MS: u64 = 1_000;
 
@@ -117,15 +113,6 @@
     }
 }
 
-/// Digest of a request, used to match it with crash records of the same request.
-pub fn digest_request(service: &ServiceName, body: &[u8]) -> RequestDigest {
-    let mut hasher = FixedState::with_seed(DIGEST_SEED).build_hasher();
-    hasher.write(service.as_str().as_bytes());
-    hasher.write_u8(0);
-    hasher.write(body);
-    RequestDigest(hasher.finish())
-}
-
 /// A search that is cancelled if it is dropped before it is done.
 #[derive(Debug)]
 struct SearchGuard {
@@ -179,7 +166,7 @@
         let (sender, receiver) = mpsc::unbounded_channel();
         let plan = SearchPlan {
             request: query.request.clone(),
-            digest: digest_request(&query.service, &query.body),
+            digest: digest_request(&[query.service.as_str()], &query.body),
             service: query.service.clone(),
             shard: query.shard,
             arrived: now,
--- a/daisyhinge/src/shell/forward/answer.rs
+++ b/daisyhinge/src/shell/forward/answer.rs
@@ -15,6 +15,7 @@
 use super::run::{RequestOutcome, run_request};
 use super::state::{ActiveSite, ForwardState};
 use super::wire::{encode_number, encode_result_code, header_text, strip_connection_headers};
+use crate::digest::digest_request;
 use crate::dispatch::merge::merge_parts;
 use crate::dispatch::request::{Decision, RequestPlan};
 use crate::prelude::*;
@@ -72,6 +73,10 @@
     let requested_ms = requested_ms.and_then(|text| text.trim().parse::<u64>().ok());
     let requested = requested_ms.map_or(route.timeout, Duration::from_millis);
     let mut plan = RequestPlan {
+        digest: digest_request(
+            &[&route.host, head.method.as_str(), path_and_query(&head.uri)],
+            &body,
+        ),
         route: Arc::clone(&route),
         started,
         deadline: started + requested.min(route.timeout),
@@ -106,6 +111,10 @@
     site.routes.find_route(host, head.uri.path())
 }
 
+fn path_and_query(uri: &Uri) -> &str {
+    uri.path_and_query().map_or("/", |path| path.as_str())
+}
+
 fn build_outgoing(
     state: &ForwardState,
     plan: &RequestPlan,
@@ -115,7 +124,7 @@
     let mut headers = head.headers;
     strip_connection_headers(&mut headers);
     let id = headers.remove(&state.names.request_id);
-    let target = head.uri.path_and_query().map_or("/", |path| path.as_str());
+    let target = path_and_query(&head.uri);
     OutgoingRequest {
         number: state.next_number(),
         method: head.method,
--- a/daisyhinge/src/shell/forward/attempt.rs
+++ b/daisyhinge/src/shell/forward/attempt.rs
@@ -110,6 +110,7 @@
         Ok(answer) => answer,
         Err(ExchangeError::NotSent) => return Err(AttemptEnd::NotSent),
         Err(ExchangeError::Lost) => return Err(AttemptEnd::Lost),
+        Err(ExchangeError::Reset) => return Err(AttemptEnd::Reset),
     };
     let end = classify_answer(state, request, &answer);
     let usable = end != AttemptEnd::Lost;
--- a/daisyhinge/src/shell/forward/connection.rs
+++ b/daisyhinge/src/shell/forward/connection.rs
@@ -39,8 +39,11 @@
 pub(super) enum ExchangeError {
     /// Nothing was written.
     NotSent,
-    /// The request may have reached the replica.
+    /// The request may have reached the replica, and no complete answer was received.
     Lost,
+    /// The request may have reached the replica, and the connection ended before any part of an
+    /// answer.
+    Reset,
 }
 
 /// An open connection to a replica.
@@ -107,8 +110,10 @@
         let reply = reply.await.map_err(|error| {
             if error.is_canceled() {
                 ExchangeError::NotSent
-            } else {
+            } else if error.is_parse() {
                 ExchangeError::Lost
+            } else {
+                ExchangeError::Reset
             }
         })?;
         let answer = self.read_answer(reply).await;
--- a/daisyhinge/src/shell/forward/outcome_log.rs
+++ b/daisyhinge/src/shell/forward/outcome_log.rs
@@ -41,9 +41,10 @@
     state.log.log_request(notable, || {
         let missing: Vec<&str> = outcome.missing.iter().map(ServiceName::as_str).collect();
         format!(
-            "event=request_ended request={} route={} version={} outcome={name} took_us={} \
+            "event=request_ended request={} digest={:016x} route={} version={} outcome={name} took_us={} \
              spent_us={} margin_us={} targets={} sent={} repeated={repeated} missing={}",
             id,
+            plan.digest.0,
             route.name,
             site.version,
             duration_to_micros(took),
--- a/daisyhinge/src/shell/forward/run.rs
+++ b/daisyhinge/src/shell/forward/run.rs
@@ -187,6 +187,7 @@
         AttemptEnd::Withdrawn => "withdrawn",
         AttemptEnd::WrongServer => "wrong_server",
         AttemptEnd::Lost => "lost",
+        AttemptEnd::Reset => "reset",
         AttemptEnd::PeerBusy => "peer_busy",
     }
 }
--- a/daisyhinge/tests/dispatch/support.rs
+++ b/daisyhinge/tests/dispatch/support.rs
@@ -144,6 +144,7 @@
 pub fn plan(route: SiteRoute, started: MonotonicTime) -> RequestPlan {
     let deadline = started + route.timeout;
     RequestPlan {
+        digest: RequestDigest(1),
         route: Arc::new(route),
         started,
         deadline,
