Move the crash records out of the keeper

Change: keeper/crash becomes crash; paths follow, nothing else. Measured: linter, keeper_crash, layering and import_cycles pass.

--- a/daisyhinge/src/keeper/crash.rs
+++ b/daisyhinge/src/crash.rs
@@ -1,4 +1,5 @@
-//! Crash records by request: counted by keepers, merged and looked up by root entries.
+//! Crash records by request: counted where requests are sent to backend servers, exchanged between
+//! entries, and looked up before a request is sent.
 
 use std::collections::HashMap;
 use std::time::Duration;
--- a/daisyhinge/src/keeper.rs
+++ b/daisyhinge/src/keeper.rs
@@ -5,7 +5,6 @@
 
 mod admission;
 pub mod check;
-pub mod crash;
 pub mod crash_detection;
 pub mod event;
 pub mod gate;
--- a/daisyhinge/src/keeper/keeper_set.rs
+++ b/daisyhinge/src/keeper/keeper_set.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use crate::keeper::crash::{CrashTracker, PoisonStatus};
+use crate::crash::{CrashTracker, PoisonStatus};
 use crate::keeper::event::KeeperEvent;
 use crate::keeper::gate::KeeperGate;
 use crate::keeper::partition::PartitionRegistry;
--- a/daisyhinge/src/keeper/keeper_set/dispatch.rs
+++ b/daisyhinge/src/keeper/keeper_set/dispatch.rs
@@ -1,6 +1,6 @@
 //! Steps of single replicas under the shared crash records and power caps.
 
-use crate::keeper::crash::PoisonStatus;
+use crate::crash::PoisonStatus;
 use crate::keeper::crash_detection::CrashUpdate;
 use crate::keeper::event::{KeeperAction, KeeperEvent};
 use crate::keeper::keeper_set::KeeperSet;
--- a/daisyhinge/src/lib.rs
+++ b/daisyhinge/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod address;
 pub mod check;
 pub mod control;
+pub mod crash;
 pub mod digest;
 pub mod directory;
 pub mod dispatch;
--- a/daisyhinge/tests/keeper_crash.rs
+++ b/daisyhinge/tests/keeper_crash.rs
@@ -4,8 +4,8 @@
 #[expect(dead_code, reason = "shared by several test files")]
 mod support;
 
+use daisyhinge::crash::{CRASH_RECORDS_MAX, CRASH_RETENTION, CrashTracker, PoisonStatus};
 use daisyhinge::keeper::KeeperEvent;
-use daisyhinge::keeper::crash::{CRASH_RECORDS_MAX, CRASH_RETENTION, CrashTracker, PoisonStatus};
 use daisyhinge::keeper::crash_detection::CrashUpdate;
 use daisyhinge::keeper::sub_request::DispatchOutcome;
 use daisyhinge::prelude::*;
--- a/daisyhinge/tests/keeper_set.rs
+++ b/daisyhinge/tests/keeper_set.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use daisyhinge::keeper::crash::PoisonStatus;
+use daisyhinge::crash::PoisonStatus;
 use daisyhinge::keeper::keeper_set::{KeeperSet, KeeperSetAction, KeeperSetEvent};
 use daisyhinge::keeper::view_history::{EntryIdentity, ViewHistory, handover_duration};
 use daisyhinge::keeper::{KeeperAction, KeeperEvent};
--- a/daisyhinge/tests/mixed/invariants.rs
+++ b/daisyhinge/tests/mixed/invariants.rs
@@ -1,6 +1,6 @@
 //! Invariants of a run, checked against the model's own record of events.
 
-use daisyhinge::keeper::crash::PoisonStatus;
+use daisyhinge::crash::PoisonStatus;
 use daisyhinge::prelude::*;
 use daisyhinge::search::is_covered;
 use daisyhinge::vocabulary::answer::{QueryAnswer, QueryRefusal};
--- a/daisyhinge/tests/mixed/keepers.rs
+++ b/daisyhinge/tests/mixed/keepers.rs
@@ -1,7 +1,7 @@
 //! Model of the keepers: drives each entry's keeper set as the shell does.
 
 use bytes::Bytes;
-use daisyhinge::keeper::crash::PoisonStatus;
+use daisyhinge::crash::PoisonStatus;
 use daisyhinge::keeper::keeper_set::{KeeperSetAction, KeeperSetEvent};
 use daisyhinge::keeper::sub_request::{DispatchOutcome, SubRequestInfo, refusal_for};
 use daisyhinge::keeper::{KeeperAction, KeeperEvent};
