Keep the strongest crash records of a request, not the first eight

Cause: a request's records of more than eight sources were dropped in silence, whatever they said. Eight entries that counted one crash each hid the ninth's two, and the request went on. Test: poisoning_record_is_kept_beside_many_weaker_sources failed before (Suspect instead of Poisoned), passes now.

--- a/daisyhinge/src/crash.rs
+++ b/daisyhinge/src/crash.rs
@@ -17,7 +17,7 @@
 /// Maximum number of requests with crash records.
 pub const CRASH_RECORDS_MAX: usize = 1_024;
 
-/// Maximum number of other keepers recorded for one request; two are enough to refuse it.
+/// Maximum number of sources recorded for one request; the strongest decides.
 const SOURCES_MAX: usize = 8;
 
 /// Time without a table from a keeper after which entries that received its records publish them in
@@ -66,6 +66,21 @@
         counts.map(|source| source.crashes).max().unwrap_or(0)
     }
 
+    /// Adds a source. If there are too many, the weakest received one goes.
+    fn add_source(&mut self, source: CrashCount) {
+        self.sources.push(source);
+        if self.sources.len() <= SOURCES_MAX {
+            return;
+        }
+        let received = self.sources.iter().enumerate();
+        let weakest = received
+            .filter(|(_, source)| source.keeper.is_some())
+            .min_by_key(|(_, source)| (source.crashes, source.last_crash_at));
+        if let Some((index, _)) = weakest {
+            self.sources.swap_remove(index);
+        }
+    }
+
     fn last_crash_at(&self) -> MonotonicTime {
         self.sources
             .iter()
@@ -295,10 +310,7 @@
         if !self.requests.contains_key(&digest) && self.requests.len() >= CRASH_RECORDS_MAX {
             self.evict(now);
         }
-        let request = self.requests.entry(digest).or_default();
-        if request.sources.len() < SOURCES_MAX || source.keeper.is_none() {
-            request.sources.push(source);
-        }
+        self.requests.entry(digest).or_default().add_source(source);
         assert!(
             self.requests.len() <= CRASH_RECORDS_MAX,
             "number of crash records exceeds its limit"
--- a/daisyhinge/tests/keeper_crash.rs
+++ b/daisyhinge/tests/keeper_crash.rs
@@ -364,3 +364,23 @@
         PoisonStatus::Suspect
     );
 }
+
+/// Records of a ninth source were dropped in silence.
+#[test]
+fn poisoning_record_is_kept_beside_many_weaker_sources() {
+    let mut tracker = CrashTracker::new();
+    let record = |crashes| CrashRecord {
+        digest: CRASHING,
+        crashes,
+        age_ms: 0,
+    };
+    for number in 0..8 {
+        let keeper = VmName::from(format!("entry-{number}"));
+        tracker.merge(at(0), &keeper, 1, &[record(1)]);
+    }
+    tracker.merge(at(1), &"entry-8".into(), 1, &[record(2)]);
+    assert_eq!(
+        tracker.poison_status(at(1), CRASHING),
+        PoisonStatus::Poisoned
+    );
+}
