Let an entry remember the requests that crash replicas

What callers saw: a request that had ended three servers was sent to servers again with each try, and ended those too; ordinary requests found fewer replicas. Cause: the path that dispatches directly had no memory of crashes. dispatch/request began anew with each try and sent to attempts_max replicas of each shard; the records that the product's own entries keep were never built for it. Evidence: process test on plus log lines: one entry, one digest, tries 3 s apart each sent to two replicas that both ended. Change: a connection that ends before any part of an answer counts as a crash under the request (CrashTracker, the records of the product's own path). A suspect runs at one replica at a time and is not hedged; after a second crash in turn it is refused with 503, which is true since nothing of that try ran, and the time to come back. A reset is withdrawn if the same incarnation answers a later request within 1 s, or stays ready and answers later; an answer by any replica clears the request; resets after an answer are none. Why it works: a request crashes every replica that begins to run it, or none, so answers tell the two apart within milliseconds on a busy service, and a second crash of a lone probe has one cause only.

--- a/daisyhinge/src/crash.rs
+++ b/daisyhinge/src/crash.rs
@@ -56,14 +56,19 @@
 }
 
 impl RequestCrashes {
-    fn crash_count(&self, now: MonotonicTime) -> u32 {
-        let counts = self.sources.iter().filter(|source| {
+    /// Iterates over the sources whose crashes have neither expired nor been refuted.
+    fn counted_sources(&self, now: MonotonicTime) -> impl Iterator<Item = &CrashCount> {
+        self.sources.iter().filter(move |source| {
             now.since(source.last_crash_at) < CRASH_RETENTION
                 && self.cleared.is_none_or(|at| source.last_crash_at > at)
-        });
+        })
+    }
+
+    fn crash_count(&self, now: MonotonicTime) -> u32 {
         // The maximum, not the sum: crashes at several keepers may have one cause, such as the loss
         // of a rack. A probe's crash includes the count of the crash before it.
-        counts.map(|source| source.crashes).max().unwrap_or(0)
+        let counts = self.counted_sources(now).map(|source| source.crashes);
+        counts.max().unwrap_or(0)
     }
 
     /// Adds a source. If there are too many, the weakest received one goes.
@@ -143,11 +148,50 @@
         let grows = |digest: &RequestDigest| self.own_count(now, *digest) < count;
         let attributed: Vec<_> = suspects.iter().copied().filter(grows).collect();
         for digest in &attributed {
-            self.set_own_count(now, *digest, count);
+            self.set_own_crashes(now, *digest, count, now);
         }
         attributed
     }
 
+    /// Sets the crashes of `digest` that this entry counts; zero removes its record.
+    pub fn set_own_crashes(
+        &mut self,
+        now: MonotonicTime,
+        digest: RequestDigest,
+        crashes: u32,
+        last_crash_at: MonotonicTime,
+    ) {
+        if let Some(request) = self.requests.get_mut(&digest) {
+            request.sources.retain(|source| source.keeper.is_some());
+        }
+        if crashes > 0 {
+            let source = CrashCount {
+                keeper: None,
+                table: 0,
+                crashes,
+                last_crash_at,
+            };
+            self.add_source(now, digest, source);
+        } else {
+            self.remove_if_empty(digest);
+        }
+    }
+
+    /// Returns whether another entry counts a crash of `digest`.
+    pub fn has_received_crashes(&self, now: MonotonicTime, digest: RequestDigest) -> bool {
+        let request = self.requests.get(&digest);
+        request.is_some_and(|request| {
+            let mut counted = request.counted_sources(now);
+            counted.any(|source| source.keeper.is_some())
+        })
+    }
+
+    /// Returns the time since the last crash of `digest`; zero if there is none on record.
+    pub fn last_crash_age(&self, now: MonotonicTime, digest: RequestDigest) -> Duration {
+        let request = self.requests.get(&digest);
+        request.map_or(Duration::ZERO, |request| now.since(request.last_crash_at()))
+    }
+
     /// Subtracts one crash from `digests` after the backend server turned out to be alive.
     pub fn withdraw(&mut self, digests: &[RequestDigest]) {
         for digest in digests {
@@ -285,27 +329,6 @@
             .map_or(0, |source| source.crashes)
     }
 
-    fn set_own_count(&mut self, now: MonotonicTime, digest: RequestDigest, crashes: u32) {
-        let own_source = self.requests.get_mut(&digest).and_then(|request| {
-            request
-                .sources
-                .iter_mut()
-                .find(|source| source.keeper.is_none())
-        });
-        if let Some(source) = own_source {
-            source.crashes = crashes;
-            source.last_crash_at = now;
-            return;
-        }
-        let source = CrashCount {
-            keeper: None,
-            table: 0,
-            crashes,
-            last_crash_at: now,
-        };
-        self.add_source(now, digest, source);
-    }
-
     fn add_source(&mut self, now: MonotonicTime, digest: RequestDigest, source: CrashCount) {
         if !self.requests.contains_key(&digest) && self.requests.len() >= CRASH_RECORDS_MAX {
             self.evict(now);
--- a/daisyhinge/src/dispatch.rs
+++ b/daisyhinge/src/dispatch.rs
@@ -6,6 +6,7 @@
 
 pub mod budget;
 pub mod caller;
+pub mod crash;
 pub mod fleet;
 pub mod merge;
 pub mod request;
@@ -21,6 +22,7 @@
 use crate::vocabulary::site::{RouteTarget, SiteConfig, SiteRoute};
 use budget::{BudgetLimits, RetryBudget};
 use caller::CallerEstimate;
+use crash::CrashMonitor;
 use fleet::{Fleet, FleetLocation, ReplicaIndex};
 
 /// Upper bound of the hedging delay as a percentage of the objective, round trip excluded.
@@ -36,6 +38,8 @@
     pub fleet: Fleet,
     /// Estimates of the callers' round trip and time already spent.
     pub callers: CallerEstimate,
+    /// Records of requests that crash replicas.
+    pub crashes: CrashMonitor,
     limits: BudgetLimits,
     budgets: HashMap<ServiceName, RetryBudget>,
     round_robins: HashMap<Arc<str>, WeightedRoundRobin>,
@@ -50,6 +54,7 @@
         Self {
             fleet: Fleet::open(location),
             callers: CallerEstimate::default(),
+            crashes: CrashMonitor::default(),
             limits,
             budgets: HashMap::new(),
             round_robins: HashMap::new(),
--- a/daisyhinge/src/dispatch/fleet.rs
+++ b/daisyhinge/src/dispatch/fleet.rs
@@ -225,6 +225,12 @@
         self.replicas.get(&index)
     }
 
+    /// Returns the last announcement of a replica that may be used.
+    pub fn find_record(&self, name: &ReplicaName) -> Option<&ReplicaRecord> {
+        let index = self.names.get(name)?;
+        self.replicas.get(index).map(|replica| &replica.record)
+    }
+
     /// Iterates over the replicas of all services.
     pub fn replicas(&self) -> impl Iterator<Item = (ReplicaIndex, &FleetReplica)> {
         self.replicas
--- a/daisyhinge/src/dispatch/request.rs
+++ b/daisyhinge/src/dispatch/request.rs
@@ -10,10 +10,12 @@
 
 use super::Dispatcher;
 use super::fleet::{Choice, ChoiceQuery, FleetReplica, ReplicaIndex, ReplicaOutcome};
+use crate::crash::PoisonStatus;
 use crate::prelude::*;
 use crate::vocabulary::site::{RouteKind, RouteTarget};
 
 mod decision;
+mod isolation;
 mod message;
 mod target;
 use decision::answer_delay;
@@ -50,6 +52,8 @@
     /// Time of the last admission check.
     admission_checked_at: MonotonicTime,
     finished: bool,
+    /// When the caller may retry, if the request was given up as poisoned.
+    poisoned_retry_after: Option<Duration>,
 }
 
 impl RequestMachine {
@@ -78,6 +82,7 @@
             admitted: false,
             admission_checked_at: MonotonicTime::default(),
             finished: false,
+            poisoned_retry_after: None,
         }
     }
 
@@ -145,6 +150,7 @@
         if !self.has_started {
             self.has_started = true;
             self.close_targets_without_replica(now, dispatcher);
+            self.close_if_poisoned(now, dispatcher);
         }
         self.admitted = self.admitted || self.has_capacity(now, dispatcher);
         self.admission_checked_at = now;
@@ -229,17 +235,19 @@
         end: AttemptEnd,
         dispatcher: &mut Dispatcher,
     ) {
-        let found = self.targets.iter_mut().find_map(|target| {
+        let mut targets = self.targets.iter_mut().enumerate();
+        let found = targets.find_map(|(index, target)| {
             let pending = target.remove_running(attempt)?;
-            Some((target, pending))
+            Some((index, pending))
         });
-        let Some((target, pending)) = found else {
+        let Some((index, pending)) = found else {
             return;
         };
+        self.record_crash_evidence(now, pending, end, dispatcher);
         dispatcher
             .fleet
             .finish(now, pending.replica, attempt, end.into());
-        target.record_end(now, pending, end);
+        self.targets[index].record_end(now, pending, end);
         if end == AttemptEnd::Answered {
             let took = now.since(pending.sent);
             dispatcher.record_latency(&self.plan.route, pending.replica, took);
@@ -267,6 +275,10 @@
             target.due = (kind == RouteKind::Safe).then_some(target.hedge_at);
             return;
         }
+        if self.is_held_back(now, index, dispatcher) {
+            return;
+        }
+        let target = &mut self.targets[index];
         let runs = target.runs_written();
         let exhausted = runs >= attempts_max
             || target.refusals >= REFUSALS_MAX
@@ -333,7 +345,9 @@
             end: None,
         };
         dispatcher.fleet.begin(now, replica, attempt);
-        target.record_sent(attempt_record, now + hedging_delay);
+        let poison_status = dispatcher.crashes.poison_status(now, self.plan.digest);
+        let probe = poison_status == PoisonStatus::Suspect;
+        target.record_sent(attempt_record, now + hedging_delay, probe);
         target.due = (self.plan.route.kind == RouteKind::Safe).then_some(target.hedge_at);
         actions.push(RequestAction::Send {
             attempt,
--- a/daisyhinge/src/dispatch/request/decision.rs
+++ b/daisyhinge/src/dispatch/request/decision.rs
@@ -52,6 +52,7 @@
         let deadline_passed = now >= self.plan.deadline;
         let reason = self.targets.iter().find_map(|target| target.reason);
         let code = match (deadline_passed, is_gather && may_have_run) {
+            _ if self.poisoned_retry_after.is_some() => ResultCode::RequestPoisoned,
             (true, _) => ResultCode::DeadlinePassed,
             (false, true) => ResultCode::CoverageTooLow,
             (false, false) => reason.unwrap_or(ResultCode::NoReplica),
@@ -59,14 +60,15 @@
         if may_have_run {
             return Decision::Unfinished { code };
         }
-        let code = if deadline_passed {
+        let is_poisoned = code == ResultCode::RequestPoisoned;
+        let code = if deadline_passed && !is_poisoned {
             ResultCode::GivenUp
         } else {
             code
         };
         Decision::Refused {
             code,
-            retry_after: RETRY_AFTER,
+            retry_after: self.poisoned_retry_after.unwrap_or(RETRY_AFTER),
         }
     }
 }
--- a/daisyhinge/src/dispatch/request/target.rs
+++ b/daisyhinge/src/dispatch/request/target.rs
@@ -23,6 +23,8 @@
     pub sent: MonotonicTime,
     /// Whether any byte of the attempt may have been written.
     pub written: bool,
+    /// Whether the request was suspected of crashing replicas when the attempt was sent.
+    pub probe: bool,
     /// Whether another attempt replaces this one, which is never written then.
     pub superseded: bool,
 }
@@ -72,12 +74,18 @@
         }
     }
 
-    pub(super) fn record_sent(&mut self, attempt_record: AttemptRecord, hedge_at: MonotonicTime) {
+    pub(super) fn record_sent(
+        &mut self,
+        attempt_record: AttemptRecord,
+        hedge_at: MonotonicTime,
+        probe: bool,
+    ) {
         self.running.push(RunningAttempt {
             attempt: attempt_record.attempt,
             replica: attempt_record.replica,
             sent: attempt_record.sent,
             written: true,
+            probe,
             superseded: false,
         });
         self.attempt_records.push(attempt_record);
--- a/daisyhinge/src/metric/forward.rs
+++ b/daisyhinge/src/metric/forward.rs
@@ -28,6 +28,13 @@
     pub end: String,
 }
 
+/// Label of the counter of changes in the crash records.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct CrashLabels {
+    /// `suspected`, `withdrawn`, `confirmed` or `cleared`.
+    pub change: String,
+}
+
 /// Metrics of an entry that forwards requests.
 #[derive(Clone, Debug)]
 pub struct ForwardCounters {
@@ -43,6 +50,10 @@
     pub connections_opened: Counter,
     /// Number of idle connections to replicas.
     pub connections_idle: Gauge,
+    /// Number of changes in the records of requests that crash replicas.
+    pub crashes: Family<CrashLabels, Counter>,
+    /// Number of requests with crash records.
+    pub crash_records: Gauge,
     /// Latency of requests, in seconds.
     pub latency: Histogram,
 }
@@ -56,6 +67,8 @@
             relayed: Counter::default(),
             connections_opened: Counter::default(),
             connections_idle: Gauge::default(),
+            crashes: Family::default(),
+            crash_records: Gauge::default(),
             latency: Histogram::new(LATENCY_BOUNDS),
         }
     }
@@ -92,6 +105,14 @@
             idle,
             self.connections_idle.clone(),
         );
+        let crashes = "Changes in the records of requests that crash replicas";
+        registry.register("daisyhinge_forward_crashes", crashes, self.crashes.clone());
+        let records = "Requests with crash records";
+        registry.register(
+            "daisyhinge_forward_crash_records",
+            records,
+            self.crash_records.clone(),
+        );
         let latency = "Latency of requests in seconds";
         registry.register(
             "daisyhinge_forward_latency_seconds",
--- a/daisyhinge/src/shell/forward.rs
+++ b/daisyhinge/src/shell/forward.rs
@@ -9,6 +9,7 @@
 mod answer;
 mod attempt;
 mod connection;
+pub mod crashes;
 mod gate;
 pub mod listen;
 mod outcome_log;
--- a/daisyhinge/src/shell/forward/run.rs
+++ b/daisyhinge/src/shell/forward/run.rs
@@ -48,6 +48,9 @@
         let now = self.state.clock.now();
         let mut dispatcher = self.state.dispatcher.lock();
         self.machine.step(now, event, &mut dispatcher, actions);
+        let crash_events = dispatcher.crashes.take_events();
+        drop(dispatcher);
+        self.state.log_crashes(&crash_events);
     }
 }
 
--- a/daisyhinge/tests/dispatch.rs
+++ b/daisyhinge/tests/dispatch.rs
@@ -5,6 +5,8 @@
 mod caller;
 #[path = "dispatch/choice.rs"]
 mod choice;
+#[path = "dispatch/crash.rs"]
+mod crash;
 #[path = "dispatch/load.rs"]
 mod load;
 #[path = "dispatch/parts.rs"]
