Tell all entries of the requests that crash replicas

What callers saw: a request that one entry had learned to refuse ended two more replicas at each other entry, and at each entry that started later. Cause: the crash records of the path that dispatches directly stayed in the process that made them. Change: an entry reports its records to the control process that it follows, at once after a second crash, else after 100 ms, by which time most are explained. Control keeps one report for each entry process in its registry, hands reports on as it does replicas, and keeps them when their entry ends; an entry that starts gets them with its first view. Reports are numbered, so they converge in any order; an entry reports anew to each control process that it follows. Records that control lost, with the entry that made them, are reported by the entries that have them. Why it works: whoever sends asks records that are some tens of ms old; what is lost with one process is held by others. Ruled out: in the replicated log (a synced write for each reset); between entries directly (3,500 of them). New tests: dispatch/crash_reports, registry, follow.

--- a/daisyhinge/src/crash.rs
+++ b/daisyhinge/src/crash.rs
@@ -111,6 +111,8 @@
 struct LatestTable {
     table: u64,
     received_at: MonotonicTime,
+    /// Whether control lists the source, which then does not fall silent.
+    listed: bool,
 }
 
 impl CrashTracker {
@@ -238,6 +240,7 @@
         let latest_table = LatestTable {
             table,
             received_at: now,
+            listed: false,
         };
         self.latest_tables.insert(keeper.clone(), latest_table);
         for request in self.requests.values_mut() {
@@ -261,6 +264,31 @@
         self.prune(now);
     }
 
+    /// Replaces the records of a source that control lists to all entries, as [`Self::merge`] does.
+    /// The source does not fall silent as long as it is listed.
+    pub fn merge_listed(
+        &mut self,
+        now: MonotonicTime,
+        source: &VmName,
+        table: u64,
+        records: &[CrashRecord],
+    ) {
+        self.merge(now, source, table, records);
+        if let Some(latest_table) = self.latest_tables.get_mut(source) {
+            latest_table.listed = true;
+        }
+    }
+
+    /// Lets all sources fall silent that control lists no longer.
+    pub fn retain_listed(&mut self, now: MonotonicTime, listed: &[VmName]) {
+        for (source, latest_table) in &mut self.latest_tables {
+            if latest_table.listed && !listed.contains(source) {
+                latest_table.listed = false;
+                latest_table.received_at = now;
+            }
+        }
+    }
+
     /// Returns the records to publish in a [`crate::vocabulary::replica::TableDelta`]: this
     /// keeper's own, and those received from keepers that have restarted or fallen silent since. An
     /// entry that starts later has no other source for the latter.
@@ -289,7 +317,8 @@
         };
         self.latest_tables.get(keeper).is_none_or(|latest_table| {
             latest_table.table != source.table
-                || now.since(latest_table.received_at) >= KEEPER_SILENCE_TIMEOUT
+                || (!latest_table.listed
+                    && now.since(latest_table.received_at) >= KEEPER_SILENCE_TIMEOUT)
         })
     }
 
@@ -302,8 +331,9 @@
         }
         self.requests
             .retain(|_, request| !request.sources.is_empty());
-        self.latest_tables
-            .retain(|_, latest_table| now.since(latest_table.received_at) < CRASH_RETENTION);
+        self.latest_tables.retain(|_, latest_table| {
+            latest_table.listed || now.since(latest_table.received_at) < CRASH_RETENTION
+        });
     }
 
     /// Returns the number of requests with crash records.
--- a/daisyhinge/src/dispatch/crash.rs
+++ b/daisyhinge/src/dispatch/crash.rs
@@ -5,6 +5,7 @@
 //! reset. Such a record is withdrawn as soon as the same incarnation answers a request that was
 //! sent later, too early for a restart. A request that is answered by any replica is no suspect.
 
+use std::cmp::Reverse;
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -13,7 +14,7 @@
 use super::request::AttemptEnd;
 use crate::crash::{CRASH_RETENTION, CrashTracker, POISON_CRASHES, PoisonStatus};
 use crate::prelude::*;
-use crate::vocabulary::registration::{ReplicaPhase, ReplicaRecord};
+use crate::vocabulary::registration::{CrashReport, ReplicaPhase, ReplicaRecord};
 use crate::vocabulary::replica::CrashRecord;
 
 /// Time after a reset in which an answer shows that the replica did not crash; a restart takes
@@ -26,6 +27,9 @@
 /// Maximum number of resets on record; the oldest is dropped first.
 const RESETS_MAX: usize = 512;
 
+/// Maximum number of requests that one entry reports.
+const REPORTED_MAX: usize = 256;
+
 /// A reset under a request, at one incarnation of a replica.
 #[derive(Clone, Debug)]
 struct ReplicaReset {
@@ -184,9 +188,32 @@
         self.tracker.prune(now);
     }
 
-    /// Returns the records to report to the other entries.
-    pub fn own_records(&self, now: MonotonicTime) -> Vec<CrashRecord> {
-        self.tracker.own_records(now)
+    /// Replaces the records that another entry reported.
+    pub fn merge(&mut self, now: MonotonicTime, report: &CrashReport) {
+        let source = source_name(report);
+        self.tracker
+            .merge_listed(now, &source, report.incarnation, &report.records);
+        let probes = self.resets.iter().filter(|reset| reset.probe);
+        let digests: Vec<RequestDigest> = probes.map(|reset| reset.digest).collect();
+        for digest in digests {
+            self.recount(now, digest);
+        }
+    }
+
+    /// Records which reports control has. Records from others that it had before are reported again
+    /// by every entry that knows them.
+    pub fn retain_listed(&mut self, now: MonotonicTime, reports: &[CrashReport]) {
+        let listed: Vec<VmName> = reports.iter().map(source_name).collect();
+        self.tracker.retain_listed(now, &listed);
+    }
+
+    /// Returns the records to report to the other entries: the most important ones, with the
+    /// requests that are refused first.
+    pub fn list_records(&self, now: MonotonicTime) -> Vec<CrashRecord> {
+        let mut records = self.tracker.own_records(now);
+        records.sort_by_key(|record| (Reverse(record.crashes), record.age_ms, record.digest));
+        records.truncate(REPORTED_MAX);
+        records
     }
 
     /// Takes the changes since the last call.
@@ -267,6 +294,12 @@
     }
 }
 
+/// Returns the name of the process that a report comes from. A restarted entry is another source, so
+/// that its former records stay.
+fn source_name(report: &CrashReport) -> VmName {
+    VmName::from(format!("{}#{:x}", report.vm, report.incarnation))
+}
+
 /// An attempt that has ended, as evidence for or against crashes.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct EndedAttempt {
--- a/daisyhinge/src/registry.rs
+++ b/daisyhinge/src/registry.rs
@@ -10,7 +10,15 @@
 use std::time::Duration;
 
 use crate::prelude::*;
-use crate::vocabulary::registration::{EntryPhase, EntryPresence, ReplicaPhase, ReplicaRecord};
+use crate::vocabulary::registration::{
+    CrashReport, EntryPhase, EntryPresence, ReplicaPhase, ReplicaRecord,
+};
+use crashes::CrashBoard;
+pub use order::supersedes;
+use order::{cold_end_differs, is_modified, is_newer, saturating_millis};
+
+mod crashes;
+mod order;
 
 /// Number of missed heartbeat intervals after which a replica counts as silent.
 const SILENT_HEARTBEATS: u32 = 4;
@@ -22,9 +30,6 @@
 /// Time for which removed records are retained, so that delayed heartbeats do not restore them.
 const REMOVED_RETENTION: Duration = Duration::from_secs(90);
 
-/// Highest sequence number that still identifies the first heartbeats after a start.
-const INITIAL_SEQUENCE_MAX: u64 = 2;
-
 /// Effect of a heartbeat or a departure of a replica.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum HeartbeatOutcome {
@@ -60,6 +65,7 @@
     silence_timeout: Duration,
     replicas: BTreeMap<ReplicaName, TrackedReplica>,
     entries: BTreeMap<VmName, TrackedEntry>,
+    crashes: CrashBoard,
     /// Time of the last contact with each of the other control processes, by epoch.
     holders: BTreeMap<u64, MonotonicTime>,
 }
@@ -74,6 +80,7 @@
             silence_timeout: heartbeat_interval * SILENT_HEARTBEATS,
             replicas: BTreeMap::new(),
             entries: BTreeMap::new(),
+            crashes: CrashBoard::default(),
             holders: BTreeMap::new(),
         }
     }
@@ -280,6 +287,19 @@
         true
     }
 
+    /// Records the crash records of an entry, received from itself or from another control process.
+    /// Returns whether they are news.
+    pub fn record_crashes(&mut self, now: MonotonicTime, report: CrashReport) -> bool {
+        let is_news = self.crashes.record(now, self.mark + 1, report);
+        self.mark += u64::from(is_news);
+        is_news
+    }
+
+    /// Returns the crash records modified after `mark`, with their ages as of `now`.
+    pub fn crashes_after(&self, now: MonotonicTime, mark: u64) -> Vec<CrashReport> {
+        self.crashes.list_after(now, mark)
+    }
+
     /// Records a reply from another control process.
     pub fn record_contact(&mut self, now: MonotonicTime, epoch: u64) {
         self.holders.insert(epoch, now);
@@ -343,6 +363,7 @@
                 tracked.mark = self.mark;
             }
         }
+        self.crashes.expire(now);
         let is_retained = |last_contact: MonotonicTime| now.since(last_contact) < REMOVED_RETENTION;
         self.replicas.retain(|_, tracked| {
             tracked.record.phase == ReplicaPhase::Ready || is_retained(tracked.last_contact)
@@ -354,47 +375,3 @@
             .retain(|_, last_contact| is_retained(*last_contact));
     }
 }
-
-/// Returns whether `next`, received from the replica itself, is later than `known`.
-fn is_newer(known: &ReplicaRecord, next: &ReplicaRecord) -> bool {
-    let Some(born) = known.born_ms else {
-        // Only the departure is known: a heartbeat may have been sent before it by the same
-        // incarnation.
-        return next.sequence <= INITIAL_SEQUENCE_MAX;
-    };
-    if next.born_ms != Some(born) {
-        return next.born_ms > Some(born);
-    }
-    known.phase != ReplicaPhase::Left && next.sequence > known.sequence
-}
-
-/// Returns whether `next`, received from another process, replaces `known`.
-pub fn supersedes(known: &ReplicaRecord, next: &ReplicaRecord) -> bool {
-    if known.born_ms != next.born_ms {
-        return known.born_ms.is_some() && next.born_ms > known.born_ms;
-    }
-    let has_left = |record: &ReplicaRecord| record.phase == ReplicaPhase::Left;
-    (has_left(known), known.sequence, known.phase, known.holder)
-        < (has_left(next), next.sequence, next.phase, next.holder)
-}
-
-/// Returns whether a later heartbeat changes more than its sequence number and remaining cold time.
-fn is_modified(known: &ReplicaRecord, next: &ReplicaRecord) -> bool {
-    known.phase != next.phase
-        || known.address != next.address
-        || known.service != next.service
-        || known.slots != next.slots
-        || known.born_ms != next.born_ms
-        || known.holder != next.holder
-        || known.data_centre != next.data_centre
-}
-
-/// Returns whether two ends of the cold period differ by more than the jitter of heartbeats.
-fn cold_end_differs(known: MonotonicTime, next: MonotonicTime) -> bool {
-    const TOLERANCE: Duration = Duration::from_millis(1_500);
-    known.since(next) > TOLERANCE || next.since(known) > TOLERANCE
-}
-
-fn saturating_millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/daisyhinge/src/shell/decision.rs
+++ b/daisyhinge/src/shell/decision.rs
@@ -14,7 +14,7 @@
 
 use crate::prelude::*;
 use crate::shell::clock::wall_micros;
-use crate::vocabulary::registration::ReplicaRecord;
+use crate::vocabulary::registration::{CrashReport, ReplicaRecord};
 
 /// Maximum number of queued lines.
 const QUEUE_MAX: usize = 1_024;
@@ -27,6 +27,9 @@
 /// Interval to which the line limits apply.
 const BUDGET_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Maximum number of records of one crash report that are logged.
+const CRASH_RECORDS_LOGGED: usize = 8;
+
 /// Number of lines written and dropped in the current interval.
 #[derive(Debug)]
 struct LineBudget {
@@ -115,6 +118,23 @@
         });
     }
 
+    /// Logs received crash records.
+    pub fn log_crash_report(&self, report: &CrashReport) {
+        self.log_request(true, || {
+            let digests = report.records.iter().take(CRASH_RECORDS_LOGGED);
+            let digests: Vec<String> = digests
+                .map(|record| format!("{:016x}:{}", record.digest.0, record.crashes))
+                .collect();
+            format!(
+                "event=crash_report_received vm={} revision={} records={} digests={}",
+                report.vm,
+                report.revision,
+                report.records.len(),
+                digests.join(",")
+            )
+        });
+    }
+
     /// Logs that the link to a control process was opened or lost.
     pub fn log_link(&self, address: SocketAddr, gained: bool) {
         let event = if gained {
--- a/daisyhinge/src/shell/forward/crashes.rs
+++ b/daisyhinge/src/shell/forward/crashes.rs
@@ -1,14 +1,61 @@
-//! Reviews the crash records at regular intervals, and logs and counts what changes in them.
+//! Reports of requests that crash replicas, between this entry and the others, and their log lines.
 
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::sync::{Notify, watch};
+
 use super::state::ForwardState;
 use crate::dispatch::crash::{CrashChange, CrashEvent};
 use crate::metric::forward::CrashLabels;
+use crate::prelude::*;
+use crate::vocabulary::registration::CrashReport;
+use crate::vocabulary::replica::CrashRecord;
 
 /// Time between two reviews of the crash records.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(250);
+/// Time before a first crash is reported; most are explained by then. A second one is reported at
+/// once.
+const REPORT_DELAY: Duration = Duration::from_millis(100);
+/// Minimum time between two reports.
+const REPORT_INTERVAL: Duration = Duration::from_millis(20);
+/// Time after which the records are compared with the last report in any case.
+const COMPARE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The crash reports of this entry, and the notices that lead to the next one.
+#[derive(Debug)]
+pub(super) struct CrashReporter {
+    reports: watch::Sender<CrashReport>,
+    changed: Notify,
+    poisoned: Notify,
+}
+
+impl CrashReporter {
+    pub(super) fn open(vm: VmName) -> Self {
+        let report = CrashReport::empty(vm, rand::random());
+        Self {
+            reports: watch::Sender::new(report),
+            changed: Notify::new(),
+            poisoned: Notify::new(),
+        }
+    }
+
+    /// Publishes the records, unless they are those of the last report but for their age.
+    fn publish(&self, records: Vec<CrashRecord>) {
+        let counts = |records: &[CrashRecord]| -> Vec<(RequestDigest, u32)> {
+            let counts = records.iter().map(|record| (record.digest, record.crashes));
+            counts.collect()
+        };
+        self.reports.send_if_modified(|report| {
+            let differs = counts(&report.records) != counts(&records);
+            if differs {
+                report.revision += 1;
+                report.records = records;
+            }
+            differs
+        });
+    }
+}
 
 /// Reviews the crash records at regular intervals. Never returns.
 pub async fn run_crash_review(state: Arc<ForwardState>) {
@@ -26,6 +73,28 @@
     }
 }
 
+/// Publishes this entry's crash records when they have changed. Never returns.
+pub async fn run_crash_reports(state: Arc<ForwardState>) {
+    let reporter = &state.reporter;
+    loop {
+        let delayed = async {
+            reporter.changed.notified().await;
+            tokio::time::sleep(REPORT_DELAY).await;
+        };
+        tokio::select! {
+            () = reporter.poisoned.notified() => {}
+            () = delayed => {}
+            () = tokio::time::sleep(COMPARE_INTERVAL) => {}
+        }
+        let records = {
+            let dispatcher = state.dispatcher.lock();
+            dispatcher.crashes.list_records(state.clock.now())
+        };
+        reporter.publish(records);
+        tokio::time::sleep(REPORT_INTERVAL).await;
+    }
+}
+
 fn change_label(change: CrashChange) -> &'static str {
     match change {
         CrashChange::Suspected => "suspected",
@@ -36,8 +105,38 @@
 }
 
 impl ForwardState {
-    /// Logs and counts changes of the crash records.
+    /// Returns a receiver of this entry's crash reports.
+    pub fn crash_reports(&self) -> watch::Receiver<CrashReport> {
+        self.reporter.reports.subscribe()
+    }
+
+    /// Applies the crash reports of other entries. `complete` is set if control has no others.
+    pub(super) fn apply_crashes(
+        &self,
+        now: MonotonicTime,
+        complete: bool,
+        reports: &[CrashReport],
+    ) {
+        let own = self.reporter.reports.borrow().incarnation;
+        let mut dispatcher = self.dispatcher.lock();
+        for report in reports.iter().filter(|report| report.incarnation != own) {
+            dispatcher.crashes.merge(now, report);
+            self.log.log_crash_report(report);
+        }
+        if complete {
+            dispatcher.crashes.retain_listed(now, reports);
+        }
+    }
+
+    /// Logs and counts changes of the crash records, and lets them be reported.
     pub(super) fn log_crashes(&self, events: &[CrashEvent]) {
+        if events.is_empty() {
+            return;
+        }
+        self.reporter.changed.notify_one();
+        if events.iter().any(|event| event.poisoned) {
+            self.reporter.poisoned.notify_one();
+        }
         for event in events {
             let change = change_label(event.change);
             let labels = CrashLabels {
--- a/daisyhinge/src/shell/forward/state.rs
+++ b/daisyhinge/src/shell/forward/state.rs
@@ -8,6 +8,7 @@
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
+use super::crashes::CrashReporter;
 use super::pool::ConnectionPool;
 use super::relay::table::PeerLinks;
 use super::wire::HeaderNames;
@@ -67,6 +68,7 @@
     pub(super) pool: ConnectionPool,
     pub(super) links: PeerLinks,
     pub(super) log: DecisionLog,
+    pub(super) reporter: CrashReporter,
     site: RwLock<Option<Arc<ActiveSite>>>,
     revision: Mutex<u64>,
     /// Whether the received state was confirmed by a quorum of control.
@@ -80,6 +82,7 @@
 impl ForwardState {
     /// Creates the state of an entry without a configuration.
     pub fn open(settings: ForwardSettings) -> Arc<Self> {
+        let reporter = CrashReporter::open(settings.location.vm.clone());
         Arc::new(Self {
             clock: ProcessClock::open(),
             counters: ForwardCounters::default(),
@@ -89,6 +92,7 @@
             pool: ConnectionPool::default(),
             links: PeerLinks::default(),
             log: DecisionLog::open(),
+            reporter,
             site: RwLock::new(None),
             revision: Mutex::new(0),
             confirmed: AtomicBool::new(false),
@@ -139,6 +143,7 @@
                 self.dispatcher.lock().fleet.set_evacuated(evacuated);
             }
         }
+        self.apply_crashes(now, reply.complete, &reply.crashes);
         let mut dispatcher = self.dispatcher.lock();
         for record in &reply.replicas {
             self.log.log_replica(record);
--- a/daisyhinge/src/shell/site/follow.rs
+++ b/daisyhinge/src/shell/site/follow.rs
@@ -13,7 +13,9 @@
 use crate::dispatch::fleet::FleetLocation;
 use crate::shell::clock::ProcessClock;
 use crate::upstream::ControlList;
-use crate::vocabulary::registration::{EntryPhase, SyncCaller, SyncReply, SyncRequest};
+use crate::vocabulary::registration::{
+    CrashReport, EntryPhase, SyncCaller, SyncReply, SyncRequest,
+};
 
 /// Long-poll timeout: how long a control process waits for a change before it replies.
 const LONG_POLL_TIMEOUT: Duration = Duration::from_millis(500);
@@ -44,6 +46,15 @@
     pub seeds: Vec<SocketAddr>,
 }
 
+/// What an entry reports to control.
+#[derive(Clone, Debug)]
+pub struct EntryReports {
+    /// Phase of the entry.
+    pub phases: watch::Receiver<EntryPhase>,
+    /// Crash records of the entry; revision 0 if there have been none.
+    pub crashes: watch::Receiver<CrashReport>,
+}
+
 /// Callback for received state. The flag is set if a quorum has confirmed the state.
 pub type ReplySink = Arc<dyn Fn(SyncReply, bool) + Send + Sync>;
 
@@ -64,7 +75,7 @@
 /// Event during a long poll.
 enum FollowEvent {
     Reply(Option<SyncReply>),
-    PhaseChanged,
+    ReportChanged,
     Closed,
     Probed(Option<ControlLink>),
 }
@@ -80,15 +91,16 @@
     mark: u64,
     /// Latest revision of the site state that was received.
     revision: u64,
+    /// Revision of the latest crash report that the followed process has.
+    reported: u64,
     sink: ReplySink,
     link: LinkSink,
 }
 
-/// Follows control processes until the future is dropped or `phases` is closed. `phases` carries
-/// the phase of the entry, which is reported to control.
+/// Follows control processes until the future is dropped or a sender of `reports` is gone.
 pub async fn run_following(
     settings: FollowSettings,
-    mut phases: watch::Receiver<EntryPhase>,
+    mut reports: EntryReports,
     sink: ReplySink,
     link: LinkSink,
 ) {
@@ -106,15 +118,16 @@
         epoch: 0,
         mark: 0,
         revision: 0,
+        reported: 0,
         sink,
         link,
     };
     while let Some(address) = follower.list.next_address() {
         let last_address = match open_link(address).await {
-            Some(opened) => follower.follow_link(opened, &mut phases).await,
+            Some(opened) => follower.follow_link(opened, &mut reports).await,
             None => address,
         };
-        if phases.has_changed().is_err() {
+        if reports.phases.has_changed().is_err() || reports.crashes.has_changed().is_err() {
             return;
         }
         if follower.list.mark_failed(last_address) {
@@ -140,6 +153,7 @@
         epoch: 0,
         mark: 0,
         revision: 0,
+        crashes: None,
         wait_ms: 0,
     };
     let reply = link.client.sync(call_context(REPLY_TIMEOUT), request).await;
@@ -162,20 +176,27 @@
     age.is_some_and(|age| age < QUORUM_AGE_MAX)
 }
 
+fn report_event(changed: Result<(), watch::error::RecvError>) -> FollowEvent {
+    match changed {
+        Ok(()) => FollowEvent::ReportChanged,
+        Err(_closed) => FollowEvent::Closed,
+    }
+}
+
 impl ControlFollower {
     /// Follows a control process, and switches to nearer ones as they become available, until the
     /// current one fails or has no quorum. Returns the address of the last one.
     async fn follow_link(
         &mut self,
         mut current: ControlLink,
-        phases: &mut watch::Receiver<EntryPhase>,
+        reports: &mut EntryReports,
     ) -> SocketAddr {
         self.start_following(&current);
         let mut probe = Fuse::terminated();
         let mut wait = Duration::ZERO;
         loop {
             self.probe_nearer(&mut probe);
-            match self.next_event(&current, wait, phases, &mut probe).await {
+            match self.next_event(&current, wait, reports, &mut probe).await {
                 FollowEvent::Reply(Some(reply)) => {
                     wait = LONG_POLL_TIMEOUT;
                     let fresh = is_fresh(&reply);
@@ -191,8 +212,8 @@
                     }
                 }
                 FollowEvent::Reply(None) | FollowEvent::Closed => break,
-                // A changed phase is reported at once.
-                FollowEvent::PhaseChanged => wait = Duration::ZERO,
+                // Changes are reported at once.
+                FollowEvent::ReportChanged => wait = Duration::ZERO,
                 FollowEvent::Probed(None) => {}
                 FollowEvent::Probed(Some(nearer)) => {
                     (self.link)(current.address, false);
@@ -208,6 +229,7 @@
 
     fn start_following(&mut self, current: &ControlLink) {
         (self.link)(current.address, true);
+        self.reported = 0;
         self.list.set_followed(current.address);
     }
 
@@ -222,14 +244,16 @@
     }
 
     async fn next_event(
-        &self,
+        &mut self,
         current: &ControlLink,
         wait: Duration,
-        phases: &mut watch::Receiver<EntryPhase>,
+        reports: &mut EntryReports,
         probe: &mut NearerProbe,
     ) -> FollowEvent {
-        let phase = *phases.borrow_and_update();
-        let request = self.build_request(phase, wait);
+        let phase = *reports.phases.borrow_and_update();
+        let crashes = reports.crashes.borrow_and_update().clone();
+        let revision = crashes.revision;
+        let request = self.build_request(phase, crashes, wait);
         let call = current
             .client
             .sync(call_context(wait + REPLY_TIMEOUT), request);
@@ -241,16 +265,24 @@
             }
         };
         tokio::select! {
-            reply = call => FollowEvent::Reply(reply.ok()),
-            changed = phases.changed() => match changed {
-                Ok(()) => FollowEvent::PhaseChanged,
-                Err(_closed) => FollowEvent::Closed,
-            },
+            reply = call => {
+                if reply.is_ok() {
+                    self.reported = revision;
+                }
+                FollowEvent::Reply(reply.ok())
+            }
+            changed = reports.phases.changed() => report_event(changed),
+            changed = reports.crashes.changed() => report_event(changed),
             nearer = probed => FollowEvent::Probed(nearer),
         }
     }
 
-    fn build_request(&self, phase: EntryPhase, wait: Duration) -> SyncRequest {
+    fn build_request(
+        &self,
+        phase: EntryPhase,
+        crashes: CrashReport,
+        wait: Duration,
+    ) -> SyncRequest {
         SyncRequest {
             caller: SyncCaller::Entry {
                 vm: self.settings.location.vm.clone(),
@@ -262,6 +294,7 @@
             epoch: self.epoch,
             mark: self.mark,
             revision: self.revision,
+            crashes: (crashes.revision > self.reported).then_some(crashes),
             wait_ms: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX),
         }
     }
--- a/daisyhinge/src/shell/site/gossip.rs
+++ b/daisyhinge/src/shell/site/gossip.rs
@@ -72,6 +72,7 @@
             epoch: *epoch,
             mark: *mark,
             revision: 0,
+            crashes: None,
             wait_ms: u64::try_from(LONG_POLL_TIMEOUT.as_millis()).unwrap_or(u64::MAX),
         };
         let call = client.sync(call_context(LONG_POLL_TIMEOUT + REPLY_TIMEOUT), request);
@@ -89,6 +90,9 @@
             for presence in reply.entries {
                 registry.merge_entry(now, presence);
             }
+            for report in reply.crashes {
+                registry.record_crashes(now, report);
+            }
         });
     }
 }
--- a/daisyhinge/src/shell/site/serve.rs
+++ b/daisyhinge/src/shell/site/serve.rs
@@ -203,6 +203,8 @@
             mark: 0,
             replicas: Vec::new(),
             entries: Vec::new(),
+            crashes: Vec::new(),
+            complete: false,
             site: None,
             quorum_age_ms: self.shell.quorum_age().map(duration_to_millis),
             data_centre: self.endpoint.data_centre.clone(),
@@ -216,6 +218,9 @@
         }
         let is_entry = matches!(request.caller, SyncCaller::Entry { .. });
         self.record_caller(request.caller);
+        if let Some(report) = request.crashes {
+            self.update(|now, registry| registry.record_crashes(now, report));
+        }
         let mark = if request.epoch == self.epoch() {
             request.mark
         } else {
@@ -242,6 +247,8 @@
             mark: registry.mark(),
             replicas: registry.replicas_after(now, mark),
             entries: registry.entries_after(mark),
+            crashes: registry.crashes_after(now, mark),
+            complete: mark == 0,
             site: newer(&site).then_some(site),
             quorum_age_ms: self.shell.quorum_age().map(duration_to_millis),
             data_centre: self.endpoint.data_centre.clone(),
--- a/daisyhinge/src/vocabulary/registration.rs
+++ b/daisyhinge/src/vocabulary/registration.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::prelude::*;
+use crate::vocabulary::replica::CrashRecord;
 
 /// Phase in the life cycle of a replica.
 #[derive(
@@ -81,6 +82,31 @@
     pub holder: u64,
 }
 
+/// All crash records of one entry process. Each report replaces the former one.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct CrashReport {
+    /// VM that runs the entry.
+    pub vm: VmName,
+    /// Random number drawn when the process started.
+    pub incarnation: u64,
+    /// Number of the report, incremented with each one of this process.
+    pub revision: u64,
+    /// Requests that crashed replicas.
+    pub records: Vec<CrashRecord>,
+}
+
+impl CrashReport {
+    /// Creates the report of a process that has no records yet.
+    pub fn empty(vm: VmName, incarnation: u64) -> Self {
+        Self {
+            vm,
+            incarnation,
+            revision: 0,
+            records: Vec::new(),
+        }
+    }
+}
+
 /// Location of a control process.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ControlLocation {
@@ -125,6 +151,8 @@
     pub mark: u64,
     /// Latest revision of the site state that the sender has.
     pub revision: u64,
+    /// Crash records of the entry, if this control process does not have them yet.
+    pub crashes: Option<CrashReport>,
     /// Maximum time to wait for a change, in milliseconds.
     pub wait_ms: u64,
 }
@@ -140,6 +168,10 @@
     pub replicas: Vec<ReplicaRecord>,
     /// Entries that changed after the sender's mark.
     pub entries: Vec<EntryPresence>,
+    /// Crash records of entries that changed after the sender's mark.
+    pub crashes: Vec<CrashReport>,
+    /// Whether this reply contains all records, since no mark of the sender is known here.
+    pub complete: bool,
     /// Site state, if it is newer than the sender's and the sender is an entry.
     pub site: Option<Arc<crate::vocabulary::site::SiteState>>,
     /// Milliseconds since a quorum of control is known to have confirmed this state.
--- a/daisyhinge/tests/dispatch.rs
+++ b/daisyhinge/tests/dispatch.rs
@@ -7,6 +7,8 @@
 mod choice;
 #[path = "dispatch/crash.rs"]
 mod crash;
+#[path = "dispatch/crash_reports.rs"]
+mod crash_reports;
 #[path = "dispatch/load.rs"]
 mod load;
 #[path = "dispatch/parts.rs"]
--- a/daisyhinge/tests/follow.rs
+++ b/daisyhinge/tests/follow.rs
@@ -3,14 +3,14 @@
 
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use daisyhinge::dispatch::fleet::FleetLocation;
 use daisyhinge::shell::site::SiteLink;
-use daisyhinge::shell::site::follow::{FollowSettings, run_following};
+use daisyhinge::shell::site::follow::{EntryReports, FollowSettings, run_following};
 use daisyhinge::vocabulary::registration::{
-    ControlLocation, EntryPhase, SyncCaller, SyncReply, SyncRequest,
+    ControlLocation, CrashReport, EntryPhase, SyncCaller, SyncReply, SyncRequest,
 };
 use futures::StreamExt;
 use tarpc::context::Context;
@@ -36,6 +36,10 @@
     members: Vec<ControlLocation>,
     /// Number of sync requests received from entries.
     entry_requests: Arc<AtomicUsize>,
+    /// Number of sync requests with crash records.
+    crash_reports: Arc<AtomicUsize>,
+    /// Whether the process has lost its quorum.
+    isolated: Arc<AtomicBool>,
 }
 
 impl SiteLink for FakeControl {
@@ -43,14 +47,23 @@
         let is_entry = matches!(request.caller, SyncCaller::Entry { .. });
         self.entry_requests
             .fetch_add(usize::from(is_entry), Ordering::Relaxed);
+        let has_crashes = request.crashes.is_some();
+        self.crash_reports
+            .fetch_add(usize::from(has_crashes), Ordering::Relaxed);
         tokio::time::sleep(Duration::from_millis(request.wait_ms)).await;
         SyncReply {
             epoch: self.epoch,
             mark: 1,
             replicas: Vec::new(),
             entries: Vec::new(),
+            crashes: Vec::new(),
+            complete: false,
             site: None,
-            quorum_age_ms: self.quorum_age_ms,
+            quorum_age_ms: if self.isolated.load(Ordering::Relaxed) {
+                Some(5_000)
+            } else {
+                self.quorum_age_ms
+            },
             data_centre: self.centre.into(),
             control: self.members,
         }
@@ -71,6 +84,10 @@
         })
     }
 
+    fn crash_reports(&self) -> usize {
+        self.crash_reports.load(Ordering::Relaxed)
+    }
+
     fn entry_requests(&self) -> usize {
         self.entry_requests.load(Ordering::Relaxed)
     }
@@ -88,12 +105,27 @@
         quorum_age_ms: Some(10),
         members: members.map(location).into(),
         entry_requests: Arc::default(),
+        crash_reports: Arc::default(),
+        isolated: Arc::default(),
     }
 }
 
 /// Starts an entry in data centre `near` with the given seeds. Returns a counter of the replies
 /// received that are confirmed by a quorum.
 fn spawn_follower(test_index: u8, seeds: &[u8]) -> (Arc<AtomicUsize>, JoinHandle<()>) {
+    let (confirmed_replies, follow_task, _) = spawn_reporting_follower(test_index, seeds);
+    (confirmed_replies, follow_task)
+}
+
+/// Starts an entry like [`spawn_follower`]. Also returns the sender of its crash reports.
+fn spawn_reporting_follower(
+    test_index: u8,
+    seeds: &[u8],
+) -> (
+    Arc<AtomicUsize>,
+    JoinHandle<()>,
+    Arc<watch::Sender<CrashReport>>,
+) {
     let regions = [("near", "north"), ("far", "south")];
     let settings = FollowSettings {
         location: FleetLocation {
@@ -111,14 +143,19 @@
     };
     let confirmed_replies = Arc::new(AtomicUsize::new(0));
     let counter = Arc::clone(&confirmed_replies);
+    let (crash_sender, crashes) = watch::channel(CrashReport::empty("entry-1".into(), 1));
+    let crash_sender = Arc::new(crash_sender);
+    let kept_sender = Arc::clone(&crash_sender);
     let follow_task = tokio::spawn(async move {
-        let (_phases, phase) = watch::channel(EntryPhase::Serving);
+        let _sender = kept_sender;
+        let (_phases, phases) = watch::channel(EntryPhase::Serving);
+        let reports = EntryReports { phases, crashes };
         let sink = Arc::new(move |_: SyncReply, fresh: bool| {
             counter.fetch_add(usize::from(fresh), Ordering::Relaxed);
         });
-        run_following(settings, phase, sink, Arc::new(|_, _| {})).await;
+        run_following(settings, reports, sink, Arc::new(|_, _| {})).await;
     });
-    (confirmed_replies, follow_task)
+    (confirmed_replies, follow_task, crash_sender)
 }
 
 /// Waits until `condition` holds. Returns the elapsed time.
@@ -212,3 +249,30 @@
     assert!(remote_control.entry_requests() > 0);
     follow_task.abort();
 }
+
+/// A control process that is lost may not have told the others yet.
+#[tokio::test]
+async fn crash_records_are_reported_at_once_and_again_to_the_next_control_process() {
+    let remote_control = fake_control(5, 1, "far");
+    remote_control.listen(address(5, 1)).await;
+    let local_control = fake_control(5, 2, "near");
+    local_control.listen(address(5, 2)).await;
+    let (_, follow_task, crashes) = spawn_reporting_follower(5, &[2, 1]);
+    wait_for(Duration::from_secs(5), || {
+        local_control.entry_requests() > 1
+    })
+    .await;
+    crashes.send_modify(|report| report.revision = 1);
+    wait_for(Duration::from_millis(300), || {
+        local_control.crash_reports() == 1
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    assert_eq!(local_control.crash_reports(), 1, "reported once");
+    local_control.isolated.store(true, Ordering::Relaxed);
+    wait_for(Duration::from_secs(2), || {
+        remote_control.crash_reports() == 1
+    })
+    .await;
+    follow_task.abort();
+}
--- a/daisyhinge/tests/registry.rs
+++ b/daisyhinge/tests/registry.rs
@@ -6,8 +6,9 @@
 use daisyhinge::prelude::*;
 use daisyhinge::registry::{HeartbeatOutcome, ServerRegistry};
 use daisyhinge::vocabulary::registration::{
-    EntryPhase, EntryPresence, ReplicaPhase, ReplicaRecord,
+    CrashReport, EntryPhase, EntryPresence, ReplicaPhase, ReplicaRecord,
 };
+use daisyhinge::vocabulary::replica::CrashRecord;
 use proptest::prelude::*;
 
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_200);
@@ -245,3 +246,47 @@
         prop_assert!(with_start.windows(2).all(|pair| pair[0] == pair[1]), "{known:?}");
     }
 }
+
+fn crash_report(incarnation: u64, revision: u64, crashes: &[u32]) -> CrashReport {
+    let records = crashes
+        .iter()
+        .zip(1..)
+        .map(|(crashes, digest)| CrashRecord {
+            digest: RequestDigest(digest),
+            crashes: *crashes,
+            age_ms: 100,
+        });
+    CrashReport {
+        vm: "entry-1".into(),
+        incarnation,
+        revision,
+        records: records.collect(),
+    }
+}
+
+#[test]
+fn later_crash_report_replaces_the_former_one_in_any_order() {
+    let mut registry = ServerRegistry::open(1, HEARTBEAT_INTERVAL);
+    assert!(registry.record_crashes(at(0), crash_report(1, 2, &[2])));
+    let mark = registry.mark();
+    assert!(!registry.record_crashes(at(1), crash_report(1, 1, &[1])));
+    assert!(!registry.record_crashes(at(1), crash_report(1, 2, &[2])));
+    assert!(registry.crashes_after(at(1), mark).is_empty());
+    assert!(registry.record_crashes(at(2), crash_report(1, 3, &[])));
+    let reports = registry.crashes_after(at(2), mark);
+    assert_eq!(reports, [crash_report(1, 3, &[])]);
+}
+
+/// An entry that starts later has no other source.
+#[test]
+fn crash_reports_outlive_their_entries_until_they_expire() {
+    let mut registry = ServerRegistry::open(1, HEARTBEAT_INTERVAL);
+    registry.record_crashes(at(0), crash_report(1, 1, &[2]));
+    registry.record_crashes(at(0), crash_report(2, 1, &[]));
+    registry.expire(at(599_800));
+    let reports = registry.crashes_after(at(599_800), 0);
+    assert_eq!(reports.len(), 2);
+    assert_eq!(reports[0].records[0].age_ms, 599_900);
+    registry.expire(at(599_901));
+    assert_eq!(registry.crashes_after(at(599_901), 0).len(), 1);
+}
--- a/daisyhinge/tests/support/known_replica.rs
+++ b/daisyhinge/tests/support/known_replica.rs
@@ -57,6 +57,8 @@
         mark: 1,
         replicas: vec![replica],
         entries,
+        crashes: Vec::new(),
+        complete: true,
         site: Some(Arc::new(site)),
         quorum_age_ms: Some(0),
         data_centre: centre.into(),
