--- a/daisyhinge/src/shell/forward.rs
+++ b/daisyhinge/src/shell/forward.rs
@@ -16,6 +16,7 @@
 mod outgoing;
 mod pool;
 pub mod relay;
+mod reporter;
 mod run;
 pub mod state;
 pub mod warm;
--- a/daisyhinge/src/shell/forward/crashes.rs
+++ b/daisyhinge/src/shell/forward/crashes.rs
@@ -3,14 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::sync::{Notify, watch};
+use tokio::sync::watch;
 
 use super::state::ForwardState;
 use crate::dispatch::crash::{CrashChange, CrashEvent};
 use crate::metric::forward::CrashLabels;
 use crate::prelude::*;
 use crate::vocabulary::registration::CrashReport;
-use crate::vocabulary::replica::CrashRecord;
 
 /// Time between two reviews of the crash records.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(250);
@@ -22,41 +21,6 @@
 /// Time after which the records are compared with the last report in any case.
 const COMPARE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// The crash reports of this entry, and the notices that lead to the next one.
-#[derive(Debug)]
-pub(super) struct CrashReporter {
-    reports: watch::Sender<CrashReport>,
-    changed: Notify,
-    poisoned: Notify,
-}
-
-impl CrashReporter {
-    pub(super) fn open(vm: VmName) -> Self {
-        let report = CrashReport::empty(vm, rand::random());
-        Self {
-            reports: watch::Sender::new(report),
-            changed: Notify::new(),
-            poisoned: Notify::new(),
-        }
-    }
-
-    /// Publishes the records, unless they are those of the last report but for their age.
-    fn publish(&self, records: Vec<CrashRecord>) {
-        let counts = |records: &[CrashRecord]| -> Vec<(RequestDigest, u32)> {
-            let counts = records.iter().map(|record| (record.digest, record.crashes));
-            counts.collect()
-        };
-        self.reports.send_if_modified(|report| {
-            let differs = counts(&report.records) != counts(&records);
-            if differs {
-                report.revision += 1;
-                report.records = records;
-            }
-            differs
-        });
-    }
-}
-
 /// Reviews the crash records at regular intervals. Never returns.
 pub async fn run_crash_review(state: Arc<ForwardState>) {
     loop {
--- /dev/null
+++ b/daisyhinge/src/shell/forward/reporter.rs
@@ -0,0 +1,44 @@
+//! The crash reports of this entry for control.
+
+use tokio::sync::{Notify, watch};
+
+use crate::prelude::*;
+use crate::vocabulary::registration::CrashReport;
+use crate::vocabulary::replica::CrashRecord;
+
+/// The crash reports of this entry, and the notices that lead to the next one.
+#[derive(Debug)]
+pub(super) struct CrashReporter {
+    pub reports: watch::Sender<CrashReport>,
+    /// Notified when records have changed.
+    pub changed: Notify,
+    /// Notified when a request is refused from now on.
+    pub poisoned: Notify,
+}
+
+impl CrashReporter {
+    pub(super) fn open(vm: VmName) -> Self {
+        let report = CrashReport::empty(vm, rand::random());
+        Self {
+            reports: watch::Sender::new(report),
+            changed: Notify::new(),
+            poisoned: Notify::new(),
+        }
+    }
+
+    /// Publishes the records, unless they are those of the last report but for their age.
+    pub(super) fn publish(&self, records: Vec<CrashRecord>) {
+        let counts = |records: &[CrashRecord]| -> Vec<(RequestDigest, u32)> {
+            let counts = records.iter().map(|record| (record.digest, record.crashes));
+            counts.collect()
+        };
+        self.reports.send_if_modified(|report| {
+            let differs = counts(&report.records) != counts(&records);
+            if differs {
+                report.revision += 1;
+                report.records = records;
+            }
+            differs
+        });
+    }
+}
--- a/daisyhinge/src/shell/forward/state.rs
+++ b/daisyhinge/src/shell/forward/state.rs
@@ -8,9 +8,9 @@
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
-use super::crashes::CrashReporter;
 use super::pool::ConnectionPool;
 use super::relay::table::PeerLinks;
+use super::reporter::CrashReporter;
 use super::wire::HeaderNames;
 use crate::dispatch::Dispatcher;
 use crate::dispatch::budget::BudgetLimits;
