Hold a request after its second crash, block it after the third

What callers would see: a request that ran beside a crashing one is lost with it, and again if both are retried at the same replica at once; it would have been refused for 10 minutes though it is innocent. Cause: replicas are shared by entries that do not coordinate here, so a probe is alone at its entry but not at its replica. Two crashes in turn do not prove what they prove behind a keeper. Change: after two crashes in turn a request is refused for 2 to 4 s, by its digest, so that requests lost together are tried apart; then it runs once more, alone. An answer by any replica clears it; a third crash blocks it until the records expire. Crashes count in turn: one that was withdrawn does not support those after it. Price: a crashing request ends three replicas instead of two (a gather of ten shards twelve instead of eleven), which is the number that the platform's rule grants.

--- a/daisyhinge/src/crash.rs
+++ b/daisyhinge/src/crash.rs
@@ -7,6 +7,9 @@
 use crate::prelude::*;
 use crate::vocabulary::clock::duration_to_millis;
 use crate::vocabulary::replica::CrashRecord;
+use counts::{CrashCount, RequestCrashes};
+
+mod counts;
 
 /// Number of crashes at which a request is refused as poisoned.
 pub const POISON_CRASHES: u32 = 2;
@@ -17,9 +20,6 @@
 /// Maximum number of requests with crash records.
 pub const CRASH_RECORDS_MAX: usize = 1_024;
 
-/// Maximum number of sources recorded for one request; the strongest decides.
-const SOURCES_MAX: usize = 8;
-
 /// Time without a table from a keeper after which entries that received its records publish them in
 /// its place.
 const KEEPER_SILENCE_TIMEOUT: Duration = Duration::from_secs(3);
@@ -37,64 +37,6 @@
     Poisoned,
 }
 
-/// Crashes of one request as counted by one keeper.
-#[derive(Clone, Debug)]
-struct CrashCount {
-    /// VM of the keeper that counted the crashes; `None` for this keeper.
-    keeper: Option<VmName>,
-    /// Random identity of the keeper's table, chosen when the keeper starts.
-    table: u64,
-    crashes: u32,
-    last_crash_at: MonotonicTime,
-}
-
-#[derive(Clone, Debug, Default)]
-struct RequestCrashes {
-    sources: Vec<CrashCount>,
-    /// Time of the last answer, which refutes all earlier crashes.
-    cleared: Option<MonotonicTime>,
-}
-
-impl RequestCrashes {
-    /// Iterates over the sources whose crashes have neither expired nor been refuted.
-    fn counted_sources(&self, now: MonotonicTime) -> impl Iterator<Item = &CrashCount> {
-        self.sources.iter().filter(move |source| {
-            now.since(source.last_crash_at) < CRASH_RETENTION
-                && self.cleared.is_none_or(|at| source.last_crash_at > at)
-        })
-    }
-
-    fn crash_count(&self, now: MonotonicTime) -> u32 {
-        // The maximum, not the sum: crashes at several keepers may have one cause, such as the loss
-        // of a rack. A probe's crash includes the count of the crash before it.
-        let counts = self.counted_sources(now).map(|source| source.crashes);
-        counts.max().unwrap_or(0)
-    }
-
-    /// Adds a source. If there are too many, the weakest received one goes.
-    fn add_source(&mut self, source: CrashCount) {
-        self.sources.push(source);
-        if self.sources.len() <= SOURCES_MAX {
-            return;
-        }
-        let received = self.sources.iter().enumerate();
-        let weakest = received
-            .filter(|(_, source)| source.keeper.is_some())
-            .min_by_key(|(_, source)| (source.crashes, source.last_crash_at));
-        if let Some((index, _)) = weakest {
-            self.sources.swap_remove(index);
-        }
-    }
-
-    fn last_crash_at(&self) -> MonotonicTime {
-        self.sources
-            .iter()
-            .map(|source| source.last_crash_at)
-            .max()
-            .unwrap_or_default()
-    }
-}
-
 /// Crash records of this keeper and of all others, merged by request digest.
 ///
 /// Memory is bounded by [`CRASH_RECORDS_MAX`]. The request with the oldest last crash is evicted
@@ -123,11 +65,7 @@
 
     /// Returns the poison status of the request `digest`.
     pub fn poison_status(&self, now: MonotonicTime, digest: RequestDigest) -> PoisonStatus {
-        match self
-            .requests
-            .get(&digest)
-            .map_or(0, |request| request.crash_count(now))
-        {
+        match self.crashes(now, digest) {
             0 => PoisonStatus::Clear,
             count if count < POISON_CRASHES => PoisonStatus::Suspect,
             _ => PoisonStatus::Poisoned,
@@ -179,12 +117,19 @@
         }
     }
 
-    /// Returns whether another entry counts a crash of `digest`.
-    pub fn has_received_crashes(&self, now: MonotonicTime, digest: RequestDigest) -> bool {
+    /// Returns the crashes of `digest` on record.
+    pub fn crashes(&self, now: MonotonicTime, digest: RequestDigest) -> u32 {
         let request = self.requests.get(&digest);
-        request.is_some_and(|request| {
-            let mut counted = request.counted_sources(now);
-            counted.any(|source| source.keeper.is_some())
+        request.map_or(0, |request| request.crash_count(now))
+    }
+
+    /// Returns the crashes of `digest` that another entry counts.
+    pub fn received_crashes(&self, now: MonotonicTime, digest: RequestDigest) -> u32 {
+        let request = self.requests.get(&digest);
+        request.map_or(0, |request| {
+            let counted = request.counted_sources(now);
+            let received = counted.filter(|source| source.keeper.is_some());
+            received.map(|source| source.crashes).max().unwrap_or(0)
         })
     }
 
@@ -216,9 +161,13 @@
     /// or none, so an answered request did not cause the crashes so far. A poisoned request stays
     /// poisoned.
     pub fn record_answered(&mut self, now: MonotonicTime, digest: RequestDigest) {
-        if self.poison_status(now, digest) != PoisonStatus::Suspect {
-            return;
+        if self.poison_status(now, digest) == PoisonStatus::Suspect {
+            self.clear(now, digest);
         }
+    }
+
+    /// Clears `digest`: crashes up to now are not attributed to it any more.
+    pub fn clear(&mut self, now: MonotonicTime, digest: RequestDigest) {
         if let Some(request) = self.requests.get_mut(&digest) {
             request.cleared = Some(now);
             request.sources.retain(|source| source.keeper.is_some());
--- a/daisyhinge/src/dispatch/crash.rs
+++ b/daisyhinge/src/dispatch/crash.rs
@@ -4,19 +4,32 @@
 //! try must not come before the record. Often it is none: answers get lost and connections get
 //! reset. Such a record is withdrawn as soon as the same incarnation answers a request that was
 //! sent later, too early for a restart. A request that is answered by any replica is no suspect.
+//!
+//! Other requests that ran beside a crashing one are lost with it, and may be so again when both
+//! are retried at once. After a second crash in turn a request is therefore held for some seconds
+//! and then run once more; only a third one blocks it until the records expire.
 
 use std::cmp::Reverse;
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use super::Dispatcher;
-use super::fleet::{Fleet, ReplicaIndex};
-use super::request::AttemptEnd;
-use crate::crash::{CRASH_RETENTION, CrashTracker, POISON_CRASHES, PoisonStatus};
+use super::fleet::Fleet;
+use crate::crash::{CRASH_RETENTION, CrashTracker, PoisonStatus};
 use crate::prelude::*;
 use crate::vocabulary::registration::{CrashReport, ReplicaPhase, ReplicaRecord};
 use crate::vocabulary::replica::CrashRecord;
 
+mod evidence;
+pub(super) use evidence::EndedAttempt;
+
+/// Crashes in turn after which a request is refused until its records expire.
+const BLOCK_CRASHES: u32 = 3;
+/// Crashes in turn after which a request is refused for the hold time.
+const HOLD_CRASHES: u32 = 2;
+/// Minimum hold time; longer than the requests that ran beside it take.
+const HOLD_TIME_MIN: Duration = Duration::from_secs(2);
+/// Range of the hold times in milliseconds, which keeps apart requests that were lost together.
+const HOLD_SPREAD_MS: u64 = 2_000;
 /// Time after a reset in which an answer shows that the replica did not crash; a restart takes
 /// longer.
 const RESTART_TIME_MIN: Duration = Duration::from_secs(1);
@@ -37,8 +50,8 @@
     replica: ReplicaName,
     born_ms: Option<u64>,
     at: MonotonicTime,
-    /// Whether the request was a suspect when it was sent.
-    probe: bool,
+    /// Crashes of the request on record when it was sent, plus this one.
+    crashes: u32,
     /// Whether a request that was sent later was answered, after a restart was possible.
     answered_later: bool,
     /// Whether the incarnation is known to have ended.
@@ -84,31 +97,49 @@
 impl CrashMonitor {
     /// Returns the poison status of a request.
     pub fn poison_status(&self, now: MonotonicTime, digest: RequestDigest) -> PoisonStatus {
+        match self.crashes(now, digest) {
+            0 => PoisonStatus::Clear,
+            crashes if crashes >= BLOCK_CRASHES => PoisonStatus::Poisoned,
+            crashes if crashes >= HOLD_CRASHES && self.is_held(now, digest) => {
+                PoisonStatus::Poisoned
+            }
+            _ => PoisonStatus::Suspect,
+        }
+    }
+
+    /// Returns the crashes in turn of a request.
+    pub fn crashes(&self, now: MonotonicTime, digest: RequestDigest) -> u32 {
         if self.tracker.is_empty() {
-            return PoisonStatus::Clear;
+            return 0;
         }
-        self.tracker.poison_status(now, digest)
+        self.tracker.crashes(now, digest)
+    }
+
+    fn is_held(&self, now: MonotonicTime, digest: RequestDigest) -> bool {
+        self.tracker.last_crash_age(now, digest) < hold_time(digest)
     }
 
-    /// Returns when a refused caller may retry: soon while the crashes may still be withdrawn, else
-    /// when the records expire.
+    /// Returns when a refused caller may retry: when its request is no longer held, soon while the
+    /// crashes may still be withdrawn, or when the records expire.
     pub fn retry_after(&self, now: MonotonicTime, digest: RequestDigest) -> Duration {
         let age = self.tracker.last_crash_age(now, digest);
-        if age < VERDICT_TIMEOUT {
+        if self.crashes(now, digest) < BLOCK_CRASHES {
+            hold_time(digest).saturating_sub(age)
+        } else if age < VERDICT_TIMEOUT {
             UNDECIDED_RETRY_AFTER
         } else {
             CRASH_RETENTION.saturating_sub(age)
         }
     }
 
-    /// Records a reset while a replica ran a request. `probe` is set if the request was a suspect
-    /// when it was sent.
+    /// Records a reset while a replica ran a request. `crashes_before` are the crashes of the
+    /// request that were on record when it was sent.
     pub fn record_reset(
         &mut self,
         now: MonotonicTime,
         digest: RequestDigest,
         record: &ReplicaRecord,
-        probe: bool,
+        crashes_before: u32,
     ) {
         if self.resets.len() >= RESETS_MAX {
             self.resets.pop_front();
@@ -118,7 +149,7 @@
             replica: record.name.clone(),
             born_ms: record.born_ms,
             at: now,
-            probe,
+            crashes: crashes_before + 1,
             answered_later: false,
             confirmed: false,
         });
@@ -135,8 +166,8 @@
         replica: &ReplicaName,
         sent: MonotonicTime,
     ) {
-        if self.poison_status(now, digest) == PoisonStatus::Suspect {
-            self.tracker.record_answered(now, digest);
+        if (1..BLOCK_CRASHES).contains(&self.crashes(now, digest)) {
+            self.tracker.clear(now, digest);
             self.resets.retain(|reset| reset.digest != digest);
             self.push_event(now, digest, replica, CrashChange::Cleared, now);
         }
@@ -193,7 +224,7 @@
         let source = source_name(report);
         self.tracker
             .merge_listed(now, &source, report.incarnation, &report.records);
-        let probes = self.resets.iter().filter(|reset| reset.probe);
+        let probes = self.resets.iter().filter(|reset| reset.crashes > 1);
         let digests: Vec<RequestDigest> = probes.map(|reset| reset.digest).collect();
         for digest in digests {
             self.recount(now, digest);
@@ -259,19 +290,16 @@
         }
     }
 
-    /// Counts the crashes of a request from the resets on record. Resets under requests that were
-    /// not suspects count as one, because an outage may take down several replicas at once. So does
-    /// the reset of a probe if the crash before it has been withdrawn.
+    /// Counts the crashes in turn of a request from the resets on record. Resets under attempts that
+    /// ran at the same time count as one, because an outage may take down several replicas at once.
+    /// A crash does not count on those before it that have been withdrawn.
     fn recount(&mut self, now: MonotonicTime, digest: RequestDigest) {
         let resets = self.resets.iter().filter(|reset| reset.digest == digest);
         let last = resets.clone().map(|reset| reset.at).max();
-        let probed = resets.clone().any(|reset| reset.probe);
-        let is_second = resets.count() > 1 || self.tracker.has_received_crashes(now, digest);
-        let crashes = if probed && is_second {
-            POISON_CRASHES
-        } else {
-            u32::from(last.is_some())
-        };
+        let in_turn = resets.clone().map(|reset| reset.crashes).max();
+        let own = u32::try_from(resets.count()).unwrap_or(u32::MAX);
+        let known = own.saturating_add(self.tracker.received_crashes(now, digest));
+        let crashes = in_turn.unwrap_or(0).min(known);
         self.tracker
             .set_own_crashes(now, digest, crashes, last.unwrap_or(now));
     }
@@ -294,57 +322,13 @@
     }
 }
 
+/// Returns how long a request is refused after its second crash.
+fn hold_time(digest: RequestDigest) -> Duration {
+    HOLD_TIME_MIN + Duration::from_millis(digest.0 % HOLD_SPREAD_MS)
+}
+
 /// Returns the name of the process that a report comes from. A restarted entry is another source, so
 /// that its former records stay.
 fn source_name(report: &CrashReport) -> VmName {
     VmName::from(format!("{}#{:x}", report.vm, report.incarnation))
 }
-
-/// An attempt that has ended, as evidence for or against crashes.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct EndedAttempt {
-    pub replica: ReplicaIndex,
-    pub sent: MonotonicTime,
-    pub end: AttemptEnd,
-    /// Whether the request was a suspect when the attempt was sent.
-    pub probe: bool,
-    /// Whether a replica has answered the request already, so that it crashes none.
-    pub answered_before: bool,
-}
-
-impl Dispatcher {
-    /// Reviews the crash records, and takes what changed in them.
-    pub fn review_crashes(&mut self, now: MonotonicTime) -> Vec<CrashEvent> {
-        self.crashes.review(now, &self.fleet);
-        self.crashes.take_events()
-    }
-
-    /// Updates the crash records after an attempt of the request `digest`.
-    pub(super) fn record_crash_evidence(
-        &mut self,
-        now: MonotonicTime,
-        digest: RequestDigest,
-        ended: EndedAttempt,
-    ) {
-        let Some(replica) = self.fleet.replica(ended.replica) else {
-            return;
-        };
-        let record = &replica.record;
-        let crashes = &mut self.crashes;
-        match ended.end {
-            AttemptEnd::Reset if !ended.answered_before => {
-                crashes.record_reset(now, digest, record, ended.probe);
-            }
-            AttemptEnd::Answered | AttemptEnd::Failed => {
-                crashes.record_answer(now, digest, &record.name, ended.sent);
-            }
-            AttemptEnd::NotRun => crashes.record_alive(now, &record.name, ended.sent),
-            AttemptEnd::WrongServer => crashes.record_replaced(now, &record.name),
-            AttemptEnd::Reset
-            | AttemptEnd::NotSent
-            | AttemptEnd::Withdrawn
-            | AttemptEnd::Lost
-            | AttemptEnd::PeerBusy => {}
-        }
-    }
-}
--- a/daisyhinge/src/dispatch/request.rs
+++ b/daisyhinge/src/dispatch/request.rs
@@ -10,7 +10,6 @@
 
 use super::Dispatcher;
 use super::fleet::{Choice, ChoiceQuery, FleetReplica, ReplicaIndex, ReplicaOutcome};
-use crate::crash::PoisonStatus;
 use crate::prelude::*;
 use crate::vocabulary::site::{RouteKind, RouteTarget};
 
@@ -345,9 +344,8 @@
             end: None,
         };
         dispatcher.fleet.begin(now, replica, attempt);
-        let poison_status = dispatcher.crashes.poison_status(now, self.plan.digest);
-        let probe = poison_status == PoisonStatus::Suspect;
-        target.record_sent(attempt_record, now + hedging_delay, probe);
+        let crashes_before = dispatcher.crashes.crashes(now, self.plan.digest);
+        target.record_sent(attempt_record, now + hedging_delay, crashes_before);
         target.due = (self.plan.route.kind == RouteKind::Safe).then_some(target.hedge_at);
         actions.push(RequestAction::Send {
             attempt,
--- a/daisyhinge/src/dispatch/request/isolation.rs
+++ b/daisyhinge/src/dispatch/request/isolation.rs
@@ -71,7 +71,7 @@
             replica: pending.replica,
             sent: pending.sent,
             end,
-            probe: pending.probe,
+            crashes_before: pending.crashes_before,
             answered_before: self.targets.iter().any(has_answer),
         };
         dispatcher.record_crash_evidence(now, self.plan.digest, ended);
--- a/daisyhinge/src/dispatch/request/target.rs
+++ b/daisyhinge/src/dispatch/request/target.rs
@@ -23,8 +23,8 @@
     pub sent: MonotonicTime,
     /// Whether any byte of the attempt may have been written.
     pub written: bool,
-    /// Whether the request was suspected of crashing replicas when the attempt was sent.
-    pub probe: bool,
+    /// Crashes of the request on record when the attempt was sent.
+    pub crashes_before: u32,
     /// Whether another attempt replaces this one, which is never written then.
     pub superseded: bool,
 }
@@ -78,14 +78,14 @@
         &mut self,
         attempt_record: AttemptRecord,
         hedge_at: MonotonicTime,
-        probe: bool,
+        crashes_before: u32,
     ) {
         self.running.push(RunningAttempt {
             attempt: attempt_record.attempt,
             replica: attempt_record.replica,
             sent: attempt_record.sent,
             written: true,
-            probe,
+            crashes_before,
             superseded: false,
         });
         self.attempt_records.push(attempt_record);
