Let roots and keepers use one copy of the crash records

What callers would see: on the product's own path a request that was refused for crashing servers was sent on after some thousand others had lost a connection. Cause: roots kept crash records of their own (PoisonTable) beside CrashTracker. Theirs evicted the least recently updated request, refused ones like any other: 4,096 suspects pushed a poisoned request out. Test: poisoned_request_stays_known_beside_many_suspects failed before (0 crashes instead of 2), passes now. Change: PoisonTable keeps its meaning for roots and wraps a CrashTracker, which evicts refused requests last. What it did better moves to the tracker for all: reports of one crash that differ by message delays do not revive a cleared request (repeated_report_of_a_crash_does_not_revive_a_cleared_request failed for the tracker before). The tolerance is 250 ms where PoisonTable had 1 s, since a test of the tracker shows a later crash after 340 ms; a longer delay only makes a request a suspect again.

--- a/daisyhinge/src/crash.rs
+++ b/daisyhinge/src/crash.rs
@@ -24,6 +24,9 @@
 /// its place.
 const KEEPER_SILENCE_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Maximum difference between the ages of one crash in two reports; the earliest is the most accurate.
+const AGE_TOLERANCE: Duration = Duration::from_millis(250);
+
 /// Poison status of a request; decides whether it is dispatched normally, in isolation or not at
 /// all.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -85,7 +88,7 @@
         probe: bool,
     ) -> Vec<RequestDigest> {
         let count = if probe { POISON_CRASHES } else { 1 };
-        let grows = |digest: &RequestDigest| self.own_count(now, *digest) < count;
+        let grows = |digest: &RequestDigest| self.own_crashes(now, *digest) < count;
         let attributed: Vec<_> = suspects.iter().copied().filter(grows).collect();
         for digest in &attributed {
             self.set_own_crashes(now, *digest, count, now);
@@ -123,6 +126,15 @@
         request.map_or(0, |request| request.crash_count(now))
     }
 
+    /// Returns the requests that `keeper` recorded in its table.
+    pub fn list_received(&self, keeper: &VmName, table: u64) -> Vec<RequestDigest> {
+        let is_from =
+            |source: &CrashCount| source.keeper.as_ref() == Some(keeper) && source.table == table;
+        let received = self.requests.iter();
+        let received = received.filter(|(_, request)| request.sources.iter().any(is_from));
+        received.map(|(digest, _)| *digest).collect()
+    }
+
     /// Returns the crashes of `digest` that another entry counts.
     pub fn received_crashes(&self, now: MonotonicTime, digest: RequestDigest) -> u32 {
         let request = self.requests.get(&digest);
@@ -192,21 +204,29 @@
             listed: false,
         };
         self.latest_tables.insert(keeper.clone(), latest_table);
-        for request in self.requests.values_mut() {
-            request
-                .sources
-                .retain(|source| source.keeper.as_ref() != Some(keeper) || source.table != table);
+        let is_from =
+            |source: &CrashCount| source.keeper.as_ref() == Some(keeper) && source.table == table;
+        let mut former: HashMap<RequestDigest, CrashCount> = HashMap::new();
+        for (digest, request) in &mut self.requests {
+            for source in request.sources.extract_if(.., |source| is_from(source)) {
+                former.insert(*digest, source);
+            }
         }
         for record in records.iter().take(CRASH_RECORDS_MAX) {
             let age = Duration::from_millis(record.age_ms);
             if record.crashes == 0 || age >= CRASH_RETENTION {
                 continue;
             }
+            let reported_at = now.before(age);
+            let same = former.remove(&record.digest).filter(|former| {
+                former.crashes == record.crashes
+                    && reported_at.since(former.last_crash_at) <= AGE_TOLERANCE
+            });
             let source = CrashCount {
                 keeper: Some(keeper.clone()),
                 table,
                 crashes: record.crashes,
-                last_crash_at: now.before(age),
+                last_crash_at: same.map_or(reported_at, |former| former.last_crash_at),
             };
             self.add_source(now, record.digest, source);
         }
@@ -295,7 +315,8 @@
         self.requests.is_empty()
     }
 
-    fn own_count(&self, now: MonotonicTime, digest: RequestDigest) -> u32 {
+    /// Returns the crashes of `digest` that this entry counts.
+    pub fn own_crashes(&self, now: MonotonicTime, digest: RequestDigest) -> u32 {
         let request = self.requests.get(&digest);
         let own_source = request.and_then(|request| {
             request
--- a/daisyhinge/src/search/route.rs
+++ b/daisyhinge/src/search/route.rs
@@ -128,7 +128,8 @@
 
     /// Applies a reply of `keeper`. A reply that arrives after a newer one is ignored.
     pub fn apply_delta(&mut self, keeper: &VmName, delta: TableDelta) {
-        let keeper = self.intern_keeper(keeper);
+        let name = keeper;
+        let keeper = self.intern_keeper(name);
         let current = self.keepers[keeper as usize].cursor;
         let is_stale = current.is_some_and(|current| {
             let is_older = current.table == delta.table && delta.cursor < current.cursor;
@@ -138,7 +139,7 @@
             return;
         }
         self.poison
-            .replace(self.now, keeper, delta.table, &delta.crashes);
+            .replace(self.now, name, delta.table, &delta.crashes);
         let mut changed_services = HashSet::new();
         if delta.whole {
             self.retract_unlisted(keeper, &delta.records, &mut changed_services);
--- a/daisyhinge/tests/keeper_crash.rs
+++ b/daisyhinge/tests/keeper_crash.rs
@@ -365,6 +365,27 @@
     );
 }
 
+/// Reports of one crash differ by the delays of their messages.
+#[test]
+fn repeated_report_of_a_crash_does_not_revive_a_cleared_request() {
+    let mut tracker = CrashTracker::new();
+    let record = |age_ms| CrashRecord {
+        digest: CRASHING,
+        crashes: 1,
+        age_ms,
+    };
+    let keeper = VmName::from("entry-1");
+    tracker.merge(at(10), &keeper, 1, &[record(0)]);
+    tracker.record_answered(at(12), CRASHING);
+    tracker.merge(at(20), &keeper, 1, &[record(7)]);
+    assert_eq!(tracker.poison_status(at(20), CRASHING), PoisonStatus::Clear);
+    tracker.merge(at(3_000), &keeper, 1, &[record(5)]);
+    assert_eq!(
+        tracker.poison_status(at(3_000), CRASHING),
+        PoisonStatus::Suspect
+    );
+}
+
 /// Records of a ninth source were dropped in silence.
 #[test]
 fn poisoning_record_is_kept_beside_many_weaker_sources() {
--- a/daisyhinge/tests/search/poison.rs
+++ b/daisyhinge/tests/search/poison.rs
@@ -6,6 +6,7 @@
 
 use daisyhinge::prelude::*;
 use daisyhinge::search::plan::SearchPlan;
+use daisyhinge::search::poison::{CRASHES_MAX, PoisonTable};
 use daisyhinge::vocabulary::replica::{CrashRecord, TableDelta};
 
 use crate::fleet::{ScriptedOutcome, keeper_name, plan};
@@ -164,3 +165,17 @@
     run_one(&mut runner, 100, plan).expect_err("the retry is late");
     assert_eq!(*sent.borrow(), 2, "a first attempt and one retry");
 }
+
+/// Records of very many suspects pushed out the ones of refused requests.
+#[test]
+fn poisoned_request_stays_known_beside_many_suspects() {
+    let mut table = PoisonTable::default();
+    table.mark_poisoned(MonotonicTime(1_000), RequestDigest(1));
+    for number in 0..5_000 {
+        table.record_reset(MonotonicTime(2_000 + number), RequestDigest(100 + number));
+    }
+    assert_eq!(
+        table.crashes(MonotonicTime(9_000), RequestDigest(1)),
+        CRASHES_MAX
+    );
+}
