Keep crash evidence about replicas that are gone; drop the least important resets first

What callers would see: a crash noticed after the replica's successor had registered left no record, and the request went on. Cause: the evidence of an attempt was dropped if its replica was no longer known. Also: resets that are decided and those that are not are kept apart, so that an answer looks only at the latter, and at the limit the oldest reset of the requests with the fewest crashes goes, so that a refused request keeps its count.

--- a/daisyhinge/src/dispatch/crash.rs
+++ b/daisyhinge/src/dispatch/crash.rs
@@ -37,7 +37,7 @@
 const VERDICT_TIMEOUT: Duration = Duration::from_secs(8);
 /// Time after which the caller of a refused request may retry while a reset is undecided.
 const UNDECIDED_RETRY_AFTER: Duration = Duration::from_secs(1);
-/// Maximum number of resets on record; the oldest is dropped first.
+/// Maximum number of resets on record, of undecided and of confirmed ones each.
 const RESETS_MAX: usize = 512;
 
 /// Maximum number of requests that one entry reports.
@@ -54,8 +54,6 @@
     crashes: u32,
     /// Whether a request that was sent later was answered, after a restart was possible.
     answered_later: bool,
-    /// Whether the incarnation is known to have ended.
-    confirmed: bool,
 }
 
 /// What changed in the crash records.
@@ -90,7 +88,10 @@
 #[derive(Debug, Default)]
 pub struct CrashMonitor {
     tracker: CrashTracker,
-    resets: VecDeque<ReplicaReset>,
+    /// Resets that may still be withdrawn.
+    undecided: VecDeque<ReplicaReset>,
+    /// Resets at incarnations that have ended.
+    confirmed: VecDeque<ReplicaReset>,
     events: Vec<CrashEvent>,
 }
 
@@ -132,57 +133,65 @@
         }
     }
 
-    /// Records a reset while a replica ran a request. `crashes_before` are the crashes of the
-    /// request that were on record when it was sent.
+    /// Records a reset while a replica ran a request. `record` is unset if the replica is not known
+    /// any more. `crashes_before` are the crashes of the request that were on record when it was
+    /// sent.
     pub fn record_reset(
         &mut self,
         now: MonotonicTime,
         digest: RequestDigest,
-        record: &ReplicaRecord,
+        record: Option<&ReplicaRecord>,
         crashes_before: u32,
     ) {
-        if self.resets.len() >= RESETS_MAX {
-            self.resets.pop_front();
+        let replica = record.map_or_else(unknown_replica, |record| record.name.clone());
+        let resets = if record.is_some() {
+            &mut self.undecided
+        } else {
+            &mut self.confirmed
+        };
+        if resets.len() >= RESETS_MAX {
+            drop_least(resets, |digest| self.tracker.crashes(now, digest));
         }
-        self.resets.push_back(ReplicaReset {
+        resets.push_back(ReplicaReset {
             digest,
-            replica: record.name.clone(),
-            born_ms: record.born_ms,
+            replica: replica.clone(),
+            born_ms: record.and_then(|record| record.born_ms),
             at: now,
             crashes: crashes_before + 1,
             answered_later: false,
-            confirmed: false,
         });
         self.recount(now, digest);
-        self.push_event(now, digest, &record.name, CrashChange::Suspected, now);
+        self.push_event(now, digest, &replica, CrashChange::Suspected, now);
     }
 
     /// Records that a replica answered a request, be it with an error of its own. `sent` is the
-    /// time at which the request was sent.
+    /// time at which the request was sent; `replica` is unset if it is not known any more.
     pub fn record_answer(
         &mut self,
         now: MonotonicTime,
         digest: RequestDigest,
-        replica: &ReplicaName,
+        replica: Option<&ReplicaName>,
         sent: MonotonicTime,
     ) {
         if (1..BLOCK_CRASHES).contains(&self.crashes(now, digest)) {
             self.tracker.clear(now, digest);
-            self.resets.retain(|reset| reset.digest != digest);
-            self.push_event(now, digest, replica, CrashChange::Cleared, now);
+            self.undecided.retain(|reset| reset.digest != digest);
+            self.confirmed.retain(|reset| reset.digest != digest);
+            let name = replica.cloned().unwrap_or_else(unknown_replica);
+            self.push_event(now, digest, &name, CrashChange::Cleared, now);
+        }
+        if let Some(replica) = replica {
+            self.record_alive(now, replica, sent);
         }
-        self.record_alive(now, replica, sent);
     }
 
     /// Records a sign of life of a replica in response to a request sent at `sent`.
     pub fn record_alive(&mut self, now: MonotonicTime, replica: &ReplicaName, sent: MonotonicTime) {
-        let is_later = |reset: &ReplicaReset| {
-            !reset.confirmed && reset.replica == *replica && reset.at <= sent
-        };
-        if !self.resets.iter().any(is_later) {
+        let is_later = |reset: &ReplicaReset| reset.replica == *replica && reset.at <= sent;
+        if !self.undecided.iter().any(is_later) {
             return;
         }
-        for reset in self.resets.iter_mut().filter(|reset| is_later(reset)) {
+        for reset in self.undecided.iter_mut().filter(|reset| is_later(reset)) {
             reset.answered_later = true;
         }
         let refuted =
@@ -197,7 +206,7 @@
 
     /// Decides resets from what is known of the replicas, and drops expired records.
     pub fn review(&mut self, now: MonotonicTime, fleet: &Fleet) {
-        if self.tracker.is_empty() && self.resets.is_empty() {
+        if self.tracker.is_empty() && self.undecided.is_empty() {
             return;
         }
         let current_phase = |reset: &ReplicaReset| {
@@ -206,15 +215,14 @@
             same.map(|record| record.phase)
         };
         self.confirm(now, |reset| current_phase(reset).is_none());
-        let is_due =
-            |reset: &ReplicaReset| !reset.confirmed && now.since(reset.at) >= VERDICT_TIMEOUT;
+        let is_due = |reset: &ReplicaReset| now.since(reset.at) >= VERDICT_TIMEOUT;
         self.withdraw(now, |reset| {
             let ready = current_phase(reset) == Some(ReplicaPhase::Ready);
             is_due(reset) && reset.answered_later && ready
         });
         // Without any sign of life the replica counts as crashed.
         self.confirm(now, is_due);
-        self.resets
+        self.confirmed
             .retain(|reset| now.since(reset.at) < CRASH_RETENTION);
         self.tracker.prune(now);
     }
@@ -224,7 +232,7 @@
         let source = source_name(report);
         self.tracker
             .merge_listed(now, &source, report.incarnation, &report.records);
-        let probes = self.resets.iter().filter(|reset| reset.crashes > 1);
+        let probes = self.resets().filter(|reset| reset.crashes > 1);
         let digests: Vec<RequestDigest> = probes.map(|reset| reset.digest).collect();
         for digest in digests {
             self.recount(now, digest);
@@ -262,10 +270,14 @@
         self.tracker.is_empty()
     }
 
+    fn resets(&self) -> impl Iterator<Item = &ReplicaReset> + Clone {
+        self.undecided.iter().chain(&self.confirmed)
+    }
+
     fn withdraw(&mut self, now: MonotonicTime, refuted: impl Fn(&ReplicaReset) -> bool) {
-        let (gone, kept) = self.resets.drain(..).partition(refuted);
-        self.resets = kept;
-        for reset in Vec::from(gone) {
+        let (gone, kept): (VecDeque<_>, _) = self.undecided.drain(..).partition(refuted);
+        self.undecided = kept;
+        for reset in gone {
             self.recount(now, reset.digest);
             self.push_event(
                 now,
@@ -278,15 +290,22 @@
     }
 
     fn confirm(&mut self, now: MonotonicTime, ended: impl Fn(&ReplicaReset) -> bool) {
-        let mut confirmed = Vec::new();
-        for reset in &mut self.resets {
-            if !reset.confirmed && ended(reset) {
-                reset.confirmed = true;
-                confirmed.push((reset.digest, reset.replica.clone(), reset.at));
+        let (confirmed, kept): (VecDeque<_>, _) = self.undecided.drain(..).partition(ended);
+        self.undecided = kept;
+        for reset in confirmed {
+            self.push_event(
+                now,
+                reset.digest,
+                &reset.replica,
+                CrashChange::Confirmed,
+                reset.at,
+            );
+            if self.confirmed.len() >= RESETS_MAX {
+                drop_least(&mut self.confirmed, |digest| {
+                    self.tracker.crashes(now, digest)
+                });
             }
-        }
-        for (digest, replica, at) in confirmed {
-            self.push_event(now, digest, &replica, CrashChange::Confirmed, at);
+            self.confirmed.push_back(reset);
         }
     }
 
@@ -294,7 +313,7 @@
     /// ran at the same time count as one, because an outage may take down several replicas at once.
     /// A crash does not count on those before it that have been withdrawn.
     fn recount(&mut self, now: MonotonicTime, digest: RequestDigest) {
-        let resets = self.resets.iter().filter(|reset| reset.digest == digest);
+        let resets = self.resets().filter(|reset| reset.digest == digest);
         let last = resets.clone().map(|reset| reset.at).max();
         let in_turn = resets.clone().map(|reset| reset.crashes).max();
         let own = u32::try_from(resets.count()).unwrap_or(u32::MAX);
@@ -322,6 +341,20 @@
     }
 }
 
+/// Returns the name under which a replica is logged that is not known any more.
+fn unknown_replica() -> ReplicaName {
+    "gone".into()
+}
+
+/// Drops the oldest reset of the requests with the fewest crashes. Its request keeps its count.
+fn drop_least(resets: &mut VecDeque<ReplicaReset>, crashes: impl Fn(RequestDigest) -> u32) {
+    let ranked = resets.iter().enumerate();
+    let least = ranked.min_by_key(|(_, reset)| (crashes(reset.digest), reset.at));
+    if let Some(index) = least.map(|(index, _)| index) {
+        resets.remove(index);
+    }
+}
+
 /// Returns how long a request is refused after its second crash.
 fn hold_time(digest: RequestDigest) -> Duration {
     HOLD_TIME_MIN + Duration::from_millis(digest.0 % HOLD_SPREAD_MS)
--- a/daisyhinge/src/dispatch/crash/evidence.rs
+++ b/daisyhinge/src/dispatch/crash/evidence.rs
@@ -32,25 +32,22 @@
         digest: RequestDigest,
         ended: EndedAttempt,
     ) {
-        let Some(replica) = self.fleet.replica(ended.replica) else {
-            return;
-        };
-        let record = &replica.record;
+        let replica = self.fleet.replica(ended.replica);
+        let record = replica.map(|replica| &replica.record);
         let crashes = &mut self.crashes;
-        match ended.end {
-            AttemptEnd::Reset if !ended.answered_before => {
+        match (ended.end, record) {
+            (AttemptEnd::Reset, record) if !ended.answered_before => {
                 crashes.record_reset(now, digest, record, ended.crashes_before);
             }
-            AttemptEnd::Answered | AttemptEnd::Failed => {
-                crashes.record_answer(now, digest, &record.name, ended.sent);
+            (AttemptEnd::Answered | AttemptEnd::Failed, record) => {
+                let name = record.map(|record| &record.name);
+                crashes.record_answer(now, digest, name, ended.sent);
             }
-            AttemptEnd::NotRun => crashes.record_alive(now, &record.name, ended.sent),
-            AttemptEnd::WrongServer => crashes.record_replaced(now, &record.name),
-            AttemptEnd::Reset
-            | AttemptEnd::NotSent
-            | AttemptEnd::Withdrawn
-            | AttemptEnd::Lost
-            | AttemptEnd::PeerBusy => {}
+            (AttemptEnd::NotRun, Some(record)) => {
+                crashes.record_alive(now, &record.name, ended.sent);
+            }
+            (AttemptEnd::WrongServer, Some(record)) => crashes.record_replaced(now, &record.name),
+            _ => {}
         }
     }
 }
--- a/daisyhinge/tests/dispatch/crash.rs
+++ b/daisyhinge/tests/dispatch/crash.rs
@@ -309,7 +309,7 @@
     for number in 0..5_000 {
         let digest = RequestDigest(1_000 + number);
         let crashes = &mut dispatcher.crashes;
-        crashes.record_reset(at(2_200 + number), digest, &replica, 0);
+        crashes.record_reset(at(2_200 + number), digest, Some(&replica), 0);
         crashes.take_events();
     }
     assert!(dispatcher.crashes.len() <= 1_024);
@@ -318,3 +318,19 @@
         PoisonStatus::Poisoned
     );
 }
+
+/// The next incarnation may be announced before the connection to the former one ends.
+#[test]
+fn crash_counts_if_the_next_incarnation_is_known_before_the_reset() {
+    let mut dispatcher = dispatcher(1);
+    let mut request = start(&mut dispatcher, 0, CRASHING, single("shard-0"));
+    let (_, replica) = request.running[0].clone();
+    let mut reborn = record(replica.as_str(), "shard-0", "a", 1_001);
+    reborn.born_ms = Some(2_000);
+    dispatcher.fleet.update_replica(at(900), reborn);
+    request.end(&mut dispatcher, 950, AttemptEnd::Reset);
+    assert_eq!(
+        dispatcher.crashes.poison_status(at(950), CRASHING),
+        PoisonStatus::Suspect
+    );
+}
--- a/daisyhinge/tests/dispatch/crash_reports.rs
+++ b/daisyhinge/tests/dispatch/crash_reports.rs
@@ -18,7 +18,7 @@
     let replica = record(&format!("shard-0-{centre}"), "shard-0", centre, 1_001);
     dispatcher
         .crashes
-        .record_reset(at(ms), CRASHING, &replica, crashes_before);
+        .record_reset(at(ms), CRASHING, Some(&replica), crashes_before);
 }
 
 /// Returns a dispatcher at which the request is blocked.
@@ -111,7 +111,7 @@
     for number in 0..400 {
         let digest = RequestDigest(1_000 + number);
         let crashes = &mut dispatcher.crashes;
-        crashes.record_reset(at(10 + number), digest, &replica, 0);
+        crashes.record_reset(at(10 + number), digest, Some(&replica), 0);
     }
     let records = dispatcher.crashes.list_records(at(500));
     assert_eq!(records.len(), 256);
