--- a/daisyhinge/tests/keeper_crash.rs
+++ b/daisyhinge/tests/keeper_crash.rs
@@ -4,17 +4,12 @@
 #[expect(dead_code, reason = "shared by several test files")]
 mod support;
 
-use daisyhinge::crash::{CRASH_RECORDS_MAX, CRASH_RETENTION, CrashTracker, PoisonStatus};
 use daisyhinge::keeper::KeeperEvent;
 use daisyhinge::keeper::crash_detection::CrashUpdate;
 use daisyhinge::keeper::sub_request::DispatchOutcome;
 use daisyhinge::prelude::*;
-use daisyhinge::vocabulary::replica::CrashRecord;
 use support::*;
 
-const CRASHING: RequestDigest = RequestDigest(1);
-const INNOCENT: RequestDigest = RequestDigest(2);
-
 fn reset(number: u64) -> KeeperEvent {
     KeeperEvent::Ended {
         attempt: info(number, at(0)).attempt,
