--- a/daisyhinge/benches/slopes.rs
+++ b/daisyhinge/benches/slopes.rs
@@ -4,6 +4,9 @@
 //! Prints one line per point and one per fit. This is not a criterion benchmark, because the
 //! growth with size matters rather than the spread of each measurement.
 
+#[path = "slopes/crash_reports.rs"]
+mod crash_reports;
+
 use std::hint::black_box;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -43,6 +46,7 @@
     show_views();
     show_routes();
     show_keeper_sets();
+    crash_reports::show_crash_reports();
 }
 
 fn show_views() {
