Let operators choose what an entry does while it is out of touch

Change: an entry holds the product's FreshnessLease (4 s), extended by each reply that a quorum confirmed, from the time at which its request was sent.

--- a/daisyhinge/src/lease.rs
+++ b/daisyhinge/src/lease.rs
@@ -6,6 +6,16 @@
 use crate::prelude::*;
 use crate::vocabulary::freshness::{CLOCK_DRIFT_PPM, LEASE_DURATION};
 
+/// What an entry does with requests while it cannot prove that its configuration is the newest.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum LapsePolicy {
+    /// Serves with the configuration that it has.
+    #[default]
+    Serve,
+    /// Refuses as not run, with [`ResultCode::NoLease`].
+    Refuse,
+}
+
 /// Freshness lease of an entry: the newest proved version, and the time until which the entry may
 /// act on it.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
--- a/daisyhinge/src/shell/forward.rs
+++ b/daisyhinge/src/shell/forward.rs
@@ -10,6 +10,7 @@
 mod attempt;
 mod connection;
 pub mod crashes;
+mod freshness;
 mod gate;
 pub mod listen;
 mod outcome_log;
--- a/daisyhinge/src/shell/forward/answer.rs
+++ b/daisyhinge/src/shell/forward/answer.rs
@@ -23,6 +23,8 @@
 
 /// `Retry-After` of an entry that has not received its first configuration.
 const STARTUP_RETRY_AFTER: Duration = Duration::from_millis(200);
+/// `Retry-After` of an entry whose lease has lapsed.
+const LAPSED_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Statuses that promise the caller that its request was not executed.
 const NOT_EXECUTED_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
@@ -36,6 +38,7 @@
 ) -> Response<AnswerBody> {
     let started = state.clock.now();
     let mut answer = match state.site() {
+        Some(_) if !state.may_serve() => refuse(ResultCode::NoLease, Some(LAPSED_RETRY_AFTER)),
         Some(site) => answer_with_site(&state, &site, started, opened_connection, request).await,
         None => refuse(ResultCode::NoLease, Some(STARTUP_RETRY_AFTER)),
     };
--- a/daisyhinge/src/shell/forward/attempt.rs
+++ b/daisyhinge/src/shell/forward/attempt.rs
@@ -60,6 +60,7 @@
     permit: Arc<WritePermit>,
 ) -> AttemptReport {
     let result = match find_link(&state, &request, replica) {
+        Some(_) if !state.may_serve() => Err(AttemptEnd::Withdrawn),
         Some((link, top_records)) => {
             state.counters.relayed.inc();
             permit.try_acquire();
@@ -101,7 +102,8 @@
     state.record_idle(replica);
     let mut connection = connection?;
     // Final check before dispatch: connecting may have taken long.
-    if !state.dispatcher.lock().fleet.may_send(replica) || !permit.try_acquire() {
+    let may_send = state.dispatcher.lock().fleet.may_send(replica) && state.may_serve();
+    if !may_send || !permit.try_acquire() {
         state.pool.put(replica, connection);
         return Err(AttemptEnd::Withdrawn);
     }
--- a/daisyhinge/src/shell/forward/crashes.rs
+++ b/daisyhinge/src/shell/forward/crashes.rs
@@ -33,6 +33,7 @@
         };
         let records = i64::try_from(records).unwrap_or(i64::MAX);
         state.counters.crash_records.set(records);
+        state.review_lease();
         state.log_crashes(&events);
     }
 }
--- a/daisyhinge/src/shell/forward/state.rs
+++ b/daisyhinge/src/shell/forward/state.rs
@@ -15,6 +15,7 @@
 use crate::dispatch::Dispatcher;
 use crate::dispatch::budget::BudgetLimits;
 use crate::dispatch::fleet::{FleetLocation, ReplicaIndex};
+use crate::lease::{FreshnessLease, LapsePolicy};
 use crate::metric::forward::ForwardCounters;
 use crate::prelude::*;
 use crate::routing::RouteTable;
@@ -48,6 +49,8 @@
     pub names: HeaderNames,
     /// Decoder for configuration documents.
     pub decode: ConfigDecoder,
+    /// What the entry does while its lease has lapsed.
+    pub policy: LapsePolicy,
 }
 
 /// State of a forwarding entry that the tasks of all requests share.
@@ -74,6 +77,10 @@
     /// Whether the received state was confirmed by a quorum of control.
     confirmed: AtomicBool,
     updated: Notify,
+    pub(super) policy: LapsePolicy,
+    pub(super) lease: Mutex<FreshnessLease>,
+    /// Whether the lease was held when it was last reviewed.
+    pub(super) holds_lease: AtomicBool,
     decode: ConfigDecoder,
     /// Number of the next request that this entry forwards.
     number: AtomicU64,
@@ -97,6 +104,9 @@
             revision: Mutex::new(0),
             confirmed: AtomicBool::new(false),
             updated: Notify::new(),
+            policy: settings.policy,
+            lease: Mutex::default(),
+            holds_lease: AtomicBool::new(false),
             decode: settings.decode,
             number: AtomicU64::new(0),
         })
@@ -107,6 +117,11 @@
         self.site.read().clone()
     }
 
+    /// Returns the revision of the received state.
+    pub(super) fn revision(&self) -> u64 {
+        *self.revision.lock()
+    }
+
     /// Returns whether any received state was confirmed by a quorum of control.
     pub fn is_confirmed(&self) -> bool {
         self.confirmed.load(Ordering::Relaxed)
--- a/daisyhinge/src/shell/site/follow.rs
+++ b/daisyhinge/src/shell/site/follow.rs
@@ -55,8 +55,17 @@
     pub crashes: watch::Receiver<CrashReport>,
 }
 
-/// Callback for received state. The flag is set if a quorum has confirmed the state.
-pub type ReplySink = Arc<dyn Fn(SyncReply, bool) + Send + Sync>;
+/// How recent a reply from control is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ReplyProof {
+    /// Whether a quorum confirmed the state in the reply recently.
+    pub fresh: bool,
+    /// Time from sending the request to the reply.
+    pub waited: Duration,
+}
+
+/// Callback for received state.
+pub type ReplySink = Arc<dyn Fn(SyncReply, ReplyProof) + Send + Sync>;
 
 /// Callback with the address of a control process, invoked when the entry starts (`true`) or stops
 /// (`false`) receiving state from that process.
@@ -74,7 +83,7 @@
 
 /// Event during a long poll.
 enum FollowEvent {
-    Reply(Option<SyncReply>),
+    Reply(Option<(SyncReply, Duration)>),
     ReportChanged,
     Closed,
     Probed(Option<ControlLink>),
@@ -197,11 +206,11 @@
         loop {
             self.probe_nearer(&mut probe);
             match self.next_event(&current, wait, reports, &mut probe).await {
-                FollowEvent::Reply(Some(reply)) => {
+                FollowEvent::Reply(Some((reply, waited))) => {
                     wait = LONG_POLL_TIMEOUT;
                     let fresh = is_fresh(&reply);
                     let follow_limit = startup_follow_limit(&reply);
-                    self.apply_reply(reply, fresh);
+                    self.apply_reply(reply, ReplyProof { fresh, waited });
                     if !fresh && current.opened.elapsed() < follow_limit {
                         // All control processes may have just started. Moving on to the next one
                         // would only delay the election of a leader.
@@ -254,6 +263,7 @@
         let crashes = reports.crashes.borrow_and_update().clone();
         let revision = crashes.revision;
         let request = self.build_request(phase, crashes, wait);
+        let sent_at = self.clock.now();
         let call = current
             .client
             .sync(call_context(wait + REPLY_TIMEOUT), request);
@@ -269,7 +279,8 @@
                 if reply.is_ok() {
                     self.reported = revision;
                 }
-                FollowEvent::Reply(reply.ok())
+                let waited = self.clock.now().since(sent_at);
+                FollowEvent::Reply(reply.ok().map(|reply| (reply, waited)))
             }
             changed = reports.phases.changed() => report_event(changed),
             changed = reports.crashes.changed() => report_event(changed),
@@ -299,16 +310,16 @@
         }
     }
 
-    fn apply_reply(&mut self, reply: SyncReply, fresh: bool) {
+    fn apply_reply(&mut self, reply: SyncReply, proof: ReplyProof) {
         self.epoch = reply.epoch;
         self.mark = reply.mark;
         if let Some(site) = &reply.site {
             self.revision = self.revision.max(site.revision);
         }
         self.list.update_known(&reply.control);
-        if fresh {
+        if proof.fresh {
             self.list.mark_serving(self.clock.now());
         }
-        (self.sink)(reply, fresh);
+        (self.sink)(reply, proof);
     }
 }
--- a/daisyhinge/tests/follow.rs
+++ b/daisyhinge/tests/follow.rs
@@ -8,7 +8,7 @@
 
 use daisyhinge::dispatch::fleet::FleetLocation;
 use daisyhinge::shell::site::SiteLink;
-use daisyhinge::shell::site::follow::{EntryReports, FollowSettings, run_following};
+use daisyhinge::shell::site::follow::{EntryReports, FollowSettings, ReplyProof, run_following};
 use daisyhinge::vocabulary::registration::{
     ControlLocation, CrashReport, EntryPhase, SyncCaller, SyncReply, SyncRequest,
 };
@@ -150,8 +150,8 @@
         let _sender = kept_sender;
         let (_phases, phases) = watch::channel(EntryPhase::Serving);
         let reports = EntryReports { phases, crashes };
-        let sink = Arc::new(move |_: SyncReply, fresh: bool| {
-            counter.fetch_add(usize::from(fresh), Ordering::Relaxed);
+        let sink = Arc::new(move |_: SyncReply, proof: ReplyProof| {
+            counter.fetch_add(usize::from(proof.fresh), Ordering::Relaxed);
         });
         run_following(settings, reports, sink, Arc::new(|_, _| {})).await;
     });
--- a/daisyhinge/tests/forward/fixture.rs
+++ b/daisyhinge/tests/forward/fixture.rs
@@ -8,6 +8,7 @@
 use crate::known_replica::{BUDGET, header_names, sync_reply_with};
 use bytes::Bytes;
 use daisyhinge::dispatch::fleet::FleetLocation;
+use daisyhinge::lease::LapsePolicy;
 use daisyhinge::prelude::*;
 use daisyhinge::shell::forward::listen::serve_callers;
 use daisyhinge::shell::forward::state::{ForwardSettings, ForwardState};
@@ -138,6 +139,10 @@
 }
 
 pub fn open_entry(host: IpAddr) -> Arc<ForwardState> {
+    open_entry_with(host, LapsePolicy::default())
+}
+
+pub fn open_entry_with(host: IpAddr, policy: LapsePolicy) -> Arc<ForwardState> {
     let state = ForwardState::open(ForwardSettings {
         location: FleetLocation {
             vm: "entry-1".into(),
@@ -147,6 +152,7 @@
         budget: BUDGET,
         names: header_names(),
         decode: decode_site,
+        policy,
     });
     let replica = SocketAddr::new(host, REPLICA_PORT);
     let reply = sync_reply_with(replica, "card", "a", Vec::new());
--- a/daisyhinge/tests/relay.rs
+++ b/daisyhinge/tests/relay.rs
@@ -9,6 +9,7 @@
 
 use bytes::Bytes;
 use daisyhinge::dispatch::fleet::FleetLocation;
+use daisyhinge::lease::LapsePolicy;
 use daisyhinge::prelude::*;
 use daisyhinge::shell::forward::listen::serve_callers;
 use daisyhinge::shell::forward::relay::head::{read_head, write_head};
@@ -112,6 +113,7 @@
         budget: BUDGET,
         names: header_names(),
         decode: decode_site,
+        policy: LapsePolicy::default(),
     });
     let entries = vec![presence(1, "a"), presence(2, "b")];
     let reply = sync_reply_with(replica, "shard", "b", entries);
