--- a/daisyhinge/src/shell/forward/answer.rs
+++ b/daisyhinge/src/shell/forward/answer.rs
@@ -64,13 +64,20 @@
         });
         return refuse(ResultCode::UnknownPath, None);
     };
-    let limit = site.limits.body_max_bytes;
-    let body = match Limited::new(body, limit).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) if error.is::<LengthLimitError>() => {
-            return refuse(ResultCode::BodyTooLarge, None);
+    let body = match read_body(body, site.limits.body_max_bytes).await {
+        Ok(body) => body,
+        Err(code) => {
+            let id = header_text(&head.headers, &state.names.request_id).unwrap_or("-");
+            state.log.log_request(true, || {
+                format!(
+                    "event=body_refused request={id} route={} code={} body_max_bytes={}",
+                    route.name,
+                    code.number(),
+                    site.limits.body_max_bytes
+                )
+            });
+            return refuse(code, None);
         }
-        Err(_error) => return refuse(ResultCode::MalformedRequest, None),
     };
     let requested_ms = header_text(&head.headers, &state.names.deadline);
     let requested_ms = requested_ms.and_then(|text| text.trim().parse::<u64>().ok());
@@ -93,6 +100,19 @@
     build_answer(state, &route, outcome)
 }
 
+/// Reads a caller's body to its end.
+///
+/// # Errors
+/// [`ResultCode::BodyTooLarge`] beyond `limit` bytes, [`ResultCode::MalformedRequest`] if it ends
+/// early or cannot be decoded.
+async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, ResultCode> {
+    match Limited::new(body, limit).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(ResultCode::BodyTooLarge),
+        Err(_error) => Err(ResultCode::MalformedRequest),
+    }
+}
+
 /// Records the caller's deadline, and sets the time that the caller has already spent and the
 /// margin for the answer's return trip in the plan.
 fn record_caller_deadline(
--- a/daisyhinge/tests/forward.rs
+++ b/daisyhinge/tests/forward.rs
@@ -260,3 +260,23 @@
     );
     stop.cancel();
 }
+
+#[tokio::test]
+async fn body_beyond_the_limit_is_refused_before_it_reaches_a_replica() {
+    let script = |id: &str| ReplicaAnswer {
+        bytes: complete_answer(id, "label"),
+        then: AfterAnswer::Stay,
+    };
+    let fixture = open_fixture(12, script).await;
+    let address = SocketAddr::new(fixture.host, CALLER_PORT);
+    let stream = TcpStream::connect(address).await.expect("a connection");
+    let request = Request::post("/card/1")
+        .header("host", "labels.example")
+        .header("x-id", "id-1")
+        .body(Full::from(vec![b'x'; (256 << 10) + 1]));
+    let answer = send_on(stream, request.expect("a request")).await;
+    assert_eq!(answer.status(), 413);
+    assert!(String::from_utf8_lossy(answer.body()).contains("1003"));
+    assert_eq!(fixture.seen.opened.load(Ordering::Relaxed), 0);
+    fixture.stop.cancel();
+}
