Recount only the crashes that a report touches

Cause: each received report recounted every request with crashes in turn, by a pass over all resets, up to half a million steps a report at the limits. Change: only requests named by the report or by its predecessor.

--- a/daisyhinge/src/dispatch/crash.rs
+++ b/daisyhinge/src/dispatch/crash.rs
@@ -10,7 +10,7 @@
 //! and then run once more; only a third one blocks it until the records expire.
 
 use std::cmp::Reverse;
-use std::collections::VecDeque;
+use std::collections::{HashSet, VecDeque};
 use std::time::Duration;
 
 use super::fleet::Fleet;
@@ -230,17 +230,24 @@
     /// Replaces the records that another entry reported.
     pub fn merge(&mut self, now: MonotonicTime, report: &CrashReport) {
         let source = source_name(report);
+        let mut changed = self.tracker.list_received(&source, report.incarnation);
+        changed.extend(report.records.iter().map(|record| record.digest));
+        let changed: HashSet<RequestDigest> = changed.into_iter().collect();
         self.tracker
             .merge_listed(now, &source, report.incarnation, &report.records);
-        let probes = self.resets().filter(|reset| reset.crashes > 1);
-        let digests: Vec<RequestDigest> = probes.map(|reset| reset.digest).collect();
+        // Only crashes in turn depend on what others count.
+        let in_turn = self.resets().filter(|reset| reset.crashes > 1);
+        let digests: HashSet<RequestDigest> = in_turn
+            .map(|reset| reset.digest)
+            .filter(|digest| changed.contains(digest))
+            .collect();
         for digest in digests {
             self.recount(now, digest);
         }
     }
 
-    /// Records which reports control has. Records from others that it had before are reported again
-    /// by every entry that knows them.
+    /// Records which reports control has. Records that it had before and lost are reported again by
+    /// every entry that knows them.
     pub fn retain_listed(&mut self, now: MonotonicTime, reports: &[CrashReport]) {
         let listed: Vec<VmName> = reports.iter().map(source_name).collect();
         self.tracker.retain_listed(now, &listed);
