Explain a request from the collected logs of processes

Text or JSON; exit 1 if no line names the request, 2 with a number for a file that cannot be read. Only the command line changes; the programs on the platform are the same. Not done: order by stamps on messages instead of clocks (said in its output); requests refused under load or around a change have no recorded test yet.

--- a/daisyhinge-cli/src/arguments.rs
+++ b/daisyhinge-cli/src/arguments.rs
@@ -3,6 +3,7 @@
 pub mod centre;
 pub mod control;
 pub mod env;
+pub mod explain;
 pub mod timeline;
 
 use std::net::SocketAddr;
@@ -13,6 +14,7 @@
 pub use centre::CentreCommand;
 pub use control::ControlCommand;
 pub use env::EnvCommand;
+pub use explain::ExplainQuery;
 pub use timeline::TimelineQuery;
 
 /// Operates daisyhinge: checks and applies environment documents, takes data centres out of
@@ -70,6 +72,8 @@
     Entries(EntryFilter),
     /// Merge the events of several processes into one timeline.
     Timeline(TimelineQuery),
+    /// Explain how a request ended, from the collected logs of processes on the platform.
+    Explain(ExplainQuery),
     /// Run a complete system with simulated backend servers in one process and demonstrate it.
     Demo,
 }
--- a/daisyhinge-cli/src/main.rs
+++ b/daisyhinge-cli/src/main.rs
@@ -8,6 +8,7 @@
 mod entries;
 mod env;
 mod exit;
+mod explain;
 mod output;
 mod timeline;
 mod wait;
@@ -44,6 +45,7 @@
         Command::Control(command) => control::run(command, group, output).await,
         Command::Entries(filter) => entries::run(filter, group, output).await,
         Command::Timeline(query) => timeline::run(query, output).await,
+        Command::Explain(query) => explain::run(query, output),
         Command::Demo => Ok(demo::run().await),
     }
 }
