Give each class of log lines a limit of its own

Change: three classes with limits of 2, 60 and 60 a second; what is dropped is counted and said by class. The limits live in a struct of their own, tested without a process. Test: no_class_of_lines_displaces_another.

--- a/daisyhinge/src/shell/decision.rs
+++ b/daisyhinge/src/shell/decision.rs
@@ -2,43 +2,25 @@
 //! known state of the deployment.
 //!
 //! Logging never blocks a request: a thread writes the lines from a bounded queue, and lines that
-//! do not fit are dropped, counted and reported. Lines of ordinary requests are limited per
-//! second; requests that were refused, late, partial or repeated have a larger limit.
+//! do not fit are dropped, counted and reported. The lines of each class are limited per second.
 
 use std::io::Write;
 use std::net::SocketAddr;
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use parking_lot::Mutex;
 
 use crate::prelude::*;
 use crate::shell::clock::wall_micros;
+use crate::shell::line_budget::{LineBudget, LineClass};
 use crate::vocabulary::registration::{CrashReport, ReplicaRecord};
 
 /// Maximum number of queued lines.
 const QUEUE_MAX: usize = 1_024;
-/// Maximum number of lines per interval for ordinary requests, which are answered in time,
-/// completely and without a repeat.
-const ORDINARY_PER_SECOND: u32 = 2;
-/// Maximum number of lines per interval for requests that were refused, late, partial or repeated,
-/// and for received replica records and opened or lost links.
-const NOTABLE_PER_SECOND: u32 = 60;
-/// Interval to which the line limits apply.
-const BUDGET_INTERVAL: Duration = Duration::from_secs(1);
-
 /// Maximum number of records of one crash report that are logged.
 const CRASH_RECORDS_LOGGED: usize = 8;
 
-/// Number of lines written and dropped in the current interval.
-#[derive(Debug)]
-struct LineBudget {
-    since: Instant,
-    ordinary: u32,
-    notable: u32,
-    dropped: u64,
-}
-
 /// Decision log of a process.
 #[derive(Debug)]
 pub struct DecisionLog {
@@ -56,49 +38,29 @@
         }
         Self {
             lines,
-            budget: Mutex::new(LineBudget {
-                since: Instant::now(),
-                ordinary: 0,
-                notable: 0,
-                dropped: 0,
-            }),
+            budget: Mutex::new(LineBudget::open(Instant::now())),
         }
     }
 
-    /// Logs a line about a request, if the limit of its class permits. `text` is called only then.
-    pub fn log_request(&self, notable: bool, text: impl FnOnce() -> String) {
-        if self.consume_budget(notable) {
-            self.send(&text());
-        }
-    }
-
-    fn consume_budget(&self, notable: bool) -> bool {
-        let mut budget = self.budget.lock();
-        if budget.since.elapsed() >= BUDGET_INTERVAL {
-            let dropped = budget.dropped;
-            *budget = LineBudget {
-                since: Instant::now(),
-                ordinary: 0,
-                notable: 0,
-                dropped: 0,
-            };
-            if dropped > 0 {
-                drop(budget);
-                self.send(&format!("event=lines_dropped count={dropped}"));
-                budget = self.budget.lock();
-            }
-        }
-        let (used, allowed) = if notable {
-            (&mut budget.notable, NOTABLE_PER_SECOND)
-        } else {
-            (&mut budget.ordinary, ORDINARY_PER_SECOND)
+    /// Logs a line, if the limit of its class permits. `text` is called only then.
+    pub fn log_line(&self, class: LineClass, text: impl FnOnce() -> String) {
+        let (dropped, fits) = {
+            let mut budget = self.budget.lock();
+            (budget.roll(Instant::now()), budget.take(class))
         };
-        let fits = *used < allowed;
-        *used += u32::from(fits);
-        if !fits && notable {
-            budget.dropped += 1;
+        if let Some(dropped) = dropped {
+            self.send(&format!(
+                "event=lines_dropped count={} requests={} beliefs={} queued={} ordinary={}",
+                dropped.notable(),
+                dropped.requests,
+                dropped.beliefs,
+                dropped.queued,
+                dropped.ordinary
+            ));
+        }
+        if fits {
+            self.send(&text());
         }
-        fits
     }
 
     /// Logs the adoption of a state of the deployment.
@@ -110,7 +72,7 @@
 
     /// Logs a received replica record.
     pub fn log_replica(&self, record: &ReplicaRecord) {
-        self.log_request(true, || {
+        self.log_line(LineClass::Belief, || {
             format!(
                 "event=replica_told replica={} service={} phase={:?} sequence={} cold_left_ms={}",
                 record.name, record.service, record.phase, record.sequence, record.cold_left_ms
@@ -120,7 +82,7 @@
 
     /// Logs received crash records.
     pub fn log_crash_report(&self, report: &CrashReport) {
-        self.log_request(true, || {
+        self.log_line(LineClass::Belief, || {
             let digests = report.records.iter().take(CRASH_RECORDS_LOGGED);
             let digests: Vec<String> = digests
                 .map(|record| format!("{:016x}:{}", record.digest.0, record.crashes))
@@ -148,7 +110,9 @@
     /// Logs that the link to an entry of another region was opened or lost.
     pub fn log_peer(&self, address: SocketAddr, gained: bool) {
         let event = if gained { "peer_gained" } else { "peer_lost" };
-        self.log_request(true, || format!("event={event} address={address}"));
+        self.log_line(LineClass::Belief, || {
+            format!("event={event} address={address}")
+        });
     }
 
     /// Logs that a configuration could not be decoded.
@@ -167,7 +131,7 @@
     fn send(&self, text: &str) {
         let line = format!("time_us={} {text}\n", wall_micros());
         if self.lines.try_send(line).is_err() {
-            self.budget.lock().dropped += 1;
+            self.budget.lock().count_queued();
         }
     }
 }
--- a/daisyhinge/src/shell/forward/answer.rs
+++ b/daisyhinge/src/shell/forward/answer.rs
@@ -19,6 +19,7 @@
 use crate::dispatch::merge::merge_parts;
 use crate::dispatch::request::{Decision, RequestPlan};
 use crate::prelude::*;
+use crate::shell::line_budget::LineClass;
 use crate::vocabulary::site::{RouteKind, RouteTarget, SiteRoute};
 
 /// `Retry-After` of an entry that has not received its first configuration.
@@ -59,7 +60,7 @@
     let (head, body) = request.into_parts();
     let Some(route) = find_route(site, &head).map(Arc::clone) else {
         let id = header_text(&head.headers, &state.names.request_id).unwrap_or("-");
-        state.log.log_request(true, || {
+        state.log.log_line(LineClass::Request, || {
             format!("event=route_unknown request={id} version={}", site.version)
         });
         return refuse(ResultCode::UnknownPath, None);
@@ -68,7 +69,7 @@
         Ok(body) => body,
         Err(code) => {
             let id = header_text(&head.headers, &state.names.request_id).unwrap_or("-");
-            state.log.log_request(true, || {
+            state.log.log_line(LineClass::Request, || {
                 format!(
                     "event=body_refused request={id} route={} code={} body_max_bytes={}",
                     route.name,
--- a/daisyhinge/src/shell/forward/crashes.rs
+++ b/daisyhinge/src/shell/forward/crashes.rs
@@ -9,6 +9,7 @@
 use crate::dispatch::crash::{CrashChange, CrashEvent};
 use crate::metric::forward::CrashLabels;
 use crate::prelude::*;
+use crate::shell::line_budget::LineClass;
 use crate::vocabulary::registration::CrashReport;
 
 /// Time between two reviews of the crash records.
@@ -108,7 +109,7 @@
                 change: change.to_owned(),
             };
             self.counters.crashes.get_or_create(&labels).inc();
-            self.log.log_request(true, || {
+            self.log.log_line(LineClass::Belief, || {
                 format!(
                     "event=crash_record digest={:016x} replica={} change={change} age_ms={} \
                      poisoned={}",
--- a/daisyhinge/src/shell/forward/outcome_log.rs
+++ b/daisyhinge/src/shell/forward/outcome_log.rs
@@ -6,6 +6,7 @@
 use crate::dispatch::request::{AttemptRecord, Decision, RequestPlan, TargetRecord};
 use crate::metric::forward::RouteOutcomeLabels;
 use crate::prelude::*;
+use crate::shell::line_budget::LineClass;
 use crate::vocabulary::clock::duration_to_micros;
 
 /// Maximum number of targets of one request that are logged.
@@ -38,7 +39,12 @@
     let notable = name != "answered" || took > route.objective;
     let id = request.id.as_ref().and_then(|id| id.to_str().ok());
     let id = id.unwrap_or("-");
-    state.log.log_request(notable, || {
+    let class = if notable {
+        LineClass::Request
+    } else {
+        LineClass::Ordinary
+    };
+    state.log.log_line(class, || {
         let missing: Vec<&str> = outcome.missing.iter().map(ServiceName::as_str).collect();
         format!(
             "event=request_ended request={} digest={:016x} route={} version={} outcome={name} took_us={} \
@@ -70,7 +76,7 @@
     let mut target_records: Vec<&TargetRecord> = target_records.iter().collect();
     target_records.sort_by_key(|target| target.answered);
     for target in target_records.into_iter().take(TARGET_LINES_MAX) {
-        state.log.log_request(true, || {
+        state.log.log_line(LineClass::Request, || {
             let attempts = target.attempts.iter();
             let attempts: Vec<String> = attempts
                 .map(|attempt| format_attempt(state, plan, attempt))
