Name consecutive crashes and state lines by the usual words

Names and comments only: 'crashes in turn' become consecutive crashes, the class of lines about replicas, links and crashes is State, and explain's section of the same lines is 'state'. dispatch, line_budget, explain and logs pass.

--- a/daisyhinge-cli/src/explain.rs
+++ b/daisyhinge-cli/src/explain.rs
@@ -38,7 +38,7 @@
         ("The request", &explanation.request),
         ("Other tries of the same request", &explanation.tries),
         ("Its replicas", &explanation.replicas),
-        ("What its process believed", &explanation.beliefs),
+        ("What its process knew", &explanation.state),
     ];
     for (title, lines) in sections {
         let _ = writeln!(text, "{title}:");
--- a/daisyhinge-cli/src/explain/finding.rs
+++ b/daisyhinge-cli/src/explain/finding.rs
@@ -12,8 +12,8 @@
 const DROPPED_WINDOW_US: u64 = 2_000_000;
 /// Maximum number of lines of each kind; those nearest to the end of the request are kept.
 const LINES_MAX: usize = 24;
-/// Events that change what a process believes of the deployment.
-const BELIEF_EVENTS: [&str; 9] = [
+/// Events that change what a process knows of the deployment.
+const STATE_EVENTS: [&str; 9] = [
     "control_gained",
     "control_lost",
     "lease_gained",
@@ -45,8 +45,8 @@
     pub tries: Vec<FoundLine>,
     /// What was known of the replicas that did not answer it.
     pub replicas: Vec<FoundLine>,
-    /// The last change of each belief of its process before it ended.
-    pub beliefs: Vec<FoundLine>,
+    /// What its process last logged of each part of its state before it ended.
+    pub state: Vec<FoundLine>,
     /// What the logs cannot tell.
     pub notes: Vec<String>,
 }
@@ -68,7 +68,7 @@
     let own: Vec<&LogLine> = all().filter(|line| named(line)).collect();
     let ended = own.iter().find(|line| line.event() == "request_ended");
     let end = ended.copied().unwrap_or(own[0]);
-    let collect = |lines: Vec<&LogLine>| relate(lines, end.time_us);
+    let collect = |lines: Vec<&LogLine>| select_nearest(lines, end.time_us);
     if let Some(digest) = end.field("digest") {
         let is_try = |line: &&LogLine| {
             line.event() == "request_ended" && line.field("digest") == Some(digest) && !named(line)
@@ -86,14 +86,14 @@
         near && (named || is_crash)
     };
     explanation.replicas = collect(all().filter(about_replica).collect());
-    explanation.beliefs = collect(list_beliefs(log, end.time_us));
+    explanation.state = collect(list_state_changes(log, end.time_us));
     explanation.request = collect(own);
     explanation.notes = list_notes(log, end.time_us, &explanation.tries);
     explanation
 }
 
 /// Sorts lines by their time, and bounds their number.
-fn relate(mut lines: Vec<&LogLine>, end_us: u64) -> Vec<FoundLine> {
+fn select_nearest(mut lines: Vec<&LogLine>, end_us: u64) -> Vec<FoundLine> {
     lines.sort_by_key(|line| line.time_us.abs_diff(end_us));
     lines.truncate(LINES_MAX);
     // A stable sort, so that lines of one process with one time keep their order.
@@ -120,11 +120,11 @@
         .collect()
 }
 
-/// Returns the last line of each belief event that a process wrote before `end_us`.
-fn list_beliefs(log: &[LogLine], end_us: u64) -> Vec<&LogLine> {
+/// Returns the last line of each such event that a process wrote before `end_us`.
+fn list_state_changes(log: &[LogLine], end_us: u64) -> Vec<&LogLine> {
     let before = || log.iter().filter(|line| line.time_us <= end_us);
     let last = |event: &&str| before().rfind(|line| line.event() == *event);
-    BELIEF_EVENTS.iter().filter_map(last).collect()
+    STATE_EVENTS.iter().filter_map(last).collect()
 }
 
 fn list_notes(log: &[LogLine], end_us: u64, tries: &[FoundLine]) -> Vec<String> {
--- a/daisyhinge-cli/tests/explain.rs
+++ b/daisyhinge-cli/tests/explain.rs
@@ -74,9 +74,9 @@
         replicas.iter().any(|line| line.contains("i-99a2c747d4")),
         "{replicas:?}"
     );
-    let beliefs = texts(&explanation, "beliefs");
+    let state = texts(&explanation, "state");
     assert!(
-        beliefs
+        state
             .iter()
             .any(|line| line.contains("view_adopted revision=3 version=7"))
     );
--- a/daisyhinge/src/dispatch/crash.rs
+++ b/daisyhinge/src/dispatch/crash.rs
@@ -6,7 +6,7 @@
 //! sent later, too early for a restart. A request that is answered by any replica is no suspect.
 //!
 //! Other requests that ran beside a crashing one are lost with it, and may be so again when both
-//! are retried at once. After a second crash in turn a request is therefore held for some seconds
+//! are retried at once. After a second consecutive crash a request is therefore held for some seconds
 //! and then run once more; only a third one blocks it until the records expire.
 
 use std::cmp::Reverse;
@@ -22,9 +22,9 @@
 mod evidence;
 pub(super) use evidence::EndedAttempt;
 
-/// Crashes in turn after which a request is refused until its records expire.
+/// Consecutive crashes after which a request is refused until its records expire.
 const BLOCK_CRASHES: u32 = 3;
-/// Crashes in turn after which a request is refused for the hold time.
+/// Consecutive crashes after which a request is refused for the hold time.
 const HOLD_CRASHES: u32 = 2;
 /// Minimum hold time; longer than the requests that ran beside it take.
 const HOLD_TIME_MIN: Duration = Duration::from_secs(2);
@@ -108,7 +108,7 @@
         }
     }
 
-    /// Returns the crashes in turn of a request.
+    /// Returns the consecutive crashes of a request.
     pub fn crashes(&self, now: MonotonicTime, digest: RequestDigest) -> u32 {
         if self.tracker.is_empty() {
             return 0;
@@ -235,9 +235,9 @@
         let changed: HashSet<RequestDigest> = changed.into_iter().collect();
         self.tracker
             .merge_listed(now, &source, report.incarnation, &report.records);
-        // Only crashes in turn depend on what others count.
-        let in_turn = self.resets().filter(|reset| reset.crashes > 1);
-        let digests: HashSet<RequestDigest> = in_turn
+        // Only consecutive crashes depend on what others count.
+        let consecutive = self.resets().filter(|reset| reset.crashes > 1);
+        let digests: HashSet<RequestDigest> = consecutive
             .map(|reset| reset.digest)
             .filter(|digest| changed.contains(digest))
             .collect();
@@ -316,16 +316,16 @@
         }
     }
 
-    /// Counts the crashes in turn of a request from the resets on record. Resets under attempts that
+    /// Counts the consecutive crashes of a request from the resets on record. Resets under attempts that
     /// ran at the same time count as one, because an outage may take down several replicas at once.
     /// A crash does not count on those before it that have been withdrawn.
     fn recount(&mut self, now: MonotonicTime, digest: RequestDigest) {
         let resets = self.resets().filter(|reset| reset.digest == digest);
         let last = resets.clone().map(|reset| reset.at).max();
-        let in_turn = resets.clone().map(|reset| reset.crashes).max();
+        let consecutive = resets.clone().map(|reset| reset.crashes).max();
         let own = u32::try_from(resets.count()).unwrap_or(u32::MAX);
         let known = own.saturating_add(self.tracker.received_crashes(now, digest));
-        let crashes = in_turn.unwrap_or(0).min(known);
+        let crashes = consecutive.unwrap_or(0).min(known);
         self.tracker
             .set_own_crashes(now, digest, crashes, last.unwrap_or(now));
     }
--- a/daisyhinge/src/shell/decision.rs
+++ b/daisyhinge/src/shell/decision.rs
@@ -50,10 +50,10 @@
         };
         if let Some(dropped) = dropped {
             self.send(&format!(
-                "event=lines_dropped count={} requests={} beliefs={} queued={} ordinary={}",
+                "event=lines_dropped count={} requests={} state={} queued={} ordinary={}",
                 dropped.notable(),
                 dropped.requests,
-                dropped.beliefs,
+                dropped.state,
                 dropped.queued,
                 dropped.ordinary
             ));
@@ -72,7 +72,7 @@
 
     /// Logs a received replica record.
     pub fn log_replica(&self, record: &ReplicaRecord) {
-        self.log_line(LineClass::Belief, || {
+        self.log_line(LineClass::State, || {
             format!(
                 "event=replica_told replica={} service={} phase={:?} sequence={} cold_left_ms={}",
                 record.name, record.service, record.phase, record.sequence, record.cold_left_ms
@@ -82,7 +82,7 @@
 
     /// Logs received crash records.
     pub fn log_crash_report(&self, report: &CrashReport) {
-        self.log_line(LineClass::Belief, || {
+        self.log_line(LineClass::State, || {
             let digests = report.records.iter().take(CRASH_RECORDS_LOGGED);
             let digests: Vec<String> = digests
                 .map(|record| format!("{:016x}:{}", record.digest.0, record.crashes))
@@ -110,7 +110,7 @@
     /// Logs that the link to an entry of another region was opened or lost.
     pub fn log_peer(&self, address: SocketAddr, gained: bool) {
         let event = if gained { "peer_gained" } else { "peer_lost" };
-        self.log_line(LineClass::Belief, || {
+        self.log_line(LineClass::State, || {
             format!("event={event} address={address}")
         });
     }
--- a/daisyhinge/src/shell/forward/crashes.rs
+++ b/daisyhinge/src/shell/forward/crashes.rs
@@ -109,7 +109,7 @@
                 change: change.to_owned(),
             };
             self.counters.crashes.get_or_create(&labels).inc();
-            self.log.log_line(LineClass::Belief, || {
+            self.log.log_line(LineClass::State, || {
                 format!(
                     "event=crash_record digest={:016x} replica={} change={change} age_ms={} \
                      poisoned={}",
--- a/daisyhinge/src/shell/line_budget.rs
+++ b/daisyhinge/src/shell/line_budget.rs
@@ -13,7 +13,7 @@
     /// A request that was refused, late, partial or failed.
     Request,
     /// A change in what the process knows of replicas, links and crashes.
-    Belief,
+    State,
 }
 
 impl LineClass {
@@ -21,7 +21,7 @@
     const fn limit(self) -> u32 {
         match self {
             Self::Ordinary => 2,
-            Self::Request | Self::Belief => 60,
+            Self::Request | Self::State => 60,
         }
     }
 }
@@ -34,7 +34,7 @@
     /// Lines of other requests.
     pub requests: u64,
     /// Lines about replicas, links and crashes.
-    pub beliefs: u64,
+    pub state: u64,
     /// Lines of any class that did not fit the queue.
     pub queued: u64,
 }
@@ -42,7 +42,7 @@
 impl DroppedLines {
     /// Returns the number of lines that were not about ordinary requests.
     pub fn notable(&self) -> u64 {
-        self.requests + self.beliefs + self.queued
+        self.requests + self.state + self.queued
     }
 
     fn is_empty(&self) -> bool {
@@ -56,7 +56,7 @@
     since: Instant,
     ordinary: u32,
     requests: u32,
-    beliefs: u32,
+    state: u32,
     dropped: DroppedLines,
 }
 
@@ -67,7 +67,7 @@
             since: now,
             ordinary: 0,
             requests: 0,
-            beliefs: 0,
+            state: 0,
             dropped: DroppedLines::default(),
         }
     }
@@ -87,7 +87,7 @@
         let (used, dropped) = match class {
             LineClass::Ordinary => (&mut self.ordinary, &mut self.dropped.ordinary),
             LineClass::Request => (&mut self.requests, &mut self.dropped.requests),
-            LineClass::Belief => (&mut self.beliefs, &mut self.dropped.beliefs),
+            LineClass::State => (&mut self.state, &mut self.dropped.state),
         };
         let fits = *used < class.limit();
         *used += u32::from(fits);
--- a/daisyhinge/tests/dispatch/crash.rs
+++ b/daisyhinge/tests/dispatch/crash.rs
@@ -92,7 +92,7 @@
 const HELD_UNTIL_MS: u64 = 2_100;
 
 #[test]
-fn request_is_held_after_two_crashes_in_turn_and_blocked_after_the_third() {
+fn request_is_held_after_two_consecutive_crashes_and_blocked_after_the_third() {
     let mut dispatcher = dispatcher(1);
     let mut first = start(&mut dispatcher, 0, CRASHING, single("shard-0"));
     first.crash_all(&mut dispatcher, 5);
