State the order of the forwarding shell's locks as it is

The module's page said that no two locks are held at once; the pool, the links and the log are locked under the dispatcher's lock. Read from the code: none of the three takes the dispatcher's lock while held.

--- a/daisyhinge/src/shell/forward.rs
+++ b/daisyhinge/src/shell/forward.rs
@@ -2,7 +2,8 @@
 //!
 //! A request runs in the task of its caller's connection, so it is cancelled when that connection
 //! closes. A connection to a replica is polled by the request that uses it. No lock is held across
-//! an await, and no two locks are held at once.
+//! an await. Whoever holds the dispatcher's lock may take those of the pool, the links and the log;
+//! nobody takes the dispatcher's while holding one of these.
 //!
 //! [`Dispatcher`]: crate::dispatch::Dispatcher
 
