--- a/daisyhinge/src/keeper.rs
+++ b/daisyhinge/src/keeper.rs
@@ -168,7 +168,7 @@
         needed.min(self.announcement.connections)
     }
 
-    /// Takes the crash updates of the last step, for [`crash::CrashTracker`].
+    /// Takes the crash updates of the last step, for [`crate::crash::CrashTracker`].
     pub fn take_crash_updates(&mut self) -> Vec<CrashUpdate> {
         std::mem::take(&mut self.crash_updates)
     }
