Keep frequent crash reports from calling off an entry's requests to control

What callers would see: while many requests crash replicas, entries whose control process is far away get no new configuration, drain or replica. Cause: a new report ended the open request to control so as to be sent at once, also when that request was a short one that a report had started. With reports closer together than a round trip no reply ever arrived. Test: frequent_crash_reports_do_not_keep_an_entry_from_receiving_state, 0 replies in 1.2 s before (replies take 60 ms, a report each 20 ms), passes now. Why it works: only a long poll is called off; the short call after it is not, and the next call carries what changed meanwhile. Reports of an entry are also at least 100 ms apart, 20 before; the first one after a pause still goes at once.

--- a/daisyhinge/src/shell/forward/crashes.rs
+++ b/daisyhinge/src/shell/forward/crashes.rs
@@ -18,7 +18,7 @@
 /// once.
 const REPORT_DELAY: Duration = Duration::from_millis(100);
 /// Minimum time between two reports.
-const REPORT_INTERVAL: Duration = Duration::from_millis(20);
+const REPORT_INTERVAL: Duration = Duration::from_millis(100);
 /// Time after which the records are compared with the last report in any case.
 const COMPARE_INTERVAL: Duration = Duration::from_secs(1);
 
--- a/daisyhinge/src/shell/site/follow.rs
+++ b/daisyhinge/src/shell/site/follow.rs
@@ -283,7 +283,8 @@
                 FollowEvent::Reply(reply.ok().map(|reply| (reply, waited)))
             }
             changed = reports.phases.changed() => report_event(changed),
-            changed = reports.crashes.changed() => report_event(changed),
+            // A short call is not called off: it ends soon, and the next one carries the report.
+            changed = reports.crashes.changed(), if !wait.is_zero() => report_event(changed),
             nearer = probed => FollowEvent::Probed(nearer),
         }
     }
--- a/daisyhinge/tests/follow.rs
+++ b/daisyhinge/tests/follow.rs
@@ -40,6 +40,8 @@
     crash_reports: Arc<AtomicUsize>,
     /// Whether the process has lost its quorum.
     isolated: Arc<AtomicBool>,
+    /// Time that each reply takes, added to the long-poll timeout.
+    delay: Duration,
 }
 
 impl SiteLink for FakeControl {
@@ -50,7 +52,7 @@
         let has_crashes = request.crashes.is_some();
         self.crash_reports
             .fetch_add(usize::from(has_crashes), Ordering::Relaxed);
-        tokio::time::sleep(Duration::from_millis(request.wait_ms)).await;
+        tokio::time::sleep(self.delay + Duration::from_millis(request.wait_ms)).await;
         SyncReply {
             epoch: self.epoch,
             mark: 1,
@@ -107,6 +109,7 @@
         entry_requests: Arc::default(),
         crash_reports: Arc::default(),
         isolated: Arc::default(),
+        delay: Duration::ZERO,
     }
 }
 
@@ -276,3 +279,24 @@
     .await;
     follow_task.abort();
 }
+
+/// Each new report called off the request before the reply could arrive.
+#[tokio::test]
+async fn frequent_crash_reports_do_not_keep_an_entry_from_receiving_state() {
+    let mut control = fake_control(6, 2, "near");
+    control.delay = Duration::from_millis(60);
+    control.listen(address(6, 2)).await;
+    let (confirmed_replies, follow_task, crashes) = spawn_reporting_follower(6, &[2]);
+    wait_for(Duration::from_secs(1), || {
+        confirmed_replies.load(Ordering::Relaxed) > 0
+    })
+    .await;
+    let before = confirmed_replies.load(Ordering::Relaxed);
+    for revision in 1..60 {
+        crashes.send_modify(|report| report.revision = revision);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let received = confirmed_replies.load(Ordering::Relaxed) - before;
+    assert!(received >= 5, "{received} replies in 1.2 s");
+    follow_task.abort();
+}
