State the current ages of crash records in each report

What callers would see: after an entry turns to another control process, a request that was held or refused is held or refused for longer than it should be. Cause: a report carried the ages of the moment at which it was published, and was sent again unchanged to the next control process, where they were taken as of its arrival. Why it works: the report is refreshed each second without a new number or a notice.

--- a/daisyhinge/src/shell/forward/reporter.rs
+++ b/daisyhinge/src/shell/forward/reporter.rs
@@ -26,7 +26,7 @@
         }
     }
 
-    /// Publishes the records, unless they are those of the last report but for their age.
+    /// Publishes the records. Receivers are notified only if more than the ages has changed.
     pub(super) fn publish(&self, records: Vec<CrashRecord>) {
         let counts = |records: &[CrashRecord]| -> Vec<(RequestDigest, u32)> {
             let counts = records.iter().map(|record| (record.digest, record.crashes));
@@ -34,10 +34,8 @@
         };
         self.reports.send_if_modified(|report| {
             let differs = counts(&report.records) != counts(&records);
-            if differs {
-                report.revision += 1;
-                report.records = records;
-            }
+            report.revision += u64::from(differs);
+            report.records = records;
             differs
         });
     }
--- a/daisyhinge/tests/forward.rs
+++ b/daisyhinge/tests/forward.rs
@@ -7,13 +7,15 @@
 mod known_replica;
 
 use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use daisyhinge::shell::forward::crashes::run_crash_reports;
 use daisyhinge::shell::forward::listen::serve_callers;
 use fixture::{
     AfterAnswer, AnswerScript, CALLER_PORT, REPLICA_PORT, ReplicaAnswer, call_entry, call_entry_on,
-    complete_answer, open_entry, open_fixture, send_on, send_two_requests,
+    complete_answer, open_entry, open_fixture, run_replica, send_on, send_two_requests,
 };
 use http_body_util::Full;
 use hyper::Request;
@@ -280,3 +282,30 @@
     assert_eq!(fixture.seen.opened.load(Ordering::Relaxed), 0);
     fixture.stop.cancel();
 }
+
+/// A report that is sent again to another control process said that its crashes had just happened.
+#[tokio::test]
+async fn crash_report_states_the_current_ages_of_its_records() {
+    let host = IpAddr::from([127, 63, 0, 31]);
+    let listener = TcpListener::bind(SocketAddr::new(host, REPLICA_PORT)).await;
+    let script = |_: &str| ReplicaAnswer {
+        bytes: String::new(),
+        then: AfterAnswer::Close,
+    };
+    let listener = listener.expect("bind the port");
+    tokio::spawn(run_replica(listener, script, Arc::default()));
+    let state = open_entry(host);
+    tokio::spawn(run_crash_reports(Arc::clone(&state)));
+    let address = SocketAddr::new(host, CALLER_PORT);
+    let stop = CancellationToken::new();
+    let grace = Duration::from_secs(1);
+    tokio::spawn(serve_callers(Arc::clone(&state), address, stop, grace));
+    while TcpStream::connect(address).await.is_err() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    assert_eq!(call_entry(host, "id-1").await.status(), 502);
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    let report = state.crash_reports().borrow().clone();
+    assert_eq!((report.revision, report.records.len()), (1, 1));
+    assert!(report.records[0].age_ms >= 1_000, "{report:?}");
+}
