Do not send a part over a link once its permit is revoked

Cause, by reading: run_attempt acquired the permit of an attempt over a link and ignored the result. An attempt that was not polled before its hedge was due (a process short of processor time) was superseded, not counted any more, and still sent; likewise after its request was answered. Evidence: the report shows parts leaving the relay 7 ms after the client's answer. Change: a revoked permit withdraws the attempt, as it does for direct ones.

--- a/daisyhinge/src/shell/forward/attempt.rs
+++ b/daisyhinge/src/shell/forward/attempt.rs
@@ -61,9 +61,10 @@
 ) -> AttemptReport {
     let result = match find_link(&state, &request, replica) {
         Some(_) if !state.may_serve() => Err(AttemptEnd::Withdrawn),
+        // Superseded, or its request was answered, before it was polled for the first time.
+        Some(_) if !permit.try_acquire() => Err(AttemptEnd::Withdrawn),
         Some((link, top_records)) => {
             state.counters.relayed.inc();
-            permit.try_acquire();
             send_over_link(&state, &link, &request, top_records, replica).await
         }
         None => send_direct(&state, &request, replica, &permit).await,
