Test that a revoked permit withdraws an attempt over a link

Ruled out: forcing the order of events from outside. It needs an attempt that is not polled before its hedge is due. Change: the test gives run_attempt a revoked permit; run_attempt and the types it takes are public for it. No logic changes.

--- a/daisyhinge/src/shell/forward.rs
+++ b/daisyhinge/src/shell/forward.rs
@@ -8,14 +8,14 @@
 //! [`Dispatcher`]: crate::dispatch::Dispatcher
 
 mod answer;
-mod attempt;
-mod connection;
+pub mod attempt;
+pub mod connection;
 pub mod crashes;
 mod freshness;
-mod gate;
+pub mod gate;
 pub mod listen;
 mod outcome_log;
-mod outgoing;
+pub mod outgoing;
 mod pool;
 pub mod relay;
 mod reporter;
--- a/daisyhinge/src/shell/forward/attempt.rs
+++ b/daisyhinge/src/shell/forward/attempt.rs
@@ -35,10 +35,14 @@
 /// HTTP status with which a server refuses a request that names another replica.
 const STATUS_WRONG_SERVER: u16 = 421;
 
+/// How an attempt ended, with the answer if there is one.
 #[derive(Debug)]
-pub(super) struct AttemptReport {
+pub struct AttemptReport {
+    /// Attempt number, unique within the entry.
     pub attempt: u64,
+    /// Answer, error or other outcome of the attempt.
     pub end: AttemptEnd,
+    /// The replica's complete answer.
     pub answer: Option<ReplicaAnswer>,
 }
 
@@ -51,8 +55,8 @@
     assumed_round_trip: Duration,
 }
 
-/// Sends a request to a replica and reads the answer.
-pub(super) async fn run_attempt(
+/// Sends a request to a replica and reads the answer, unless `permit` was revoked before.
+pub async fn run_attempt(
     state: Arc<ForwardState>,
     request: Arc<OutgoingRequest>,
     attempt: u64,
--- a/daisyhinge/src/shell/forward/connection.rs
+++ b/daisyhinge/src/shell/forward/connection.rs
@@ -28,9 +28,12 @@
 
 /// A complete answer of a replica.
 #[derive(Debug)]
-pub(super) struct ReplicaAnswer {
+pub struct ReplicaAnswer {
+    /// HTTP status.
     pub status: u16,
+    /// Headers as received, hop-by-hop ones included.
     pub headers: HeaderMap,
+    /// Complete body, or of a part that crossed a link, its greatest records.
     pub body: Bytes,
 }
 
--- a/daisyhinge/src/shell/forward/outgoing.rs
+++ b/daisyhinge/src/shell/forward/outgoing.rs
@@ -7,18 +7,25 @@
 use crate::prelude::*;
 use crate::vocabulary::site::RouteKind;
 
+/// A request as its attempts send it.
 #[derive(Clone, Debug)]
-pub(super) struct OutgoingRequest {
+pub struct OutgoingRequest {
     /// Number of the request, unique in this process.
     pub number: u64,
+    /// HTTP method.
     pub method: Method,
+    /// Path and query.
     pub target: Uri,
     /// Headers that are forwarded unchanged.
     pub headers: HeaderMap,
+    /// The caller's complete body.
     pub body: Bytes,
+    /// Identifier that the caller gave its attempt.
     pub id: Option<HeaderValue>,
+    /// Whether the request may run more than once.
     pub kind: RouteKind,
     /// Maximum number of records of each part, if the route gathers.
     pub top_records: Option<usize>,
+    /// Time after which no attempt may run.
     pub deadline: MonotonicTime,
 }
--- a/daisyhinge/tests/relay.rs
+++ b/daisyhinge/tests/relay.rs
@@ -8,10 +8,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use daisyhinge::dispatch::fleet::FleetLocation;
+use daisyhinge::dispatch::fleet::{FleetLocation, ReplicaIndex};
+use daisyhinge::dispatch::request::AttemptEnd;
 use daisyhinge::lease::LapsePolicy;
 use daisyhinge::prelude::*;
+use daisyhinge::shell::forward::attempt::run_attempt;
+use daisyhinge::shell::forward::gate::WritePermit;
 use daisyhinge::shell::forward::listen::serve_callers;
+use daisyhinge::shell::forward::outgoing::OutgoingRequest;
 use daisyhinge::shell::forward::relay::head::{read_head, write_head};
 use daisyhinge::shell::forward::relay::head_cache::{ReceivedHeads, SentHeads};
 use daisyhinge::shell::forward::relay::link::run_links;
@@ -246,6 +250,52 @@
     drop(silent);
 }
 
+/// An attempt may be superseded, or its request answered, before the attempt runs for the first time.
+#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
+async fn attempt_over_a_link_is_not_sent_after_its_permit_was_revoked() {
+    let seen = SeenHeads::default();
+    let recorder = Arc::clone(&seen);
+    let answer =
+        move |request: Request<Incoming>| std::future::ready(answer_replica(&recorder, &request));
+    let address = SocketAddr::new(host(29), REPLICA_PORT);
+    let replica = HttpPort::bind(address, answer).await;
+    let replica = replica.expect("bind the port");
+    let local_entry = open_entry_at(1, "a", address);
+    let remote_entry = open_entry_at(2, "b", address);
+    let relay = SocketAddr::new(host(2), RELAY_PORT + 20);
+    bind_relay(remote_entry, relay)
+        .await
+        .expect("bind the port");
+    let links = tokio::spawn(run_links(Arc::clone(&local_entry), RELAY_PORT + 20));
+    wait_until("the link is open", || {
+        local_entry.has_link(&RegionName::from("south"))
+    })
+    .await;
+    let request = Arc::new(OutgoingRequest {
+        number: 1,
+        method: Method::GET,
+        target: Uri::from_static("/sweep/1"),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+        id: Some(HeaderValue::from_static("id-7")),
+        kind: RouteKind::Safe,
+        top_records: Some(2),
+        deadline: local_entry.clock.now() + Duration::from_secs(2),
+    });
+    for (revoked, end) in [(true, AttemptEnd::Withdrawn), (false, AttemptEnd::Answered)] {
+        let permit = Arc::<WritePermit>::default();
+        if revoked {
+            permit.revoke();
+        }
+        let entry = Arc::clone(&local_entry);
+        let report = run_attempt(entry, Arc::clone(&request), 1, ReplicaIndex(0), permit).await;
+        assert_eq!(report.end, end);
+        assert_eq!(seen.lock().len(), usize::from(!revoked));
+    }
+    links.abort();
+    replica.close().await;
+}
+
 /// The head of a request is sent once on a link. If the receiver no longer stores the head, it
 /// requests the head again and sends nothing to the replica in the meantime.
 #[tokio::test]
