Bound the memory and the work that one answer of a replica can cost

Each answer could hold 8 MiB, so two dozen replicas that send without end would end a process of 160 MB. Cause: bodies were collected whole, whatever they are for, with a limit for each answer only; before the headers are complete, interim answers had no limit at all. Dropped answers are counted and logged with the reason. An answer without the request's identifier no longer leaves its connection open. Ruled out: a lower limit for each answer alone; 90 parts of 1 MiB are still 90 MiB. Conclusion: the size of an answer no longer decides about the process.

--- a/daisyhinge/src/dispatch.rs
+++ b/daisyhinge/src/dispatch.rs
@@ -4,6 +4,7 @@
 //! extra requests of a service are limited across all entries. Each entry computes its share of
 //! these limits from the number of entries, so that entries need not coordinate.
 
+pub mod answer_memory;
 pub mod budget;
 pub mod caller;
 pub mod crash;
--- a/daisyhinge/src/metric/forward.rs
+++ b/daisyhinge/src/metric/forward.rs
@@ -35,6 +35,13 @@
     pub change: String,
 }
 
+/// Label of the counter of dropped answers.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct DropLabels {
+    /// `oversized`, `fragmented`, `no_memory`, `malformed`, `truncated` or `unusable`.
+    pub reason: String,
+}
+
 /// Metrics of an entry that forwards requests.
 #[derive(Clone, Debug)]
 pub struct ForwardCounters {
@@ -54,6 +61,10 @@
     pub crashes: Family<CrashLabels, Counter>,
     /// Number of requests with crash records.
     pub crash_records: Gauge,
+    /// Number of answers that were dropped, by reason.
+    pub answers_dropped: Family<DropLabels, Counter>,
+    /// Memory that the bodies of answers hold, in bytes.
+    pub answer_bytes: Gauge,
     /// Latency of requests, in seconds.
     pub latency: Histogram,
 }
@@ -69,6 +80,8 @@
             connections_idle: Gauge::default(),
             crashes: Family::default(),
             crash_records: Gauge::default(),
+            answers_dropped: Family::default(),
+            answer_bytes: Gauge::default(),
             latency: Histogram::new(LATENCY_BOUNDS),
         }
     }
@@ -113,6 +126,18 @@
             records,
             self.crash_records.clone(),
         );
+        let dropped = "Answers of replicas that were dropped, by reason";
+        registry.register(
+            "daisyhinge_forward_answers_dropped",
+            dropped,
+            self.answers_dropped.clone(),
+        );
+        let bytes = "Memory that the bodies of answers hold, in bytes";
+        registry.register(
+            "daisyhinge_forward_answer_bytes",
+            bytes,
+            self.answer_bytes.clone(),
+        );
         let latency = "Latency of requests in seconds";
         registry.register(
             "daisyhinge_forward_latency_seconds",
--- a/daisyhinge/src/shell/forward.rs
+++ b/daisyhinge/src/shell/forward.rs
@@ -8,11 +8,13 @@
 //! [`Dispatcher`]: crate::dispatch::Dispatcher
 
 mod answer;
+mod answer_body;
 pub mod attempt;
 pub mod connection;
 pub mod crashes;
 mod freshness;
 pub mod gate;
+mod limited_stream;
 pub mod listen;
 mod outcome_log;
 pub mod outgoing;
--- a/daisyhinge/src/shell/forward/attempt.rs
+++ b/daisyhinge/src/shell/forward/attempt.rs
@@ -9,7 +9,8 @@
 use hyper::Request;
 use hyper::header::{CONTENT_ENCODING, HeaderValue};
 
-use super::connection::{ExchangeError, ReplicaAnswer, ReplicaConnection};
+use super::answer_body::AnswerCollector;
+use super::connection::{DropReason, ExchangeError, ReplicaAnswer, ReplicaConnection};
 use super::gate::WritePermit;
 use super::outgoing::OutgoingRequest;
 use super::relay::link::send_over_link;
@@ -113,22 +114,40 @@
         return Err(AttemptEnd::Withdrawn);
     }
     let outgoing = build_request(state, request, &endpoint).ok_or(AttemptEnd::Withdrawn)?;
-    let answer = match connection.exchange(outgoing).await {
+    let collector = AnswerCollector::open(&state.answer_memory, request.top_records);
+    let answer = match connection.exchange(outgoing, collector).await {
         Ok(answer) => answer,
         Err(ExchangeError::NotSent) => return Err(AttemptEnd::NotSent),
-        Err(ExchangeError::Lost) => return Err(AttemptEnd::Lost),
         Err(ExchangeError::Reset) => return Err(AttemptEnd::Reset),
+        Err(ExchangeError::Dropped(reason)) => {
+            state.record_dropped_answer(request, &endpoint.name, reason);
+            return Err(AttemptEnd::Lost);
+        }
     };
     let end = classify_answer(state, request, &answer);
-    let usable = end != AttemptEnd::Lost;
-    let keep_open = state.may_keep(replica);
-    if usable && keep_open && request.body.len() <= REUSE_BODY_MAX_BYTES {
+    if end == AttemptEnd::Lost {
+        state.record_dropped_answer(request, &endpoint.name, DropReason::Unusable);
+    }
+    if may_reuse(state, request, end, &answer) && state.may_keep(replica) {
         state.pool.put(replica, connection);
         state.record_idle(replica);
     }
     Ok((end, answer))
 }
 
+/// Whether the connection can carry another request. Without an identifier, a second copy of the
+/// answer could not be told from the answer to the next request.
+fn may_reuse(
+    state: &ForwardState,
+    request: &OutgoingRequest,
+    end: AttemptEnd,
+    answer: &ReplicaAnswer,
+) -> bool {
+    end != AttemptEnd::Lost
+        && answer.headers.contains_key(&state.names.request_id)
+        && request.body.len() <= REUSE_BODY_MAX_BYTES
+}
+
 fn find_endpoint(state: &ForwardState, replica: ReplicaIndex) -> Option<ReplicaEndpoint> {
     let dispatcher = state.dispatcher.lock();
     let known = dispatcher.fleet.replica(replica)?;
--- a/daisyhinge/src/shell/forward/connection.rs
+++ b/daisyhinge/src/shell/forward/connection.rs
@@ -6,25 +6,31 @@
 use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::Context;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{self, Connection, SendRequest};
+use hyper::client::conn::http1::{Builder, Connection, SendRequest};
 use hyper::{HeaderMap, Request, Response};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
-type Driver = Connection<TokioIo<TcpStream>, Full<Bytes>>;
+use super::answer_body::AnswerCollector;
+use super::limited_stream::{LimitedStream, ReceiveLimit};
+
+type Driver = Connection<TokioIo<LimitedStream>, Full<Bytes>>;
 
 /// Idle timeout if the replica does not announce one.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(8);
 /// Margin by which a connection is discarded before the replica would close it.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
-/// Maximum size of an answer, in bytes.
-const ANSWER_MAX_BYTES: usize = 8 << 20;
+/// Maximum size of the headers of an answer, and of the buffer for received bytes.
+const HEAD_MAX_BYTES: usize = 32 << 10;
+/// Maximum number of bytes received before the headers are complete, interim answers included.
+const HEAD_PHASE_MAX_BYTES: usize = 2 * HEAD_MAX_BYTES;
 
 /// A complete answer of a replica.
 #[derive(Debug)]
@@ -42,17 +48,49 @@
 pub(super) enum ExchangeError {
     /// Nothing was written.
     NotSent,
-    /// The request may have reached the replica, and no complete answer was received.
-    Lost,
+    /// The request may have reached the replica, and its answer was dropped.
+    Dropped(DropReason),
     /// The request may have reached the replica, and the connection ended before any part of an
     /// answer.
     Reset,
 }
 
+/// Why an answer was dropped.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum DropReason {
+    /// It is larger than an answer may be.
+    Oversized,
+    /// It arrives in too many small pieces.
+    Fragmented,
+    /// The entry has no memory left for large answers.
+    NoMemory,
+    /// It is no HTTP answer.
+    Malformed,
+    /// It ended before it was complete.
+    Truncated,
+    /// It belongs to another request, or a replica would not send it.
+    Unusable,
+}
+
+impl DropReason {
+    /// Returns the name for logs and metrics.
+    pub(super) fn name(self) -> &'static str {
+        match self {
+            Self::Oversized => "oversized",
+            Self::Fragmented => "fragmented",
+            Self::NoMemory => "no_memory",
+            Self::Malformed => "malformed",
+            Self::Truncated => "truncated",
+            Self::Unusable => "unusable",
+        }
+    }
+}
+
 /// An open connection to a replica.
 pub(super) struct ReplicaConnection {
     sender: SendRequest<Full<Bytes>>,
     driver: Pin<Box<Driver>>,
+    limit: Arc<ReceiveLimit>,
     ended: bool,
     idle_since: Instant,
     idle_timeout: Duration,
@@ -64,10 +102,15 @@
     pub(super) async fn connect(address: SocketAddr) -> Option<Self> {
         let stream = TcpStream::connect(address).await.ok()?;
         stream.set_nodelay(true).ok()?;
-        let (sender, driver) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        let limit = Arc::<ReceiveLimit>::default();
+        let stream = TokioIo::new(LimitedStream::open(stream, Arc::clone(&limit)));
+        let mut builder = Builder::new();
+        builder.max_buf_size(HEAD_MAX_BYTES);
+        let (sender, driver) = builder.handshake(stream).await.ok()?;
         Some(Self {
             sender,
             driver: Box::pin(driver),
+            limit,
             ended: false,
             idle_since: Instant::now(),
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
@@ -94,15 +137,18 @@
         drive(&mut self.driver, &mut self.ended, context);
     }
 
-    /// Sends a request and reads the complete answer.
+    /// Sends a request and reads the complete answer into `collector`.
     pub(super) async fn exchange(
         &mut self,
         request: Request<Full<Bytes>>,
+        collector: AnswerCollector,
     ) -> Result<ReplicaAnswer, ExchangeError> {
+        self.limit.reset(HEAD_PHASE_MAX_BYTES);
         let Self {
             sender,
             driver,
             ended,
+            limit,
             ..
         } = self;
         let mut reply = std::pin::pin!(sender.send_request(request));
@@ -113,31 +159,50 @@
         let reply = reply.await.map_err(|error| {
             if error.is_canceled() {
                 ExchangeError::NotSent
+            } else if limit.is_exceeded() {
+                ExchangeError::Dropped(DropReason::Oversized)
             } else if error.is_parse() {
-                ExchangeError::Lost
+                ExchangeError::Dropped(DropReason::Malformed)
             } else {
                 ExchangeError::Reset
             }
         })?;
-        let answer = self.read_answer(reply).await;
-        answer.ok_or(ExchangeError::Lost)
+        limit.reset(collector.wire_max_bytes());
+        self.read_answer(reply, collector)
+            .await
+            .map_err(ExchangeError::Dropped)
     }
 
-    async fn read_answer(&mut self, reply: Response<Incoming>) -> Option<ReplicaAnswer> {
-        let (head, body) = reply.into_parts();
-        let mut collected = std::pin::pin!(Limited::new(body, ANSWER_MAX_BYTES).collect());
-        let collected = poll_fn(|context| {
-            self.drive(context);
-            collected.as_mut().poll(context)
-        });
-        let body = collected.await.ok()?.to_bytes();
+    async fn read_answer(
+        &mut self,
+        reply: Response<Incoming>,
+        mut collector: AnswerCollector,
+    ) -> Result<ReplicaAnswer, DropReason> {
+        let (head, mut body) = reply.into_parts();
+        loop {
+            let mut frame = std::pin::pin!(body.frame());
+            let frame = poll_fn(|context| {
+                self.drive(context);
+                frame.as_mut().poll(context)
+            });
+            match frame.await {
+                None => break,
+                Some(Ok(frame)) => {
+                    if let Some(data) = frame.data_ref() {
+                        collector.add_piece(data)?;
+                    }
+                }
+                Some(Err(_)) if self.limit.is_exceeded() => return Err(DropReason::Oversized),
+                Some(Err(_error)) => return Err(DropReason::Truncated),
+            }
+        }
         self.used = true;
         self.idle_since = Instant::now();
         self.idle_timeout = parse_keep_alive_timeout(&head.headers).unwrap_or(DEFAULT_IDLE_TIMEOUT);
-        Some(ReplicaAnswer {
+        Ok(ReplicaAnswer {
             status: head.status.as_u16(),
             headers: head.headers,
-            body,
+            body: collector.into_bytes(),
         })
     }
 }
--- a/daisyhinge/src/shell/forward/outcome_log.rs
+++ b/daisyhinge/src/shell/forward/outcome_log.rs
@@ -1,10 +1,11 @@
 //! Records the outcome of finished requests in the log and the metrics.
 
+use super::connection::DropReason;
 use super::outgoing::OutgoingRequest;
 use super::run::{RequestOutcome, end_label};
 use super::state::{ActiveSite, ForwardState};
 use crate::dispatch::request::{AttemptRecord, Decision, RequestPlan, TargetRecord};
-use crate::metric::forward::RouteOutcomeLabels;
+use crate::metric::forward::{DropLabels, RouteOutcomeLabels};
 use crate::prelude::*;
 use crate::shell::line_budget::LineClass;
 use crate::vocabulary::clock::duration_to_micros;
@@ -66,6 +67,27 @@
     }
 }
 
+impl ForwardState {
+    /// Logs and counts an answer that was dropped, whose request may have run.
+    pub(super) fn record_dropped_answer(
+        &self,
+        request: &OutgoingRequest,
+        replica: &ReplicaName,
+        reason: DropReason,
+    ) {
+        let reason = reason.name();
+        let labels = DropLabels {
+            reason: reason.to_owned(),
+        };
+        self.counters.answers_dropped.get_or_create(&labels).inc();
+        let id = request.id.as_ref().and_then(|id| id.to_str().ok());
+        let id = id.unwrap_or("-");
+        self.log.log_line(LineClass::Request, || {
+            format!("event=answer_dropped request={id} replica={replica} reason={reason}")
+        });
+    }
+}
+
 /// Logs the targets without an answer and those that took more than one attempt.
 fn log_targets(
     state: &ForwardState,
--- a/daisyhinge/src/shell/forward/state.rs
+++ b/daisyhinge/src/shell/forward/state.rs
@@ -13,6 +13,7 @@
 use super::reporter::CrashReporter;
 use super::wire::HeaderNames;
 use crate::dispatch::Dispatcher;
+use crate::dispatch::answer_memory::AnswerMemory;
 use crate::dispatch::budget::BudgetLimits;
 use crate::dispatch::fleet::{FleetLocation, ReplicaIndex};
 use crate::lease::{FreshnessLease, LapsePolicy};
@@ -51,6 +52,8 @@
     pub decode: ConfigDecoder,
     /// What the entry does while its lease has lapsed.
     pub policy: LapsePolicy,
+    /// Memory that large answers share, in bytes.
+    pub answer_memory_max: usize,
 }
 
 /// State of a forwarding entry that the tasks of all requests share.
@@ -72,6 +75,8 @@
     pub(super) links: PeerLinks,
     pub(super) log: DecisionLog,
     pub(super) reporter: CrashReporter,
+    /// Limit on the memory for answers in flight.
+    pub answer_memory: Arc<AnswerMemory>,
     site: RwLock<Option<Arc<ActiveSite>>>,
     revision: Mutex<u64>,
     /// Whether the received state was confirmed by a quorum of control.
@@ -100,6 +105,7 @@
             links: PeerLinks::default(),
             log: DecisionLog::open(),
             reporter,
+            answer_memory: AnswerMemory::open(settings.answer_memory_max),
             site: RwLock::new(None),
             revision: Mutex::new(0),
             confirmed: AtomicBool::new(false),
--- a/daisyhinge/src/shell/forward/warm.rs
+++ b/daisyhinge/src/shell/forward/warm.rs
@@ -23,6 +23,7 @@
         sweep_pool(&state);
         let open = i64::try_from(state.pool.count()).unwrap_or(i64::MAX);
         state.counters.connections_idle.set(open);
+        update_gauges(&state);
         let missing = list_missing(&state);
         join_all(
             missing
@@ -34,6 +35,12 @@
     }
 }
 
+fn update_gauges(state: &ForwardState) {
+    let held = state.answer_memory.held_bytes();
+    let held = i64::try_from(held).unwrap_or(i64::MAX);
+    state.counters.answer_bytes.set(held);
+}
+
 fn sweep_pool(state: &ForwardState) {
     let mut dispatcher = state.dispatcher.lock();
     state.pool.sweep(|replica| {
--- a/daisyhinge/tests/relay.rs
+++ b/daisyhinge/tests/relay.rs
@@ -118,6 +118,7 @@
         names: header_names(),
         decode: decode_site,
         policy: LapsePolicy::default(),
+        answer_memory_max: 32 << 20,
     });
     let entries = vec![presence(1, "a"), presence(2, "b")];
     let reply = sync_reply_with(replica, "shard", "b", entries);
