Overtake a connecting attempt once, and probe a replica without usable answers by one request at a time

What callers saw: in platform/tests/endless 1 to 3 of 2,000 gathers ended with 502 or 504 though each shard had two sound replicas. Cause, from the lines of these requests: (1) the entry stalled for some 20 ms, so attempts at sound replicas still had not connected when their hedges were due; both were given up in turn, and the last attempt went to the replica that never answers. (2) A replica that has never answered keeps the latency assumed for a new one; once its failures have decayed, all requests of a moment return to it at once and use up the extra requests. Ruled out: the budget of extra requests alone (the traces show withdrawn attempts, and several requests lost at the same replicas within 10 ms). Change: a connecting attempt is overtaken once at most and not by a replica that fails more; answers that break count towards ejection like missing ones, and while a replica has answered nothing since its ejection, it ranks behind the others as long as a request runs there. Two causes in one commit, since the same test showed both.

--- a/daisyhinge/src/dispatch/fleet/replica.rs
+++ b/daisyhinge/src/dispatch/fleet/replica.rs
@@ -30,6 +30,8 @@
 const FAIL_WEIGHT: f64 = 0.4;
 /// Time constant with which the failure rate decays (a factor of e), in microseconds.
 const FAIL_DECAY_TIME_US: f64 = 5_000_000.0;
+/// Recent failure rate from which a replica counts as failing; one failure reaches it.
+const FAILING_RATE: f64 = 0.3;
 /// Initial backoff of a replica that can't be reached.
 const BACKOFF_FIRST: Duration = Duration::from_millis(150);
 /// Maximum backoff.
@@ -193,6 +195,11 @@
         now < self.backoff_until
     }
 
+    /// Whether the replica has recently failed often.
+    pub(in crate::dispatch) fn is_failing(&self, now: MonotonicTime) -> bool {
+        self.recent_fail_rate(now) >= FAILING_RATE
+    }
+
     /// Whether this entry may send one more request to the replica.
     pub(super) fn has_capacity(&self, now: MonotonicTime) -> bool {
         let cold_allows = match self.cold_rate {
@@ -232,7 +239,9 @@
         } else {
             1.0
         };
-        let ejected = if self.outlier.is_ejected(now) {
+        // After its ejection, a replica is probed by one request at a time until it answers.
+        let is_probed = self.outlier.is_silent() && !self.running.is_empty();
+        let ejected = if self.outlier.is_ejected(now) || is_probed {
             EJECTED_FACTOR
         } else {
             1.0
@@ -270,6 +279,7 @@
                 self.failures = 0;
                 self.outlier = OutlierDetector::new_answered(now);
             }
+            ReplicaOutcome::Broken => self.outlier.record_unanswered(now, since),
             ReplicaOutcome::Cancelled if took > overdue_limit(self.average_us(now)) => {
                 self.outlier.record_unanswered(now, since);
             }
--- a/daisyhinge/src/dispatch/request.rs
+++ b/daisyhinge/src/dispatch/request.rs
@@ -293,6 +293,9 @@
             allowed_regions: &self.plan.route.allowed_regions,
         };
         match dispatcher.fleet.choose(now, &query) {
+            Choice::Replica(replica) if !target.may_supersede(now, &dispatcher.fleet, replica) => {
+                target.due = Some(now + RETRY_INTERVAL);
+            }
             Choice::Replica(replica) => self.send(now, index, replica, dispatcher, actions),
             Choice::Busy if waiting || now < self.give_up_at => {
                 target.due = Some(now + RETRY_INTERVAL);
--- a/daisyhinge/src/dispatch/request/target.rs
+++ b/daisyhinge/src/dispatch/request/target.rs
@@ -1,7 +1,7 @@
 //! State of one target of a request: a service from which one replica must answer.
 
 use super::message::{AttemptEnd, AttemptRecord, TargetRecord};
-use crate::dispatch::fleet::ReplicaIndex;
+use crate::dispatch::fleet::{Fleet, ReplicaIndex};
 use crate::prelude::*;
 
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -109,6 +109,27 @@
         self.runs.saturating_sub(connecting)
     }
 
+    /// Returns whether an attempt at `candidate` may replace those that are still connecting. Slow
+    /// connects may be due to this process. A second replacement, or one by a replica that fails,
+    /// would then end at the worst replica.
+    pub(super) fn may_supersede(
+        &self,
+        now: MonotonicTime,
+        fleet: &Fleet,
+        candidate: ReplicaIndex,
+    ) -> bool {
+        let mut connecting = self.running.iter().filter(|pending| pending.is_unwritten());
+        if connecting.clone().next().is_none() {
+            return true;
+        }
+        let is_failing = |index| {
+            let known = fleet.replica(index);
+            known.is_some_and(|replica| replica.is_failing(now))
+        };
+        let has_superseded = self.running.iter().any(|pending| pending.superseded);
+        !has_superseded && (!is_failing(candidate) || connecting.any(|one| is_failing(one.replica)))
+    }
+
     /// Marks the attempts that are still connecting as superseded, and returns their numbers.
     pub(super) fn supersede_connecting(&mut self) -> Vec<u64> {
         let mut superseded = Vec::new();
--- a/daisyhinge/tests/dispatch/choice.rs
+++ b/daisyhinge/tests/dispatch/choice.rs
@@ -115,6 +115,33 @@
     );
 }
 
+/// Its latency was never measured, so without a limit all requests would return to it at once.
+#[test]
+fn a_replica_without_usable_answers_is_probed_by_one_request_at_a_time() {
+    let mut dispatcher = dispatcher(1);
+    for ms in [0, 100, 200, 300] {
+        let Choice::Replica(index) = choose_in(&dispatcher, at(ms), &[], &["north".into()]) else {
+            panic!("a replica");
+        };
+        let attempt = dispatcher.next_attempt();
+        dispatcher.fleet.begin(at(ms), index, attempt);
+        let outcome = ReplicaOutcome::Broken;
+        dispatcher.fleet.finish(at(ms + 8), index, attempt, outcome);
+    }
+    assert_ne!(
+        centre_of(&dispatcher, choose(&dispatcher, at(310), &[])),
+        "a"
+    );
+    let probe = choose(&dispatcher, at(20_000), &[]);
+    assert_eq!(centre_of(&dispatcher, probe), "a");
+    let Choice::Replica(index) = probe else {
+        panic!("a replica");
+    };
+    dispatcher.fleet.begin(at(20_000), index, 1_000);
+    let next = choose(&dispatcher, at(20_001), &[]);
+    assert_ne!(centre_of(&dispatcher, next), "a");
+}
+
 #[test]
 fn an_idle_connection_decides_at_equal_distance() {
     let mut dispatcher = dispatcher(1);
--- a/daisyhinge/tests/dispatch/requests.rs
+++ b/daisyhinge/tests/dispatch/requests.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use daisyhinge::dispatch::Dispatcher;
+use daisyhinge::dispatch::fleet::ReplicaOutcome;
 use daisyhinge::dispatch::request::{
     AttemptEnd, Decision, RequestAction, RequestEvent, RequestMachine,
 };
@@ -228,6 +229,43 @@
     assert_eq!(harness.decision, Some(Decision::Answer { missing: 0 }));
 }
 
+/// With a stalled process, all attempts seem slow to connect, and the last replica is the worst.
+#[test]
+fn a_connecting_attempt_is_not_superseded_twice() {
+    let mut harness = start(safe_route(gather(1, 1.0)), dispatcher(1));
+    for (ms, sent) in [(60, 2), (120, 2), (180, 2)] {
+        let (latest, _) = *harness.sent.last().expect("an attempt");
+        harness.machine.set_written(latest, false);
+        harness.step(ms, RequestEvent::Due);
+        assert_eq!(harness.sent.len(), sent, "{ms} ms");
+    }
+    harness.end(190, 1, AttemptEnd::Answered);
+    assert_eq!(harness.decision, Some(Decision::Answer { missing: 0 }));
+}
+
+#[test]
+fn a_connecting_attempt_is_not_superseded_for_a_failing_replica() {
+    let mut dispatcher = dispatcher(1);
+    let remote = dispatcher
+        .fleet
+        .replicas()
+        .filter(|(_, known)| !known.is_in_same_region());
+    let remote: Vec<_> = remote.map(|(index, _)| index).collect();
+    for index in remote {
+        for attempt in 1_000..1_003 {
+            dispatcher.fleet.begin(at(0), index, attempt);
+            let outcome = ReplicaOutcome::Broken;
+            dispatcher.fleet.finish(at(0), index, attempt, outcome);
+        }
+    }
+    let mut harness = start(safe_route(gather(1, 1.0)), dispatcher);
+    let (first, _) = harness.sent[0];
+    harness.machine.set_written(first, false);
+    harness.step(60, RequestEvent::Due);
+    assert_eq!(harness.sent.len(), 1);
+    assert!(harness.superseded.is_empty());
+}
+
 #[test]
 fn an_unwritten_request_is_refused() {
     let mut harness = start(unsafe_route(single("shard-0")), dispatcher(1));
