Respect what a replica states in its answers: that it leaves, and that it wants a pause

What callers saw: nothing yet; the promise is new. An entry used a leaving replica until control told it, and a replica that had asked for a pause at once again. Cause: nothing read these headers. Also found: a replica that had left came back at an entry if a control process that lags reported its incarnation as ready again. Change: statements are read once from each answer of the replica itself (not from 421, nor from the answer to another request) and bind the entry, over links both ends. Leaving lasts until the next incarnation, whatever control says; a departure told by control as well. Requests that are connecting are withdrawn. If all replicas of a shard are paused, it is given up at once: the answer goes without it or is refused (2014) with the time until enough pauses end. The headers do not reach callers. Weighed: telling other entries of a leaving replica through control. Its heartbeat or departure does that already; not built. Conclusion: the half second that requests under way may take is kept by the check before each write.

--- a/daisyhinge/src/dispatch/fleet.rs
+++ b/daisyhinge/src/dispatch/fleet.rs
@@ -15,12 +15,16 @@
 use crate::vocabulary::registration::{EntryPresence, ReplicaPhase, ReplicaRecord};
 use crate::vocabulary::site::SiteConfig;
 
+mod departed;
 mod locality;
+mod notice;
 mod outlier;
 mod replica;
 mod shares;
 use super::budget::SlackShare;
+use departed::DepartedReplicas;
 pub use locality::Locality;
+pub use notice::ReplicaNotice;
 pub use replica::{FleetReplica, ReplicaOutcome};
 
 /// Local identifier of a replica at this entry; never reused.
@@ -100,6 +104,7 @@
     slack: SlackShare,
     /// Regions to which a link to another entry is open.
     linked_regions: BTreeSet<RegionName>,
+    departed: DepartedReplicas,
     next_index: u32,
 }
 
@@ -116,6 +121,7 @@
             connections_min: None,
             slack: SlackShare::OneOf(1),
             linked_regions: BTreeSet::new(),
+            departed: DepartedReplicas::default(),
             next_index: 0,
         }
     }
@@ -198,6 +204,13 @@
             self.remove(index);
         }
         if record.phase == ReplicaPhase::Left {
+            // Without the time of its start, a departure cannot be told from a later incarnation.
+            if record.born_ms.is_some() {
+                self.departed.insert(&record.name, record.born_ms);
+            }
+            return None;
+        }
+        if self.departed.contains(&record) {
             return None;
         }
         let index = ReplicaIndex(self.next_index);
@@ -288,17 +301,20 @@
         replica: &FleetReplica,
         allowed: &[RegionName],
     ) -> bool {
+        self.is_permitted(replica, allowed)
+            && !replica.is_paused(now)
+            && !replica.is_backed_off(now)
+    }
+
+    /// Whether a replica takes requests at all and is in one of the regions.
+    fn is_permitted(&self, replica: &FleetReplica, allowed: &[RegionName]) -> bool {
         let centre = &replica.record.data_centre;
         let permitted = allowed.is_empty()
             || self
                 .location
                 .region_of(centre)
                 .is_some_and(|region| allowed.contains(region));
-        let offered = matches!(
-            replica.record.phase,
-            ReplicaPhase::Ready | ReplicaPhase::Silent
-        );
-        permitted && offered && !self.evacuated.contains(centre) && !replica.is_backed_off(now)
+        permitted && replica.is_offered() && !self.evacuated.contains(centre)
     }
 
     /// Whether the service has a usable replica at present, busy ones included.
@@ -307,18 +323,18 @@
     }
 
     /// Whether a request may still be sent to a replica that was chosen before.
-    pub fn may_send(&self, index: ReplicaIndex) -> bool {
+    pub fn may_send(&self, now: MonotonicTime, index: ReplicaIndex) -> bool {
         self.replicas.get(&index).is_some_and(|replica| {
-            let phase = replica.record.phase;
-            let offered = matches!(phase, ReplicaPhase::Ready | ReplicaPhase::Silent);
-            offered && !self.evacuated.contains(&replica.record.data_centre)
+            replica.is_offered()
+                && !replica.is_paused(now)
+                && !self.evacuated.contains(&replica.record.data_centre)
         })
     }
 
     /// Returns the named replica if it can take one more request.
     pub fn choose_named(&self, now: MonotonicTime, name: &ReplicaName) -> Choice {
         let known = self.names.get(name);
-        let Some(index) = known.copied().filter(|index| self.may_send(*index)) else {
+        let Some(index) = known.copied().filter(|index| self.may_send(now, *index)) else {
             return Choice::Unavailable;
         };
         match self.replicas.get(&index) {
--- /dev/null
+++ b/daisyhinge/src/dispatch/fleet/notice.rs
@@ -0,0 +1,122 @@
+//! What a replica states about itself beside an answer.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::{ChoiceQuery, Fleet, FleetReplica, ReplicaIndex};
+use crate::prelude::*;
+use crate::vocabulary::registration::ReplicaPhase;
+
+/// Maximum pause that a replica can request.
+const PAUSE_MAX: Duration = Duration::from_hours(1);
+
+/// Statements of a replica in the headers of one answer.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ReplicaNotice {
+    /// The replica is leaving and must not receive new requests.
+    pub leaving: bool,
+    /// Time from the answer on during which this entry must not send to the replica.
+    pub pause: Option<Duration>,
+}
+
+impl ReplicaNotice {
+    /// Returns whether the answer stated nothing.
+    pub fn is_empty(&self) -> bool {
+        *self == Self::default()
+    }
+
+    /// Returns the end of the requested pause, at most [`PAUSE_MAX`] after `now`.
+    pub(super) fn paused_until(&self, now: MonotonicTime) -> Option<MonotonicTime> {
+        self.pause.map(|pause| now + pause.min(PAUSE_MAX))
+    }
+}
+
+impl FleetReplica {
+    /// Whether the replica takes new requests, as far as announced and stated in its answers.
+    pub fn is_offered(&self) -> bool {
+        let phase = self.record.phase;
+        !self.leaving && matches!(phase, ReplicaPhase::Ready | ReplicaPhase::Silent)
+    }
+
+    /// Whether the replica said in an answer that it leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Whether the replica has asked this entry to pause.
+    pub fn is_paused(&self, now: MonotonicTime) -> bool {
+        now < self.paused_until
+    }
+
+    /// Returns the end of the pause that the replica has asked for, if it is not over.
+    pub fn pause_end(&self, now: MonotonicTime) -> Option<MonotonicTime> {
+        self.is_paused(now).then_some(self.paused_until)
+    }
+
+    pub(super) fn record_notice(&mut self, now: MonotonicTime, notice: ReplicaNotice) {
+        self.leaving |= notice.leaving;
+        if self.leaving {
+            self.connections_kept = 0;
+        }
+        if let Some(until) = notice.paused_until(now) {
+            self.paused_until = self.paused_until.max(until);
+        }
+    }
+}
+
+impl Fleet {
+    /// Returns the end of the first pause if replicas of a service have requested pauses and no
+    /// other one can be used.
+    pub fn find_pause_end(
+        &self,
+        now: MonotonicTime,
+        query: &ChoiceQuery<'_>,
+    ) -> Option<MonotonicTime> {
+        let members = &self.services.get(query.service)?.members;
+        let members = members.iter().filter_map(|index| self.replicas.get(index));
+        let mut permitted =
+            members.filter(|replica| self.is_permitted(replica, query.allowed_regions));
+        permitted.try_fold(None, |earliest: Option<MonotonicTime>, replica| {
+            let pause_end = replica.pause_end(now);
+            let is_usable = pause_end.is_none() && !replica.is_backed_off(now);
+            (!is_usable).then(|| earliest.into_iter().chain(pause_end).min())
+        })?
+    }
+
+    /// Records what a replica stated in an answer. `born_ms` identifies the incarnation that
+    /// answered, which may have been replaced in the meantime.
+    pub fn record_notice(
+        &mut self,
+        now: MonotonicTime,
+        index: ReplicaIndex,
+        name: &ReplicaName,
+        born_ms: Option<u64>,
+        notice: ReplicaNotice,
+    ) {
+        if notice.leaving {
+            self.departed.insert(name, born_ms);
+        }
+        if let Some(replica) = self.replicas.get_mut(&index) {
+            replica.record_notice(now, notice);
+        }
+    }
+
+    /// Returns what the named replica has stated and still holds.
+    pub fn stated_notice(&self, now: MonotonicTime, name: &ReplicaName) -> ReplicaNotice {
+        let index = self.names.get(name);
+        let known = index.and_then(|index| self.replicas.get(index));
+        known.map_or(ReplicaNotice::default(), |replica| ReplicaNotice {
+            leaving: replica.leaving,
+            pause: replica.pause_end(now).map(|end| end.since(now)),
+        })
+    }
+
+    /// Counts the replicas that are leaving by their own answers, and those that are paused.
+    pub fn count_notices(&self, now: MonotonicTime) -> (usize, usize) {
+        let replicas = || self.replicas.values();
+        let leaving = replicas().filter(|replica| replica.is_leaving());
+        let paused = replicas().filter(|replica| replica.is_paused(now));
+        (leaving.count(), paused.count())
+    }
+}
--- a/daisyhinge/src/dispatch/fleet/replica.rs
+++ b/daisyhinge/src/dispatch/fleet/replica.rs
@@ -100,6 +100,10 @@
     failures: u32,
     backoff_until: MonotonicTime,
     outlier: OutlierDetector,
+    /// Whether the replica said in an answer that it leaves.
+    pub(super) leaving: bool,
+    /// End of the pause that the replica requested.
+    pub(super) paused_until: MonotonicTime,
     /// Adaptive limit on this entry's concurrent requests, from refusals and answers.
     concurrency_limit: f64,
 }
@@ -124,6 +128,8 @@
             failures: 0,
             backoff_until: MonotonicTime(0),
             outlier: OutlierDetector::default(),
+            leaving: false,
+            paused_until: MonotonicTime(0),
             concurrency_limit: f64::from(u16::MAX),
         };
         replica.latency_us = replica.prior_us();
--- a/daisyhinge/src/dispatch/fleet/shares.rs
+++ b/daisyhinge/src/dispatch/fleet/shares.rs
@@ -131,7 +131,7 @@
                 (false, true) => 0,
             };
             replica.connections_kept = match replica.record.phase {
-                ReplicaPhase::Ready => kept.min(replica.connections_max),
+                ReplicaPhase::Ready if !replica.is_leaving() => kept.min(replica.connections_max),
                 _ => 0,
             };
         }
--- a/daisyhinge/src/dispatch/request.rs
+++ b/daisyhinge/src/dispatch/request.rs
@@ -204,7 +204,8 @@
                 allowed_regions: &self.plan.route.allowed_regions,
             };
             if !dispatcher.fleet.has_usable_replica(now, &query) {
-                target.close_unless_waiting(false, ResultCode::NoReplica);
+                target.back_at = dispatcher.fleet.find_pause_end(now, &query);
+                target.close_unless_waiting(false, unavailable_code(target.back_at));
             }
         }
     }
@@ -283,15 +284,16 @@
             || target.refusals >= REFUSALS_MAX
             || target.undelivered >= UNDELIVERED_MAX
             || (kind == RouteKind::Unsafe && runs > 0);
-        if exhausted {
-            target.close_unless_waiting(waiting, ResultCode::ServerFailed);
-            return;
-        }
         let query = ChoiceQuery {
             service: &self.names[index],
             tried: &target.tried,
             allowed_regions: &self.plan.route.allowed_regions,
         };
+        if exhausted {
+            target.back_at = dispatcher.fleet.find_pause_end(now, &query);
+            target.close_unless_waiting(waiting, ResultCode::ServerFailed);
+            return;
+        }
         match dispatcher.fleet.choose(now, &query) {
             Choice::Replica(replica) if !target.may_supersede(now, &dispatcher.fleet, replica) => {
                 target.due = Some(now + RETRY_INTERVAL);
@@ -301,7 +303,10 @@
                 target.due = Some(now + RETRY_INTERVAL);
             }
             Choice::Busy => target.close_unless_waiting(waiting, ResultCode::SlotsBusy),
-            Choice::Unavailable => target.close_unless_waiting(waiting, ResultCode::NoReplica),
+            Choice::Unavailable => {
+                target.back_at = dispatcher.fleet.find_pause_end(now, &query);
+                target.close_unless_waiting(waiting, unavailable_code(target.back_at));
+            }
         }
     }
 
@@ -378,3 +383,11 @@
         }
     }
 }
+
+/// Returns why a target has no usable replica, given the end of the first pause.
+fn unavailable_code(back_at: Option<MonotonicTime>) -> ResultCode {
+    match back_at {
+        Some(_) => ResultCode::ReplicasPaused,
+        None => ResultCode::NoReplica,
+    }
+}
--- a/daisyhinge/src/dispatch/request/decision.rs
+++ b/daisyhinge/src/dispatch/request/decision.rs
@@ -68,9 +68,26 @@
         };
         Decision::Refused {
             code,
-            retry_after: self.poisoned_retry_after.unwrap_or(RETRY_AFTER),
+            retry_after: self
+                .poisoned_retry_after
+                .or_else(|| self.pause_left(now))
+                .unwrap_or(RETRY_AFTER),
         }
     }
+
+    /// Returns the time until enough of the targets whose replicas have all requested pauses can be
+    /// sent to again, or `None` if other targets are missing, too.
+    fn pause_left(&self, now: MonotonicTime) -> Option<Duration> {
+        let missing = || {
+            let targets = self.targets.iter();
+            targets.filter(|target| target.phase == TargetPhase::Missing)
+        };
+        let present = self.targets.len() - missing().count();
+        let last_needed = self.min_targets.saturating_sub(present).checked_sub(1)?;
+        let mut ends: Vec<MonotonicTime> = missing().filter_map(|target| target.back_at).collect();
+        ends.sort_unstable();
+        ends.get(last_needed).map(|end| end.since(now))
+    }
 }
 
 /// Returns the latest time after its start at which a gather can be answered within the objective.
--- a/daisyhinge/src/dispatch/request/target.rs
+++ b/daisyhinge/src/dispatch/request/target.rs
@@ -56,6 +56,8 @@
     pub failure: Option<u64>,
     /// Reason for a missing answer; that of the latest failed attempt.
     pub reason: Option<ResultCode>,
+    /// End of the first pause, if all replicas have requested pauses.
+    pub back_at: Option<MonotonicTime>,
     /// Time at which a hedge is sent if no attempt has been answered.
     pub hedge_at: MonotonicTime,
     /// Time at which the target must be advanced next.
--- a/daisyhinge/src/metric/forward.rs
+++ b/daisyhinge/src/metric/forward.rs
@@ -63,6 +63,10 @@
     pub crash_records: Gauge,
     /// Number of answers that were dropped, by reason.
     pub answers_dropped: Family<DropLabels, Counter>,
+    /// Number of replicas that said in an answer that they leave.
+    pub replicas_leaving: Gauge,
+    /// Number of replicas that have asked this entry to pause.
+    pub replicas_paused: Gauge,
     /// Memory that the bodies of answers hold, in bytes.
     pub answer_bytes: Gauge,
     /// Latency of requests, in seconds.
@@ -81,6 +85,8 @@
             crashes: Family::default(),
             crash_records: Gauge::default(),
             answers_dropped: Family::default(),
+            replicas_leaving: Gauge::default(),
+            replicas_paused: Gauge::default(),
             answer_bytes: Gauge::default(),
             latency: Histogram::new(LATENCY_BOUNDS),
         }
@@ -88,6 +94,13 @@
 }
 
 impl ForwardCounters {
+    /// Sets the numbers of replicas that are leaving by their answers, and of those paused.
+    pub fn set_notices(&self, (leaving, paused): (usize, usize)) {
+        let gauge = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+        self.replicas_leaving.set(gauge(leaving));
+        self.replicas_paused.set(gauge(paused));
+    }
+
     /// Registers the metrics under their complete names; `registry` must not add a prefix.
     pub fn register(&self, registry: &mut Registry) {
         let requests = "Requests by route and outcome";
@@ -132,6 +145,18 @@
             dropped,
             self.answers_dropped.clone(),
         );
+        let leaving = "Replicas that said in an answer that they leave";
+        registry.register(
+            "daisyhinge_forward_replicas_leaving",
+            leaving,
+            self.replicas_leaving.clone(),
+        );
+        let paused = "Replicas that have asked this entry to pause";
+        registry.register(
+            "daisyhinge_forward_replicas_paused",
+            paused,
+            self.replicas_paused.clone(),
+        );
         let bytes = "Memory that the bodies of answers hold, in bytes";
         registry.register(
             "daisyhinge_forward_answer_bytes",
--- a/daisyhinge/src/shell/forward.rs
+++ b/daisyhinge/src/shell/forward.rs
@@ -16,6 +16,7 @@
 pub mod gate;
 mod limited_stream;
 pub mod listen;
+pub mod notice;
 mod outcome_log;
 pub mod outgoing;
 mod pool;
--- a/daisyhinge/src/shell/forward/answer.rs
+++ b/daisyhinge/src/shell/forward/answer.rs
@@ -215,6 +215,9 @@
     let mut headers = replica_answer.headers;
     strip_connection_headers(&mut headers);
     headers.remove(&state.names.not_run);
+    // Both concern this entry and the replica; the caller may come back at once.
+    headers.remove(&state.names.leaving);
+    headers.remove(RETRY_AFTER);
     let mut answer = Response::new(Full::new(replica_answer.body));
     *answer.status_mut() =
         StatusCode::from_u16(replica_answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
--- a/daisyhinge/src/shell/forward/attempt.rs
+++ b/daisyhinge/src/shell/forward/attempt.rs
@@ -52,6 +52,8 @@
 struct ReplicaEndpoint {
     replica: ReplicaIndex,
     name: ReplicaName,
+    /// Start of the replica's incarnation in milliseconds since the Unix epoch, if it stated one.
+    born_ms: Option<u64>,
     address: SocketAddr,
     assumed_round_trip: Duration,
 }
@@ -108,7 +110,8 @@
     state.record_idle(replica);
     let mut connection = connection?;
     // Final check before dispatch: connecting may have taken long.
-    let may_send = state.dispatcher.lock().fleet.may_send(replica) && state.may_serve();
+    let now = state.clock.now();
+    let may_send = state.dispatcher.lock().fleet.may_send(now, replica) && state.may_serve();
     if !may_send || !permit.try_acquire() {
         state.pool.put(replica, connection);
         return Err(AttemptEnd::Withdrawn);
@@ -125,8 +128,15 @@
         }
     };
     let end = classify_answer(state, request, &answer);
-    if end == AttemptEnd::Lost {
-        state.record_dropped_answer(request, &endpoint.name, DropReason::Unusable);
+    match end {
+        AttemptEnd::Lost => {
+            state.record_dropped_answer(request, &endpoint.name, DropReason::Unusable);
+        }
+        AttemptEnd::WrongServer => {}
+        _ => {
+            let notice = state.notice_of(&answer);
+            state.record_notice(replica, &endpoint.name, endpoint.born_ms, notice);
+        }
     }
     if may_reuse(state, request, end, &answer) && state.may_keep(replica) {
         state.pool.put(replica, connection);
@@ -154,6 +164,7 @@
     Some(ReplicaEndpoint {
         replica,
         name: known.record.name.clone(),
+        born_ms: known.record.born_ms,
         address: known.record.address,
         assumed_round_trip: known.locality().assumed_round_trip(),
     })
--- a/daisyhinge/src/shell/forward/relay.rs
+++ b/daisyhinge/src/shell/forward/relay.rs
@@ -16,6 +16,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+use crate::dispatch::fleet::ReplicaNotice;
 use crate::dispatch::request::AttemptEnd;
 use crate::prelude::*;
 
@@ -53,6 +54,8 @@
     pub end: AttemptEnd,
     /// The part, if the replica sent a signed answer. Only valid if `end` is an answered attempt.
     pub part: Option<RelayPart>,
+    /// What the replica stated about itself.
+    pub notice: ReplicaNotice,
     /// Set if nothing was sent because the receiver no longer stores the head. The caller then
     /// sends the complete head.
     pub head_unknown: bool,
--- a/daisyhinge/src/shell/forward/relay/link.rs
+++ b/daisyhinge/src/shell/forward/relay/link.rs
@@ -62,6 +62,14 @@
         )
         .await?;
     }
+    let replica_record = {
+        let dispatcher = state.dispatcher.lock();
+        let known = dispatcher.fleet.replica(replica);
+        known.map(|known| (known.record.name.clone(), known.record.born_ms))
+    };
+    if let Some((name, born_ms)) = replica_record {
+        state.record_notice(replica, &name, born_ms, reply.notice);
+    }
     let answer = reply.part.and_then(|part| read_part(state, part));
     match answer {
         Some(answer) => Ok((reply.end, answer)),
--- a/daisyhinge/src/shell/forward/relay/serve.rs
+++ b/daisyhinge/src/shell/forward/relay/serve.rs
@@ -17,7 +17,7 @@
 use super::head::read_head;
 use super::head_cache::ReceivedHeads;
 use super::{RelayLink, RelayPart, RelayReply, RelayRequest};
-use crate::dispatch::fleet::{Choice, ReplicaIndex, ReplicaOutcome};
+use crate::dispatch::fleet::{Choice, ReplicaIndex, ReplicaNotice, ReplicaOutcome};
 use crate::dispatch::merge::merge_parts;
 use crate::dispatch::request::AttemptEnd;
 use crate::prelude::*;
@@ -95,7 +95,12 @@
         };
         let mut attempt = match RelayAttempt::begin(&self.state, &relay_request.replica) {
             Ok(attempt) => attempt,
-            Err(end) => return refuse_part(end),
+            Err(end) => {
+                return RelayReply {
+                    notice: self.stated_notice(&relay_request.replica),
+                    ..refuse_part(end)
+                };
+            }
         };
         let result = send_direct(
             &self.state,
@@ -109,20 +114,32 @@
             Err(end) => (end, None),
         };
         attempt.outcome = end.into();
+        let notice = self.stated_notice(&relay_request.replica);
         let part = answer.and_then(|answer| build_part(&self.state, top_records, &answer));
         RelayReply {
             end,
             part,
+            notice,
             head_unknown: false,
         }
     }
 }
 
+impl RelayServer {
+    /// Returns what the replica stated to this entry, which the calling entry has to respect, too.
+    fn stated_notice(&self, name: &ReplicaName) -> ReplicaNotice {
+        let now = self.state.clock.now();
+        let dispatcher = self.state.dispatcher.lock();
+        dispatcher.fleet.stated_notice(now, name)
+    }
+}
+
 /// Builds the reply to a request that was not sent to the replica.
 fn refuse_part(end: AttemptEnd) -> RelayReply {
     RelayReply {
         end,
         part: None,
+        notice: ReplicaNotice::default(),
         head_unknown: false,
     }
 }
--- a/daisyhinge/src/shell/forward/warm.rs
+++ b/daisyhinge/src/shell/forward/warm.rs
@@ -36,6 +36,12 @@
 }
 
 fn update_gauges(state: &ForwardState) {
+    let counts = state
+        .dispatcher
+        .lock()
+        .fleet
+        .count_notices(state.clock.now());
+    state.counters.set_notices(counts);
     let held = state.answer_memory.held_bytes();
     let held = i64::try_from(held).unwrap_or(i64::MAX);
     state.counters.answer_bytes.set(held);
@@ -60,7 +66,7 @@
             && replica.idle() == 0
             && !replica.is_backed_off(now)
             && !replica.is_cold(now)
-            && dispatcher.fleet.may_send(*index)
+            && dispatcher.fleet.may_send(now, *index)
     });
     let mut wanted: Vec<_> = wanted.collect();
     // Replicas in the entry's own region receive most requests, so they come first.
--- a/daisyhinge/src/shell/forward/wire.rs
+++ b/daisyhinge/src/shell/forward/wire.rs
@@ -18,6 +18,8 @@
     pub expected_replica: HeaderName,
     /// Set by a replica that did not execute the request.
     pub not_run: HeaderName,
+    /// Set to 1 by a replica that is leaving, in all its answers.
+    pub leaving: HeaderName,
     /// Signatures of the parts of a merged answer.
     pub part_signatures: HeaderName,
     /// Number of shards missing from a merged answer.
--- a/daisyhinge/src/vocabulary/code.rs
+++ b/daisyhinge/src/vocabulary/code.rs
@@ -102,6 +102,8 @@
     GivenUp = 2012, 503;
     /// the data centre's power cap is reached
     PowerCapReached = 2013, 503;
+    /// all replicas have asked for a pause; retry when the first pause has ended
+    ReplicasPaused = 2014, 503;
 
     // 3xxx: reasons why a sub-request was not answered.
     /// the replica has no free slot and its queue is full
--- a/daisyhinge/tests/dispatch.rs
+++ b/daisyhinge/tests/dispatch.rs
@@ -11,6 +11,8 @@
 mod crash_reports;
 #[path = "dispatch/load.rs"]
 mod load;
+#[path = "dispatch/notices.rs"]
+mod notices;
 #[path = "dispatch/parts.rs"]
 mod parts;
 #[path = "dispatch/requests.rs"]
--- a/daisyhinge/tests/relay.rs
+++ b/daisyhinge/tests/relay.rs
@@ -1,16 +1,17 @@
 //! Tests of sub-requests that are relayed through an entry in another region, over loopback.
 
+#[path = "relay/fixture.rs"]
+mod fixture;
 #[path = "support/known_replica.rs"]
 mod known_replica;
 
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use daisyhinge::dispatch::fleet::{FleetLocation, ReplicaIndex};
+use daisyhinge::dispatch::fleet::ReplicaIndex;
 use daisyhinge::dispatch::request::AttemptEnd;
-use daisyhinge::lease::LapsePolicy;
 use daisyhinge::prelude::*;
 use daisyhinge::shell::forward::attempt::run_attempt;
 use daisyhinge::shell::forward::gate::WritePermit;
@@ -21,20 +22,18 @@
 use daisyhinge::shell::forward::relay::link::run_links;
 use daisyhinge::shell::forward::relay::serve::bind_relay;
 use daisyhinge::shell::forward::relay::{HeadRef, RelayLinkClient, RelayRequest};
-use daisyhinge::shell::forward::state::{ForwardSettings, ForwardState};
+use daisyhinge::shell::forward::state::ForwardState;
 use daisyhinge::shell::http_port::HttpPort;
-use daisyhinge::shell::http_port::reply::{ReplyBody, reply_text};
-use daisyhinge::vocabulary::registration::{EntryPhase, EntryPresence};
-use daisyhinge::vocabulary::site::{
-    CallerLimits, GatherPlan, RouteKind, RouteTarget, SiteConfig, SiteRoute, SiteService,
+use daisyhinge::vocabulary::site::RouteKind;
+use fixture::{
+    CALLER_PORT, RELAY_PORT, REPLICA_PORT, SeenHeads, answer_replica, host, open_entry,
+    open_entry_at, wait_until,
 };
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, Uri};
 use hyper_util::rt::TokioIo;
-use known_replica::{BUDGET, header_names, sync_reply_with};
-use parking_lot::Mutex;
 use proptest::prelude::*;
 use tarpc::serde_transport::Transport;
 use tarpc::tokio_serde::formats::Bincode;
@@ -42,103 +41,20 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
-const RELAY_PORT: u16 = 27_841;
-const CALLER_PORT: u16 = 27_842;
-const REPLICA_PORT: u16 = 27_843;
-const RECORDS: &str = "cccccccccccccccc\
-                       aaaaaaaaaaaaaaaa\
-                       bbbbbbbbbbbbbbbb";
-
-fn host(number: u8) -> IpAddr {
-    IpAddr::from([127, 62, 0, number])
-}
-
-#[expect(
-    clippy::unnecessary_wraps,
-    reason = "required by the type of a decoder"
-)]
-fn decode_site(_: &[u8]) -> Result<SiteConfig, ResultCode> {
-    let shard = ServiceName::from("shard");
-    let route = SiteRoute {
-        name: "sweep".into(),
-        host: "labels.example".into(),
-        path_prefix: "/sweep/".into(),
+fn outgoing_request(entry: &ForwardState) -> Arc<OutgoingRequest> {
+    Arc::new(OutgoingRequest {
+        number: 1,
+        method: Method::GET,
+        target: Uri::from_static("/sweep/1"),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+        id: Some(HeaderValue::from_static("id-7")),
         kind: RouteKind::Safe,
-        timeout: Duration::from_secs(2),
-        objective: Duration::from_millis(400),
-        attempts_max: 2,
-        priority: 1,
-        allowed_regions: Arc::from([]),
-        target: RouteTarget::Gather(GatherPlan {
-            shards: Arc::from([shard.clone()]),
-            top_records: 2,
-            min_coverage: 1.0,
-        }),
-    };
-    Ok(SiteConfig {
-        version: 1,
-        routes: vec![Arc::new(route)],
-        services: vec![SiteService {
-            name: shard,
-            connections_max: 20,
-            cold_per_second: None,
-        }],
-        limits: CallerLimits::default(),
+        top_records: Some(2),
+        deadline: entry.clock.now() + Duration::from_secs(2),
     })
 }
 
-fn presence(number: u8, centre: &str) -> EntryPresence {
-    EntryPresence {
-        vm: format!("entry-{number}").into(),
-        incarnation: 1,
-        address: SocketAddr::new(host(number), CALLER_PORT),
-        data_centre: centre.into(),
-        phase: EntryPhase::Serving,
-        stamp: 1,
-        holder: 1,
-    }
-}
-
-/// Opens an entry at `centre` that knows both entries and the replica in data centre `b`.
-fn open_entry(number: u8, centre: &str) -> Arc<ForwardState> {
-    open_entry_at(number, centre, SocketAddr::new(host(9), REPLICA_PORT))
-}
-
-fn open_entry_at(number: u8, centre: &str, replica: SocketAddr) -> Arc<ForwardState> {
-    let regions = [("a", "north"), ("b", "south")];
-    let state = ForwardState::open(ForwardSettings {
-        location: FleetLocation {
-            vm: format!("entry-{number}").into(),
-            data_centre: centre.into(),
-            regions: regions
-                .map(|(centre, region)| (centre.into(), region.into()))
-                .into(),
-        },
-        budget: BUDGET,
-        names: header_names(),
-        decode: decode_site,
-        policy: LapsePolicy::default(),
-        answer_memory_max: 32 << 20,
-    });
-    let entries = vec![presence(1, "a"), presence(2, "b")];
-    let reply = sync_reply_with(replica, "shard", "b", entries);
-    state.apply_reply(reply, true);
-    state
-}
-
-type SeenHeads = Arc<Mutex<Vec<(String, HeaderMap)>>>;
-
-fn answer_replica(seen: &SeenHeads, request: &Request<Incoming>) -> Response<ReplyBody> {
-    let path = request.uri().path().to_owned();
-    seen.lock().push((path, request.headers().clone()));
-    let mut answer = reply_text("application/octet-stream", RECORDS.to_owned());
-    let headers = answer.headers_mut();
-    headers.insert("x-seal", HeaderValue::from_static("seal-1"));
-    let id = request.headers().get("x-id").cloned();
-    headers.insert("x-id", id.expect("an identifier"));
-    answer
-}
-
 async fn call_entry(number: u8) -> Response<Bytes> {
     let address = SocketAddr::new(host(number), CALLER_PORT);
     let stream = TcpStream::connect(address)
@@ -164,16 +80,6 @@
     Response::from_parts(head, body)
 }
 
-async fn wait_until(description: &str, done: impl Fn() -> bool) {
-    for _ in 0..200 {
-        if done() {
-            return;
-        }
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
-    panic!("{description}");
-}
-
 /// The part crosses regions on the link, and the other entry forwards the caller's path and headers
 /// to the replica. If that entry hangs, the link is dropped and the replica is called directly.
 #[tokio::test(flavor = "multi_thread", worker_threads = 3)]
@@ -272,17 +178,7 @@
         local_entry.has_link(&RegionName::from("south"))
     })
     .await;
-    let request = Arc::new(OutgoingRequest {
-        number: 1,
-        method: Method::GET,
-        target: Uri::from_static("/sweep/1"),
-        headers: HeaderMap::new(),
-        body: Bytes::new(),
-        id: Some(HeaderValue::from_static("id-7")),
-        kind: RouteKind::Safe,
-        top_records: Some(2),
-        deadline: local_entry.clock.now() + Duration::from_secs(2),
-    });
+    let request = outgoing_request(&local_entry);
     for (revoked, end) in [(true, AttemptEnd::Withdrawn), (false, AttemptEnd::Answered)] {
         let permit = Arc::<WritePermit>::default();
         if revoked {
@@ -297,6 +193,45 @@
     replica.close().await;
 }
 
+/// The entry that answers the caller and the one that called the replica both stop using it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
+async fn replica_that_leaves_is_not_used_again_by_either_end_of_a_link() {
+    let seen = SeenHeads::default();
+    let recorder = Arc::clone(&seen);
+    let answer = move |request: Request<Incoming>| {
+        let mut answer = answer_replica(&recorder, &request);
+        let leaving = HeaderValue::from_static("1");
+        answer.headers_mut().insert("x-leaving", leaving);
+        std::future::ready(answer)
+    };
+    let address = SocketAddr::new(host(39), REPLICA_PORT);
+    let replica = HttpPort::bind(address, answer).await;
+    let replica = replica.expect("bind the port");
+    let local_entry = open_entry_at(1, "a", address);
+    let remote_entry = open_entry_at(2, "b", address);
+    let relay = SocketAddr::new(host(2), RELAY_PORT + 30);
+    bind_relay(Arc::clone(&remote_entry), relay)
+        .await
+        .expect("bind the port");
+    let links = tokio::spawn(run_links(Arc::clone(&local_entry), RELAY_PORT + 30));
+    wait_until("the link is open", || {
+        local_entry.has_link(&RegionName::from("south"))
+    })
+    .await;
+    let send = |entry: &Arc<ForwardState>| {
+        let request = outgoing_request(entry);
+        let permit = Arc::<WritePermit>::default();
+        run_attempt(Arc::clone(entry), request, 1, ReplicaIndex(0), permit)
+    };
+    assert_eq!(send(&local_entry).await.end, AttemptEnd::Answered);
+    assert_eq!(send(&remote_entry).await.end, AttemptEnd::Withdrawn);
+    links.abort();
+    local_entry.drop_links();
+    assert_eq!(send(&local_entry).await.end, AttemptEnd::Withdrawn);
+    assert_eq!(seen.lock().len(), 1);
+    replica.close().await;
+}
+
 /// The head of a request is sent once on a link. If the receiver no longer stores the head, it
 /// requests the head again and sends nothing to the replica in the meantime.
 #[tokio::test]
--- a/daisyhinge/tests/support/known_replica.rs
+++ b/daisyhinge/tests/support/known_replica.rs
@@ -23,6 +23,7 @@
         signature: HeaderName::from_static("x-seal"),
         expected_replica: HeaderName::from_static("x-expect"),
         not_run: HeaderName::from_static("x-not-run"),
+        leaving: HeaderName::from_static("x-leaving"),
         part_signatures: HeaderName::from_static("x-seals"),
         missing_shards: HeaderName::from_static("x-missing"),
     }
