Complete a departure that a restarted control process acknowledged

What callers saw: a replica that had sent its DELETE to a control process that had just restarted went on being used by all entries; the acknowledged departure named no incarnation, and records with one take precedence. Cause: the process knew nothing of the replica, so it recorded a departure without a start; other processes ignored that, and it ignored theirs. Change: if another process knows the replica within two heartbeat intervals after the departure, and by more heartbeats than a new incarnation could have sent, the departure takes over that incarnation and is published again. Not covered: processes that exchange their records later than that; the departed replica then ends by silence, as before. Measured: registry fails before (Ready instead of Left) and passes; the exchange test of random orders passes. Also here: tests that a second copy of an answer reaches no other request, and that a connection whose answers name no request is not reused; FleetLocation in a file of its own.

--- a/daisyhinge/src/dispatch/fleet.rs
+++ b/daisyhinge/src/dispatch/fleet.rs
@@ -18,6 +18,7 @@
 mod cold_gate;
 mod departed;
 mod locality;
+mod location;
 mod notice;
 mod outlier;
 mod replica;
@@ -26,6 +27,7 @@
 use cold_gate::ColdGate;
 use departed::DepartedReplicas;
 pub use locality::Locality;
+pub use location::FleetLocation;
 pub use notice::ReplicaNotice;
 pub use replica::{FleetReplica, ReplicaOutcome};
 
@@ -33,36 +35,6 @@
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct ReplicaIndex(pub u32);
 
-/// Location of the entry, and the region of each data centre.
-#[derive(Clone, Debug)]
-pub struct FleetLocation {
-    /// VM on which the entry runs. For each replica, the active entries are ranked by a hash of
-    /// their VM; the rank determines the entry's share of the replica's connections.
-    pub vm: VmName,
-    /// Data centre in which the entry runs.
-    pub data_centre: CentreName,
-    /// Region of each data centre of the site.
-    pub regions: HashMap<CentreName, RegionName>,
-}
-
-impl FleetLocation {
-    /// Returns the region of a data centre.
-    pub fn region_of(&self, centre: &CentreName) -> Option<&RegionName> {
-        self.regions.get(centre)
-    }
-
-    /// Returns the locality of a data centre relative to the entry.
-    pub fn locality_of(&self, centre: &CentreName) -> Locality {
-        if *centre == self.data_centre {
-            Locality::SameCentre
-        } else if self.region_of(centre) == self.region_of(&self.data_centre) {
-            Locality::SameRegion
-        } else {
-            Locality::OtherRegion
-        }
-    }
-}
-
 /// Result of choosing a replica.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Choice {
--- a/daisyhinge/src/registry.rs
+++ b/daisyhinge/src/registry.rs
@@ -15,7 +15,7 @@
 };
 use crashes::CrashBoard;
 pub use order::supersedes;
-use order::{cold_end_differs, is_modified, is_newer, saturating_millis};
+use order::{cold_end_differs, is_established, is_modified, is_newer, saturating_millis};
 
 mod crashes;
 mod order;
@@ -186,6 +186,7 @@
             None => self.is_superseded(record),
         };
         if is_ignored {
+            self.complete_departure(now, record);
             return false;
         }
         self.mark += 1;
@@ -200,6 +201,26 @@
         true
     }
 
+    /// Completes a recent departure of a replica that was unknown then, after a start of this
+    /// process, by the incarnation that another process knows, so that it takes effect there, too.
+    fn complete_departure(&mut self, now: MonotonicTime, record: &ReplicaRecord) {
+        let recent = self.silence_timeout / (SILENT_HEARTBEATS / 2);
+        let Some(tracked) = self.replicas.get_mut(&record.name) else {
+            return;
+        };
+        let known = &tracked.record;
+        let is_incomplete = known.phase == ReplicaPhase::Left && known.born_ms.is_none();
+        if is_incomplete && now.since(tracked.last_contact) < recent && is_established(record) {
+            self.mark += 1;
+            tracked.mark = self.mark;
+            tracked.record = ReplicaRecord {
+                phase: ReplicaPhase::Left,
+                holder: self.epoch,
+                ..record.clone()
+            };
+        }
+    }
+
     /// Returns whether a later incarnation is known at the same address.
     fn is_superseded(&self, record: &ReplicaRecord) -> bool {
         let born = record.born_ms;
--- a/daisyhinge/src/registry/order.rs
+++ b/daisyhinge/src/registry/order.rs
@@ -21,6 +21,12 @@
     known.phase != ReplicaPhase::Left && next.sequence > known.sequence
 }
 
+/// Returns whether the replica has sent more heartbeats since its start than one that started within
+/// the last heartbeat interval.
+pub(super) fn is_established(record: &ReplicaRecord) -> bool {
+    record.born_ms.is_some() && record.sequence > INITIAL_SEQUENCE_MAX
+}
+
 /// Returns whether `next`, received from another process, replaces `known`.
 pub fn supersedes(known: &ReplicaRecord, next: &ReplicaRecord) -> bool {
     if known.born_ms != next.born_ms {
--- a/daisyhinge/tests/forward.rs
+++ b/daisyhinge/tests/forward.rs
@@ -81,6 +81,48 @@
     assert_eq!(opened, 2, "the connection is not reused");
 }
 
+/// The copy arrives when the next request has already been written to the connection.
+#[tokio::test]
+async fn second_copy_of_an_answer_is_not_given_to_the_request_in_flight() {
+    let script = |id: &str| ReplicaAnswer {
+        bytes: complete_answer(id, id),
+        then: AfterAnswer::Late(complete_answer(id, id)),
+    };
+    let fixture = open_fixture(14, script).await;
+    let first = call_entry(fixture.host, "id-1").await;
+    let second = call_entry(fixture.host, "id-2").await;
+    assert_eq!(
+        (first.status().as_u16(), &**first.body()),
+        (200, &b"id-1"[..])
+    );
+    assert_eq!(second.status(), 502);
+    assert_eq!(
+        fixture.seen.opened.load(Ordering::Relaxed),
+        1,
+        "the connection was in use again"
+    );
+    let third = call_entry(fixture.host, "id-3").await;
+    assert_eq!(
+        (third.status().as_u16(), &**third.body()),
+        (200, &b"id-3"[..])
+    );
+    fixture.stop.cancel();
+}
+
+#[tokio::test]
+async fn connection_is_not_reused_after_an_answer_without_identifier() {
+    let script = |id: &str| ReplicaAnswer {
+        bytes: complete_answer(id, id).replace(&format!("x-id: {id}\r\n"), ""),
+        then: AfterAnswer::Stay,
+    };
+    let (first, second, opened) = send_two_requests(15, script).await;
+    assert_eq!(
+        (&**first.body(), &**second.body()),
+        (&b"id-1"[..], &b"id-2"[..])
+    );
+    assert_eq!(opened, 2, "the connection is not reused");
+}
+
 #[tokio::test]
 async fn mismatched_unsigned_or_encoded_answer_is_rejected() {
     let foreign = |_: &str| ReplicaAnswer {
--- a/daisyhinge/tests/registry.rs
+++ b/daisyhinge/tests/registry.rs
@@ -100,6 +100,39 @@
     assert_eq!(phase_of(&registry, "s"), Some(ReplicaPhase::Left));
 }
 
+/// The process that restarted knows nothing of the replica when it acknowledges the departure.
+#[test]
+fn departure_told_to_a_restarted_process_is_not_lost() {
+    let mut first = ServerRegistry::open(1, HEARTBEAT_INTERVAL);
+    first.record_heartbeat(at(0), heartbeat("r", 1, 100, 9, ReplicaPhase::Ready));
+    let mut restarted = ServerRegistry::open(2, HEARTBEAT_INTERVAL);
+    restarted.record_departure(at(500), &"r".into());
+    for record in first.replicas_after(at(700), 0) {
+        restarted.merge_replica(at(700), &record);
+    }
+    for record in restarted.replicas_after(at(700), 0) {
+        first.merge_replica(at(700), &record);
+    }
+    assert_eq!(phase_of(&first, "r"), Some(ReplicaPhase::Left));
+    assert_eq!(phase_of(&restarted, "r"), Some(ReplicaPhase::Left));
+    let late = heartbeat("r", 1, 100, 10, ReplicaPhase::Ready);
+    for registry in [&mut first, &mut restarted] {
+        let outcome = registry.record_heartbeat(at(900), late.clone());
+        assert_eq!(outcome, HeartbeatOutcome::Stale);
+    }
+}
+
+#[test]
+fn next_incarnation_registers_after_a_departure_of_an_unknown_replica() {
+    let mut registry = ServerRegistry::open(2, HEARTBEAT_INTERVAL);
+    registry.record_departure(at(500), &"r".into());
+    let started = heartbeat("r", 1, 200, 1, ReplicaPhase::Ready);
+    assert_eq!(
+        registry.record_heartbeat(at(900), started),
+        HeartbeatOutcome::Changed
+    );
+}
+
 #[test]
 fn heartbeat_ends_silence() {
     let mut registry = ServerRegistry::open(1, HEARTBEAT_INTERVAL);
