Count the first lag of an entry in full

Change: the first sample sets the mean and half of it the deviation, as TCP does for its round trip.

--- a/daisyhinge/src/dispatch/caller.rs
+++ b/daisyhinge/src/dispatch/caller.rs
@@ -45,7 +45,8 @@
 pub struct CallerEstimate {
     deadlines: HashMap<Arc<str>, RouteDeadlines>,
     round_trip: Duration,
-    lag: Duration,
+    /// Mean lag; unset before the first sample.
+    lag: Option<Duration>,
     /// Mean deviation of the lag from its mean.
     lag_deviation: Duration,
 }
@@ -55,7 +56,7 @@
         Self {
             deadlines: HashMap::new(),
             round_trip: ROUND_TRIP_DEFAULT,
-            lag: Duration::ZERO,
+            lag: None,
             lag_deviation: Duration::ZERO,
         }
     }
@@ -118,17 +119,22 @@
     /// Records the delay of an answer beyond its scheduled time.
     pub fn record_lag(&mut self, late: Duration) {
         let late = late.min(LAG_MAX);
-        let deviation = late.abs_diff(self.lag);
+        let Some(lag) = self.lag else {
+            self.lag = Some(late);
+            self.lag_deviation = late / 2;
+            return;
+        };
+        let deviation = late.abs_diff(lag);
         self.lag_deviation = self.lag_deviation.mul_f64(1.0 - LAG_DEVIATION_WEIGHT)
             + deviation.mul_f64(LAG_DEVIATION_WEIGHT);
-        self.lag = self.lag.mul_f64(1.0 - LAG_WEIGHT) + late.mul_f64(LAG_WEIGHT);
+        self.lag = Some(lag.mul_f64(1.0 - LAG_WEIGHT) + late.mul_f64(LAG_WEIGHT));
     }
 
     /// Returns the time to reserve between answering at this entry and the objective as the caller
     /// measures it: the round trip, which includes the request's way to this entry, the time to
     /// write the answer and most of the scheduling lag.
     pub fn margin(&self) -> Duration {
-        let lag = self.lag + self.lag_deviation.mul_f64(LAG_DEVIATIONS);
+        let lag = self.lag.unwrap_or_default() + self.lag_deviation.mul_f64(LAG_DEVIATIONS);
         self.round_trip + WRITE_TIME + lag
     }
 }
--- a/daisyhinge/tests/dispatch/caller.rs
+++ b/daisyhinge/tests/dispatch/caller.rs
@@ -93,3 +93,12 @@
     }
     assert!(callers.margin() - idle < ms(1), "the lag has ended");
 }
+
+/// An entry among hundreds sees few requests, so it cannot wait for many samples.
+#[test]
+fn first_lag_counts_in_full() {
+    let mut callers = CallerEstimate::default();
+    let idle = callers.margin();
+    callers.record_lag(ms(4));
+    assert!(callers.margin() - idle >= ms(4));
+}
