--- a/daisyhinge/src/shell/forward.rs
+++ b/daisyhinge/src/shell/forward.rs
@@ -12,6 +12,7 @@
 pub mod attempt;
 pub mod connection;
 pub mod crashes;
+mod drop_reason;
 mod freshness;
 pub mod gate;
 mod limited_stream;
--- a/daisyhinge/src/shell/forward/answer_body.rs
+++ b/daisyhinge/src/shell/forward/answer_body.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 
-use super::connection::DropReason;
+use super::drop_reason::DropReason;
 use crate::dispatch::answer_memory::{AnswerLease, AnswerMemory};
 use crate::dispatch::merge::RecordMerge;
 
--- a/daisyhinge/src/shell/forward/attempt.rs
+++ b/daisyhinge/src/shell/forward/attempt.rs
@@ -10,7 +10,8 @@
 use hyper::header::{CONTENT_ENCODING, HeaderValue};
 
 use super::answer_body::AnswerCollector;
-use super::connection::{DropReason, ExchangeError, ReplicaAnswer, ReplicaConnection};
+use super::connection::{ExchangeError, ReplicaAnswer, ReplicaConnection};
+use super::drop_reason::DropReason;
 use super::gate::WritePermit;
 use super::outgoing::OutgoingRequest;
 use super::relay::link::send_over_link;
--- a/daisyhinge/src/shell/forward/connection.rs
+++ b/daisyhinge/src/shell/forward/connection.rs
@@ -19,6 +19,7 @@
 use tokio::net::TcpStream;
 
 use super::answer_body::AnswerCollector;
+use super::drop_reason::DropReason;
 use super::limited_stream::{LimitedStream, ReceiveLimit};
 
 type Driver = Connection<TokioIo<LimitedStream>, Full<Bytes>>;
@@ -55,37 +56,6 @@
     Reset,
 }
 
-/// Why an answer was dropped.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum DropReason {
-    /// It is larger than an answer may be.
-    Oversized,
-    /// It arrives in too many small pieces.
-    Fragmented,
-    /// The entry has no memory left for large answers.
-    NoMemory,
-    /// It is no HTTP answer.
-    Malformed,
-    /// It ended before it was complete.
-    Truncated,
-    /// It belongs to another request, or a replica would not send it.
-    Unusable,
-}
-
-impl DropReason {
-    /// Returns the name for logs and metrics.
-    pub(super) fn name(self) -> &'static str {
-        match self {
-            Self::Oversized => "oversized",
-            Self::Fragmented => "fragmented",
-            Self::NoMemory => "no_memory",
-            Self::Malformed => "malformed",
-            Self::Truncated => "truncated",
-            Self::Unusable => "unusable",
-        }
-    }
-}
-
 /// An open connection to a replica.
 pub(super) struct ReplicaConnection {
     sender: SendRequest<Full<Bytes>>,
--- a/daisyhinge/src/shell/forward/outcome_log.rs
+++ b/daisyhinge/src/shell/forward/outcome_log.rs
@@ -1,6 +1,6 @@
 //! Records the outcome of finished requests in the log and the metrics.
 
-use super::connection::DropReason;
+use super::drop_reason::DropReason;
 use super::outgoing::OutgoingRequest;
 use super::run::{RequestOutcome, end_label};
 use super::state::{ActiveSite, ForwardState};
