--- a/daisyhinge/tests/dispatch.rs
+++ b/daisyhinge/tests/dispatch.rs
@@ -1,6 +1,8 @@
 //! Dispatch to replicas: routes, shares, retry budgets, load balancing and complete requests,
 //! without a network.
 
+#[path = "dispatch/answers.rs"]
+mod answers;
 #[path = "dispatch/caller.rs"]
 mod caller;
 #[path = "dispatch/choice.rs"]
