Read, log and count the rates that replicas state

Cause: not mended here. The header is read (decimal number; malformed: the last statement holds; several: the lowest), kept for each replica, logged on change (replica_limit) and counted (replicas_limited). No choice depends on it. Ruled out: that entries respect the limit each for itself (a single one exceeds it); that only hedges, links or a restart exceed it (direct requests do). Conclusion: nothing in the entries acts on the statement.

--- a/daisyhinge/src/dispatch/fleet.rs
+++ b/daisyhinge/src/dispatch/fleet.rs
@@ -22,14 +22,16 @@
 mod notice;
 mod outlier;
 mod replica;
+mod request_rate;
 mod shares;
 use super::budget::SlackShare;
 use cold_gate::ColdGate;
 use departed::DepartedReplicas;
 pub use locality::Locality;
 pub use location::FleetLocation;
-pub use notice::ReplicaNotice;
+pub use notice::{NoticeCounts, ReplicaNotice};
 pub use replica::{FleetReplica, ReplicaOutcome};
+pub use request_rate::{RateChange, RateNotice, RequestRate};
 
 /// Local identifier of a replica at this entry; never reused.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
--- a/daisyhinge/src/dispatch/fleet/notice.rs
+++ b/daisyhinge/src/dispatch/fleet/notice.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{ChoiceQuery, Fleet, FleetReplica, ReplicaIndex};
+use super::{ChoiceQuery, Fleet, FleetReplica, RateChange, RateNotice, ReplicaIndex, RequestRate};
 use crate::prelude::*;
 use crate::vocabulary::registration::ReplicaPhase;
 
@@ -18,6 +18,8 @@
     pub leaving: bool,
     /// Time from the answer on during which this entry must not send to the replica.
     pub pause: Option<Duration>,
+    /// Rate of requests that the replica takes from all entries together.
+    pub rate: RateNotice,
 }
 
 impl ReplicaNotice {
@@ -32,6 +34,17 @@
     }
 }
 
+/// Numbers of replicas by what their own answers stated.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct NoticeCounts {
+    /// Replicas that leave.
+    pub leaving: usize,
+    /// Replicas that have asked this entry to pause.
+    pub paused: usize,
+    /// Replicas that take a limited rate.
+    pub limited: usize,
+}
+
 impl FleetReplica {
     /// Whether the replica takes new requests, as far as announced and stated in its answers.
     pub fn is_offered(&self) -> bool {
@@ -54,7 +67,17 @@
         self.is_paused(now).then_some(self.paused_until)
     }
 
-    pub(super) fn record_notice(&mut self, now: MonotonicTime, notice: ReplicaNotice) {
+    /// Returns the rate of requests that the replica takes from all entries together, if it has
+    /// stated one.
+    pub fn stated_rate(&self) -> Option<RequestRate> {
+        self.limiter.rate()
+    }
+
+    pub(super) fn record_notice(
+        &mut self,
+        now: MonotonicTime,
+        notice: ReplicaNotice,
+    ) -> Option<RateChange> {
         self.leaving |= notice.leaving;
         if self.leaving {
             self.connections_kept = 0;
@@ -62,6 +85,7 @@
         if let Some(until) = notice.paused_until(now) {
             self.paused_until = self.paused_until.max(until);
         }
+        self.limiter.record(now, notice.rate)
     }
 }
 
@@ -84,8 +108,9 @@
         })?
     }
 
-    /// Records what a replica stated in an answer. `born_ms` identifies the incarnation that
-    /// answered, which may have been replaced in the meantime.
+    /// Records what a replica stated in an answer, and returns the change of the rate that it takes.
+    /// `born_ms` identifies the incarnation that answered, which may have been replaced in the
+    /// meantime.
     pub fn record_notice(
         &mut self,
         now: MonotonicTime,
@@ -93,13 +118,12 @@
         name: &ReplicaName,
         born_ms: Option<u64>,
         notice: ReplicaNotice,
-    ) {
+    ) -> Option<RateChange> {
         if notice.leaving {
             self.departed.insert(name, born_ms);
         }
-        if let Some(replica) = self.replicas.get_mut(&index) {
-            replica.record_notice(now, notice);
-        }
+        let replica = self.replicas.get_mut(&index)?;
+        replica.record_notice(now, notice)
     }
 
     /// Returns what the named replica has stated and still holds.
@@ -109,14 +133,22 @@
         known.map_or(ReplicaNotice::default(), |replica| ReplicaNotice {
             leaving: replica.leaving,
             pause: replica.pause_end(now).map(|end| end.since(now)),
+            rate: replica
+                .stated_rate()
+                .map_or(RateNotice::Unstated, RateNotice::Limited),
         })
     }
 
-    /// Counts the replicas that are leaving by their own answers, and those that are paused.
-    pub fn count_notices(&self, now: MonotonicTime) -> (usize, usize) {
+    /// Counts the replicas by what their own answers stated.
+    pub fn count_notices(&self, now: MonotonicTime) -> NoticeCounts {
         let replicas = || self.replicas.values();
         let leaving = replicas().filter(|replica| replica.is_leaving());
         let paused = replicas().filter(|replica| replica.is_paused(now));
-        (leaving.count(), paused.count())
+        let limited = replicas().filter(|replica| replica.stated_rate().is_some());
+        NoticeCounts {
+            leaving: leaving.count(),
+            paused: paused.count(),
+            limited: limited.count(),
+        }
     }
 }
--- a/daisyhinge/src/dispatch/fleet/replica.rs
+++ b/daisyhinge/src/dispatch/fleet/replica.rs
@@ -4,6 +4,7 @@
 
 use super::locality::Locality;
 use super::outlier::OutlierDetector;
+use super::request_rate::RateLimiter;
 use crate::prelude::*;
 use crate::vocabulary::clock::duration_to_micros;
 use crate::vocabulary::registration::{ReplicaPhase, ReplicaRecord};
@@ -104,6 +105,7 @@
     pub(super) leaving: bool,
     /// End of the pause that the replica requested.
     pub(super) paused_until: MonotonicTime,
+    pub(super) limiter: RateLimiter,
     /// Adaptive limit on this entry's concurrent requests, from refusals and answers.
     concurrency_limit: f64,
 }
@@ -130,6 +132,7 @@
             outlier: OutlierDetector::default(),
             leaving: false,
             paused_until: MonotonicTime(0),
+            limiter: RateLimiter::default(),
             concurrency_limit: f64::from(u16::MAX),
         };
         replica.latency_us = replica.prior_us();
@@ -259,6 +262,7 @@
 
     pub(super) fn begin(&mut self, now: MonotonicTime, attempt: u64) {
         self.running.push((attempt, now));
+        self.limiter.begin();
         if let Some(rate) = self.cold_rate.filter(|rate| *rate > 0.0) {
             self.cold_next_at = now + from_micros(1e6 / rate);
         }
--- a/daisyhinge/src/metric/forward.rs
+++ b/daisyhinge/src/metric/forward.rs
@@ -7,6 +7,8 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use crate::dispatch::fleet::NoticeCounts;
+
 /// Bounds of the latency histogram, in seconds.
 const LATENCY_BOUNDS: [f64; 12] = [
     0.01, 0.02, 0.04, 0.06, 0.08, 0.1, 0.12, 0.2, 0.3, 0.6, 1.2, 5.0,
@@ -67,6 +69,8 @@
     pub replicas_leaving: Gauge,
     /// Number of replicas that have asked this entry to pause.
     pub replicas_paused: Gauge,
+    /// Number of replicas that take a limited rate of requests.
+    pub replicas_limited: Gauge,
     /// Memory that the bodies of answers hold, in bytes.
     pub answer_bytes: Gauge,
     /// Latency of requests, in seconds.
@@ -87,6 +91,7 @@
             answers_dropped: Family::default(),
             replicas_leaving: Gauge::default(),
             replicas_paused: Gauge::default(),
+            replicas_limited: Gauge::default(),
             answer_bytes: Gauge::default(),
             latency: Histogram::new(LATENCY_BOUNDS),
         }
@@ -94,11 +99,12 @@
 }
 
 impl ForwardCounters {
-    /// Sets the numbers of replicas that are leaving by their answers, and of those paused.
-    pub fn set_notices(&self, (leaving, paused): (usize, usize)) {
+    /// Sets the numbers of replicas by what their answers stated.
+    pub fn set_notices(&self, counts: NoticeCounts) {
         let gauge = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
-        self.replicas_leaving.set(gauge(leaving));
-        self.replicas_paused.set(gauge(paused));
+        self.replicas_leaving.set(gauge(counts.leaving));
+        self.replicas_paused.set(gauge(counts.paused));
+        self.replicas_limited.set(gauge(counts.limited));
     }
 
     /// Registers the metrics under their complete names; `registry` must not add a prefix.
@@ -157,6 +163,12 @@
             paused,
             self.replicas_paused.clone(),
         );
+        let limited = "Replicas that take a limited rate of requests";
+        registry.register(
+            "daisyhinge_forward_replicas_limited",
+            limited,
+            self.replicas_limited.clone(),
+        );
         let bytes = "Memory that the bodies of answers hold, in bytes";
         registry.register(
             "daisyhinge_forward_answer_bytes",
--- a/daisyhinge/src/shell/forward/answer.rs
+++ b/daisyhinge/src/shell/forward/answer.rs
@@ -223,6 +223,7 @@
     headers.remove(&state.names.not_run);
     // Both concern this entry and the replica; the caller may come back at once.
     headers.remove(&state.names.leaving);
+    headers.remove(&state.names.rate_limit);
     headers.remove(RETRY_AFTER);
     let mut answer = Response::new(Full::new(replica_answer.body));
     *answer.status_mut() =
--- a/daisyhinge/src/shell/forward/wire.rs
+++ b/daisyhinge/src/shell/forward/wire.rs
@@ -20,6 +20,8 @@
     pub not_run: HeaderName,
     /// Set to 1 by a replica that is leaving, in all its answers.
     pub leaving: HeaderName,
+    /// Requests per second that the replica takes from all entries together.
+    pub rate_limit: HeaderName,
     /// Signatures of the parts of a merged answer.
     pub part_signatures: HeaderName,
     /// Number of shards missing from a merged answer.
--- a/daisyhinge/tests/dispatch/notices.rs
+++ b/daisyhinge/tests/dispatch/notices.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use daisyhinge::dispatch::Dispatcher;
-use daisyhinge::dispatch::fleet::{Choice, ChoiceQuery, ReplicaIndex, ReplicaNotice};
+use daisyhinge::dispatch::fleet::{Choice, ChoiceQuery, RateNotice, ReplicaIndex, ReplicaNotice};
 use daisyhinge::dispatch::request::{
     AttemptEnd, Decision, RequestAction, RequestEvent, RequestMachine,
 };
@@ -17,12 +17,13 @@
 const LEAVING: ReplicaNotice = ReplicaNotice {
     leaving: true,
     pause: None,
+    rate: RateNotice::Unstated,
 };
 
 fn pause(ms: u64) -> ReplicaNotice {
     ReplicaNotice {
-        leaving: false,
         pause: Some(Duration::from_millis(ms)),
+        ..ReplicaNotice::default()
     }
 }
 
--- a/daisyhinge/tests/notice.rs
+++ b/daisyhinge/tests/notice.rs
@@ -10,7 +10,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use daisyhinge::dispatch::fleet::ReplicaNotice;
+use daisyhinge::dispatch::fleet::{RateNotice, ReplicaNotice, RequestRate};
 use daisyhinge::shell::forward::notice::read_notice;
 use fixture::{AfterAnswer, ReplicaAnswer, call_entry, complete_answer, open_fixture};
 use hyper::HeaderMap;
@@ -63,6 +63,39 @@
     assert_eq!(read(503, &[end, after]).pause, None);
 }
 
+fn rate_of(status: u16, values: &[&str]) -> RateNotice {
+    let lines: Vec<_> = values.iter().map(|value| ("x-limit", *value)).collect();
+    read(status, &lines).rate
+}
+
+#[test]
+fn rate_is_read_in_requests_per_second_with_fractions() {
+    let limited = |thousandths| RateNotice::Limited(RequestRate(thousandths));
+    for status in [200, 404, 500, 503] {
+        assert_eq!(rate_of(status, &["36.4"]), limited(36_400));
+    }
+    assert_eq!(rate_of(200, &[" 7 "]), limited(7_000));
+    assert_eq!(rate_of(200, &["0"]), limited(0));
+    assert_eq!(rate_of(200, &["9", "2.5", "x"]), limited(2_500));
+    let digits = "9".repeat(400);
+    assert_eq!(rate_of(200, &[&digits]), limited(u64::MAX));
+}
+
+#[test]
+fn malformed_rate_leaves_the_last_statement_in_force() {
+    for value in ["", "-1", "soon", "1e3", "inf", "NaN", "+2", "1.2.3", "."] {
+        assert_eq!(rate_of(200, &[value]), RateNotice::Unstated, "{value:?}");
+    }
+}
+
+#[test]
+fn only_a_success_without_a_rate_lifts_the_limit() {
+    assert_eq!(rate_of(200, &[]), RateNotice::Unlimited);
+    for status in [404, 500, 503] {
+        assert_eq!(rate_of(status, &[]), RateNotice::Unstated);
+    }
+}
+
 #[test]
 fn leaving_is_read_from_answers_of_any_status() {
     for status in [200, 404, 503] {
--- a/daisyhinge/tests/support/known_replica.rs
+++ b/daisyhinge/tests/support/known_replica.rs
@@ -24,6 +24,7 @@
         expected_replica: HeaderName::from_static("x-expect"),
         not_run: HeaderName::from_static("x-not-run"),
         leaving: HeaderName::from_static("x-leaving"),
+        rate_limit: HeaderName::from_static("x-limit"),
         part_signatures: HeaderName::from_static("x-seals"),
         missing_shards: HeaderName::from_static("x-missing"),
     }
