Keep to the rate that a replica states, over all entries

Callers saw nothing; replicas in need got up to twice the rate that they had named (LIMIT). Cause: nothing in the entries acted on the statement; class: a limit that all entries share, which no entry can keep by itself. Each active entry sends at its share of the rate (90% divided; nine tenths of it in the replica's region), by permits that lapse after 1 s, so that what was not used cannot be sent later at once. What is beyond the rate goes to other replicas; with none left, the request is refused at once until the next permit. Over a link, the entry that calls the replica uses its own permits. Failed before: replica_that_named_a_rate_gets_no_more_requests_than_that, 294 requests in two seconds of 40; now it passes. The price is the way to another region instead of the limited replica nearby. Conclusion: the rule holds by construction for entries that know each other.

--- a/daisyhinge/src/dispatch/fleet.rs
+++ b/daisyhinge/src/dispatch/fleet.rs
@@ -289,7 +289,7 @@
         allowed: &[RegionName],
     ) -> bool {
         self.is_permitted(replica, allowed)
-            && !replica.is_paused(now)
+            && replica.blocked_until(now).is_none()
             && !replica.is_backed_off(now)
     }
 
@@ -330,7 +330,11 @@
             return Choice::Unavailable;
         };
         match self.replicas.get(&index) {
-            Some(replica) if self.has_capacity(now, replica) => Choice::Replica(index),
+            Some(replica)
+                if self.has_capacity(now, replica) && replica.blocked_until(now).is_none() =>
+            {
+                Choice::Replica(index)
+            }
             Some(_) => Choice::Busy,
             None => Choice::Unavailable,
         }
--- a/daisyhinge/src/dispatch/fleet/notice.rs
+++ b/daisyhinge/src/dispatch/fleet/notice.rs
@@ -62,11 +62,16 @@
         now < self.paused_until
     }
 
-    /// Returns the end of the pause that the replica has asked for, if it is not over.
-    pub fn pause_end(&self, now: MonotonicTime) -> Option<MonotonicTime> {
+    fn pause_end(&self, now: MonotonicTime) -> Option<MonotonicTime> {
         self.is_paused(now).then_some(self.paused_until)
     }
 
+    /// Returns when this entry may send the next request, as far as the replica has stated, if that
+    /// is not now: after the pause that it asked for, and within the rate that it takes.
+    pub fn blocked_until(&self, now: MonotonicTime) -> Option<MonotonicTime> {
+        self.pause_end(now).max(self.limiter.blocked_until(now))
+    }
+
     /// Returns the rate of requests that the replica takes from all entries together, if it has
     /// stated one.
     pub fn stated_rate(&self) -> Option<RequestRate> {
@@ -90,8 +95,8 @@
 }
 
 impl Fleet {
-    /// Returns the end of the first pause if replicas of a service have requested pauses and no
-    /// other one can be used.
+    /// Returns when the first replica of a service can be used again, if replicas have requested
+    /// pauses or lower rates and no other one can be used.
     pub fn find_pause_end(
         &self,
         now: MonotonicTime,
@@ -102,9 +107,9 @@
         let mut permitted =
             members.filter(|replica| self.is_permitted(replica, query.allowed_regions));
         permitted.try_fold(None, |earliest: Option<MonotonicTime>, replica| {
-            let pause_end = replica.pause_end(now);
-            let is_usable = pause_end.is_none() && !replica.is_backed_off(now);
-            (!is_usable).then(|| earliest.into_iter().chain(pause_end).min())
+            let blocked_until = replica.blocked_until(now);
+            let is_usable = blocked_until.is_none() && !replica.is_backed_off(now);
+            (!is_usable).then(|| earliest.into_iter().chain(blocked_until).min())
         })?
     }
 
--- a/daisyhinge/src/dispatch/fleet/replica.rs
+++ b/daisyhinge/src/dispatch/fleet/replica.rs
@@ -262,7 +262,7 @@
 
     pub(super) fn begin(&mut self, now: MonotonicTime, attempt: u64) {
         self.running.push((attempt, now));
-        self.limiter.begin();
+        self.limiter.begin(now);
         if let Some(rate) = self.cold_rate.filter(|rate| *rate > 0.0) {
             self.cold_next_at = now + from_micros(1e6 / rate);
         }
--- a/daisyhinge/src/dispatch/fleet/shares.rs
+++ b/daisyhinge/src/dispatch/fleet/shares.rs
@@ -5,11 +5,12 @@
 use std::net::SocketAddr;
 
 use super::Fleet;
+use super::request_rate::RateShare;
 use crate::active::{
     OTHER_REGION_CONNECTIONS, SAME_REGION_CONNECTIONS, active_entries_per_region, list_active,
 };
 use crate::dispatch::budget::SlackShare;
-use crate::dispatch::share::{EntryCount, connection_share, hash_pair};
+use crate::dispatch::share::{EntryCount, connection_share, hash_fraction, hash_pair, rate_share};
 use crate::prelude::*;
 use crate::vocabulary::registration::{EntryPhase, ReplicaPhase};
 
@@ -42,14 +43,18 @@
             let cold_rate = state.and_then(|state| state.cold_per_second);
             replica.connections_kept = 0;
             replica.uses_link = false;
+            let name = replica.record.name.as_str();
+            let (count, rank) =
+                rank_entry(&self.location.vm, name, is_in_same_region, region, &peers);
+            replica.limiter.share = RateShare {
+                fraction: rate_share(count, is_in_same_region),
+                offset: hash_fraction(hash_pair(self.location.vm.as_str(), name)),
+            };
             if !is_active {
                 replica.connections_max = 0;
                 replica.cold_rate = cold_rate.map(|_| 0.0);
                 continue;
             }
-            let name = replica.record.name.as_str();
-            let (count, rank) =
-                rank_entry(&self.location.vm, name, is_in_same_region, region, &peers);
             let connections_max = state.and_then(|state| state.connections_max);
             let connections_max = connections_max.unwrap_or(CONNECTIONS_DEFAULT);
             replica.connections_max =
--- a/daisyhinge/src/dispatch/request.rs
+++ b/daisyhinge/src/dispatch/request.rs
@@ -311,6 +311,7 @@
             Choice::Busy => target.close_unless_waiting(waiting, ResultCode::SlotsBusy),
             Choice::Unavailable => {
                 target.back_at = dispatcher.fleet.find_pause_end(now, &query);
+                target.due = target.back_at.filter(|_| waiting);
                 target.close_unless_waiting(waiting, unavailable_code(target.back_at));
             }
         }
--- a/daisyhinge/src/dispatch/share.rs
+++ b/daisyhinge/src/dispatch/share.rs
@@ -1,4 +1,4 @@
-//! An entry's share of a replica's connections.
+//! An entry's share of a replica's connections, and of the rate of requests that it takes.
 //!
 //! Half of the connections are for entries in the replica's region, which send it most of its
 //! requests. If some of the other entries would get none, the connections beyond one for each entry
@@ -13,6 +13,9 @@
 const LOCAL_PERCENT: u32 = 50;
 /// Percentage of the connections for all other entries.
 const REMOTE_PERCENT: u32 = 44;
+/// Percentage of the rate that a replica takes for entries in its region. Those in other regions
+/// have nearer replicas, and reach it through entries of its region.
+const LOCAL_RATE_PERCENT: u32 = 90;
 /// Seed of the hash; part of the protocol, since all entries must compute the same ranking.
 const SHARE_SEED: u64 = 0x7368_6172_6573_0001;
 
@@ -60,6 +63,22 @@
     available / entries + u32::from(rank < available % entries)
 }
 
+/// Returns an entry's part of the rate of requests that a replica takes, from 0 to 1.
+pub fn rate_share(count: EntryCount, is_in_same_region: bool) -> f64 {
+    let (entries, percent) = match (is_in_same_region, count.local, count.remote) {
+        (_, 0, others) | (_, others, 0) => (others, 100),
+        (true, local, _) => (local, LOCAL_RATE_PERCENT),
+        (false, _, remote) => (remote, 100 - LOCAL_RATE_PERCENT),
+    };
+    f64::from(percent) / 100.0 / f64::from(entries.max(1))
+}
+
+/// Returns the hash of an entry and a replica as a number from 0 to below 1.
+pub fn hash_fraction(hash: u64) -> f64 {
+    let bits = u32::try_from(hash >> u32::BITS).unwrap_or(u32::MAX);
+    f64::from(bits) / (f64::from(u32::MAX) + 1.0)
+}
+
 /// Hash by which entries are ranked for a replica; larger hashes rank first.
 pub fn hash_pair(vm: &str, replica: &str) -> u64 {
     let mut hasher = FixedState::with_seed(SHARE_SEED).build_hasher();
--- a/daisyhinge/src/shell/forward/relay/serve.rs
+++ b/daisyhinge/src/shell/forward/relay/serve.rs
@@ -17,7 +17,7 @@
 use super::head::read_head;
 use super::head_cache::ReceivedHeads;
 use super::{RelayLink, RelayPart, RelayReply, RelayRequest};
-use crate::dispatch::fleet::{Choice, ReplicaIndex, ReplicaNotice, ReplicaOutcome};
+use crate::dispatch::fleet::{Choice, RateNotice, ReplicaIndex, ReplicaNotice, ReplicaOutcome};
 use crate::dispatch::merge::merge_parts;
 use crate::dispatch::request::AttemptEnd;
 use crate::prelude::*;
@@ -114,7 +114,10 @@
             Err(end) => (end, None),
         };
         attempt.outcome = end.into();
-        let notice = self.stated_notice(&relay_request.replica);
+        let mut notice = self.stated_notice(&relay_request.replica);
+        if end == AttemptEnd::Answered && notice.rate == RateNotice::Unstated {
+            notice.rate = RateNotice::Unlimited;
+        }
         let part = answer.and_then(|answer| build_part(&self.state, top_records, &answer));
         RelayReply {
             end,
--- a/daisyhinge/src/vocabulary/code.rs
+++ b/daisyhinge/src/vocabulary/code.rs
@@ -102,7 +102,7 @@
     GivenUp = 2012, 503;
     /// the data centre's power cap is reached
     PowerCapReached = 2013, 503;
-    /// all replicas have asked for a pause; retry when the first pause has ended
+    /// all replicas have asked for a pause or a lower rate; retry when the first can be used again
     ReplicasPaused = 2014, 503;
 
     // 3xxx: reasons why a sub-request was not answered.
--- a/daisyhinge/tests/dispatch.rs
+++ b/daisyhinge/tests/dispatch.rs
@@ -19,6 +19,8 @@
 mod notices;
 #[path = "dispatch/parts.rs"]
 mod parts;
+#[path = "dispatch/rates.rs"]
+mod rates;
 #[path = "dispatch/requests.rs"]
 mod requests;
 #[path = "dispatch/support.rs"]
--- a/daisyhinge/tests/notice.rs
+++ b/daisyhinge/tests/notice.rs
@@ -8,7 +8,7 @@
 mod known_replica;
 
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use daisyhinge::dispatch::fleet::{RateNotice, ReplicaNotice, RequestRate};
 use daisyhinge::shell::forward::notice::read_notice;
@@ -160,3 +160,41 @@
     assert_eq!(served.status(), 200);
     fixture.stop.cancel();
 }
+
+/// The entry is the only one, so all of the rate is its own.
+#[tokio::test]
+async fn replica_that_named_a_rate_gets_no_more_requests_than_that() {
+    const PER_SECOND: usize = 20;
+    static ARRIVED: AtomicUsize = AtomicUsize::new(0);
+    let script = |id: &str| {
+        ARRIVED.fetch_add(1, Ordering::Relaxed);
+        ReplicaAnswer {
+            bytes: complete_answer(id, "label").replace("x-seal", "x-limit: 20.0\r\nx-seal"),
+            then: AfterAnswer::Stay,
+        }
+    };
+    let fixture = open_fixture(43, script).await;
+    let first = call_entry(fixture.host, "id-first").await;
+    assert_eq!(first.status(), 200);
+    assert!(!first.headers().contains_key("x-limit"));
+    let started = Instant::now();
+    let mut served = 0;
+    for number in 0.. {
+        let answer = call_entry(fixture.host, &format!("id-{number}")).await;
+        served += usize::from(answer.status() == 200);
+        if answer.status() != 200 {
+            let left = answer.headers()["retry-after"].to_str().expect("text");
+            let left: f64 = left.parse().expect("seconds");
+            assert!((0.0..0.5).contains(&left), "{left}");
+        }
+        if started.elapsed() > Duration::from_secs(2) {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let arrived = ARRIVED.load(Ordering::Relaxed) - 1;
+    assert_eq!(arrived, served);
+    assert!(arrived <= 2 * PER_SECOND, "{arrived} in two seconds");
+    assert!(arrived > PER_SECOND, "{arrived} in two seconds");
+    fixture.stop.cancel();
+}
--- a/daisyhinge/tests/relay.rs
+++ b/daisyhinge/tests/relay.rs
@@ -7,6 +7,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -232,6 +233,63 @@
     replica.close().await;
 }
 
+/// The entry that calls the replica counts what it sends for others, too.
+#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
+async fn requests_over_a_link_keep_to_the_rate_that_the_replica_states() {
+    let seen = SeenHeads::default();
+    let recorder = Arc::clone(&seen);
+    let is_limited = Arc::new(AtomicBool::new(true));
+    let limited = Arc::clone(&is_limited);
+    let answer = move |request: Request<Incoming>| {
+        let mut answer = answer_replica(&recorder, &request);
+        if limited.load(Ordering::Relaxed) {
+            let rate = HeaderValue::from_static("4.0");
+            answer.headers_mut().insert("x-limit", rate);
+        }
+        std::future::ready(answer)
+    };
+    let address = SocketAddr::new(host(49), REPLICA_PORT);
+    let replica = HttpPort::bind(address, answer).await;
+    let replica = replica.expect("bind the port");
+    let local_entry = open_entry_at(1, "a", address);
+    let remote_entry = open_entry_at(2, "b", address);
+    let relay = SocketAddr::new(host(2), RELAY_PORT + 40);
+    bind_relay(remote_entry, relay)
+        .await
+        .expect("bind the port");
+    let links = tokio::spawn(run_links(Arc::clone(&local_entry), RELAY_PORT + 40));
+    wait_until("the link is open", || {
+        local_entry.has_link(&RegionName::from("south"))
+    })
+    .await;
+    let send = || {
+        let request = outgoing_request(&local_entry);
+        let permit = Arc::<WritePermit>::default();
+        run_attempt(
+            Arc::clone(&local_entry),
+            request,
+            1,
+            ReplicaIndex(0),
+            permit,
+        )
+    };
+    for _ in 0..100 {
+        let end = send().await.end;
+        assert!(matches!(end, AttemptEnd::Answered | AttemptEnd::PeerBusy));
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let arrived = seen.lock().len();
+    assert!((2..=5).contains(&arrived), "{arrived} in a second");
+    is_limited.store(false, Ordering::Relaxed);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    send().await;
+    for _ in 0..20 {
+        assert_eq!(send().await.end, AttemptEnd::Answered);
+    }
+    links.abort();
+    replica.close().await;
+}
+
 /// The head of a request is sent once on a link. If the receiver no longer stores the head, it
 /// requests the head again and sends nothing to the replica in the meantime.
 #[tokio::test]
