Log and count whether an entry reaches replicas

Cause: not mended here. Connects and answers are recorded as evidence; while two replicas take no connection, others are probed each 100 ms. No choice depends on it. Conclusion: an entry without any way to replicas looks healthy to control, to the directory and to other entries.

--- a/daisyhinge/src/dispatch.rs
+++ b/daisyhinge/src/dispatch.rs
@@ -10,6 +10,7 @@
 pub mod crash;
 pub mod fleet;
 pub mod merge;
+pub mod reach;
 pub mod request;
 pub mod share;
 
@@ -25,6 +26,7 @@
 use caller::CallerEstimate;
 use crash::CrashMonitor;
 use fleet::{Fleet, FleetLocation, ReplicaIndex};
+use reach::{ReachMonitor, ReplicaReach};
 
 /// Upper bound of the hedging delay as a percentage of the objective, round trip excluded.
 const HEDGE_OBJECTIVE_PERCENT: u32 = 22;
@@ -41,6 +43,8 @@
     pub callers: CallerEstimate,
     /// Records of requests that crash replicas.
     pub crashes: CrashMonitor,
+    /// Evidence of how this entry reaches replicas.
+    pub reach: ReachMonitor,
     limits: BudgetLimits,
     budgets: HashMap<ServiceName, RetryBudget>,
     round_robins: HashMap<Arc<str>, WeightedRoundRobin>,
@@ -56,6 +60,7 @@
             fleet: Fleet::open(location),
             callers: CallerEstimate::default(),
             crashes: CrashMonitor::default(),
+            reach: ReachMonitor::default(),
             limits,
             budgets: HashMap::new(),
             round_robins: HashMap::new(),
@@ -139,6 +144,11 @@
         })
     }
 
+    /// Returns how this entry reaches replicas.
+    pub fn reach(&self, now: MonotonicTime) -> ReplicaReach {
+        self.reach.reach(now, self.fleet.len())
+    }
+
     /// Allocates the number of a new attempt.
     pub fn next_attempt(&mut self) -> u64 {
         self.attempts += 1;
--- a/daisyhinge/src/dispatch/fleet.rs
+++ b/daisyhinge/src/dispatch/fleet.rs
@@ -231,6 +231,16 @@
         self.replicas.get(index).map(|replica| &replica.record)
     }
 
+    /// Returns the number of replicas of all services.
+    pub fn len(&self) -> usize {
+        self.replicas.len()
+    }
+
+    /// Returns whether no replica is known.
+    pub fn is_empty(&self) -> bool {
+        self.replicas.is_empty()
+    }
+
     /// Iterates over the replicas of all services.
     pub fn replicas(&self) -> impl Iterator<Item = (ReplicaIndex, &FleetReplica)> {
         self.replicas
--- a/daisyhinge/src/metric/forward.rs
+++ b/daisyhinge/src/metric/forward.rs
@@ -57,6 +57,10 @@
     pub relayed: Counter,
     /// Number of connections opened to replicas since the process started.
     pub connections_opened: Counter,
+    /// Number of connections to replicas that could not be opened since the process started.
+    pub connects_failed: Counter,
+    /// 1 if connections to replicas can be opened, 0 if not.
+    pub reaches_replicas: Gauge,
     /// Number of idle connections to replicas.
     pub connections_idle: Gauge,
     /// Number of changes in the records of requests that crash replicas.
@@ -79,12 +83,16 @@
 
 impl Default for ForwardCounters {
     fn default() -> Self {
+        let reached = Gauge::default();
+        reached.set(1);
         Self {
             requests: Family::default(),
             attempts: Family::default(),
             repeats: Counter::default(),
             relayed: Counter::default(),
             connections_opened: Counter::default(),
+            connects_failed: Counter::default(),
+            reaches_replicas: reached,
             connections_idle: Gauge::default(),
             crashes: Family::default(),
             crash_records: Gauge::default(),
@@ -131,6 +139,18 @@
             opened,
             self.connections_opened.clone(),
         );
+        let failed = "Connections to replicas that could not be opened";
+        registry.register(
+            "daisyhinge_forward_connects_failed",
+            failed,
+            self.connects_failed.clone(),
+        );
+        let reached = "Whether connections to replicas can be opened";
+        registry.register(
+            "daisyhinge_forward_reaches_replicas",
+            reached,
+            self.reaches_replicas.clone(),
+        );
         let idle = "Idle connections to replicas";
         registry.register(
             "daisyhinge_forward_connections_idle",
--- a/daisyhinge/src/shell/forward.rs
+++ b/daisyhinge/src/shell/forward.rs
@@ -21,6 +21,7 @@
 mod outcome_log;
 pub mod outgoing;
 mod pool;
+pub mod reach;
 pub mod relay;
 mod reporter;
 mod run;
--- a/daisyhinge/src/shell/forward/attempt.rs
+++ b/daisyhinge/src/shell/forward/attempt.rs
@@ -128,6 +128,11 @@
             return Err(AttemptEnd::Lost);
         }
     };
+    state
+        .dispatcher
+        .lock()
+        .reach
+        .record_answer(state.clock.now());
     let end = classify_answer(state, request, &answer);
     match end {
         AttemptEnd::Lost => {
@@ -186,10 +191,10 @@
     state.counters.connections_opened.inc();
     let connect = ReplicaConnection::connect(endpoint.address);
     let connect_timeout = CONNECT_TIMEOUT + endpoint.assumed_round_trip;
-    match tokio::time::timeout(connect_timeout, connect).await {
-        Ok(Some(connection)) => Ok(connection),
-        _ => Err(AttemptEnd::NotSent),
-    }
+    let connected = tokio::time::timeout(connect_timeout, connect).await;
+    let connection = connected.ok().flatten();
+    state.record_connect(endpoint.replica, connection.is_some());
+    connection.ok_or(AttemptEnd::NotSent)
 }
 
 fn build_request(
--- a/daisyhinge/src/shell/forward/state.rs
+++ b/daisyhinge/src/shell/forward/state.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use parking_lot::{Mutex, RwLock};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tokio_util::sync::CancellationToken;
 
 use super::pool::ConnectionPool;
@@ -16,6 +16,7 @@
 use crate::dispatch::answer_memory::AnswerMemory;
 use crate::dispatch::budget::BudgetLimits;
 use crate::dispatch::fleet::{FleetLocation, ReplicaIndex};
+use crate::dispatch::reach::ReplicaReach;
 use crate::lease::{FreshnessLease, LapsePolicy};
 use crate::metric::forward::ForwardCounters;
 use crate::prelude::*;
@@ -75,6 +76,8 @@
     pub(super) links: PeerLinks,
     pub(super) log: DecisionLog,
     pub(super) reporter: CrashReporter,
+    /// How this entry reaches replicas.
+    pub(super) reach: watch::Sender<ReplicaReach>,
     /// Limit on the memory for answers in flight.
     pub answer_memory: Arc<AnswerMemory>,
     site: RwLock<Option<Arc<ActiveSite>>>,
@@ -105,6 +108,7 @@
             links: PeerLinks::default(),
             log: DecisionLog::open(),
             reporter,
+            reach: watch::Sender::default(),
             answer_memory: AnswerMemory::open(settings.answer_memory_max),
             site: RwLock::new(None),
             revision: Mutex::new(0),
--- a/daisyhinge/src/shell/forward/warm.rs
+++ b/daisyhinge/src/shell/forward/warm.rs
@@ -81,7 +81,10 @@
 async fn open_connection(state: &ForwardState, (replica, address): (ReplicaIndex, SocketAddr)) {
     let connect = ReplicaConnection::connect(address);
     // If a replica does not accept connections, the next request to it detects that.
-    if let Ok(Some(connection)) = tokio::time::timeout(CONNECT_TIMEOUT, connect).await {
+    let connected = tokio::time::timeout(CONNECT_TIMEOUT, connect).await;
+    let connection = connected.ok().flatten();
+    state.record_connect(replica, connection.is_some());
+    if let Some(connection) = connection {
         state.counters.connections_opened.inc();
         state.pool.put(replica, connection);
         state.record_idle(replica);
