Serve through other entries what an entry cannot reach itself

Cause: an entry knew of single replicas that take no connection, never that it takes part in the failure itself; only parts of gathers for other regions had another way, and control, the directory and the other entries took the entry for sound. Class: a process that looks healthy to all but its callers, because its health is judged by contact with control. Now the evidence of connects and answers gives the entry's own reach. While it cannot connect, requests for replicas without an open connection go through another entry of the replica's region, whole ones included and also in its own region; while nothing answers at all, every request does. The entry tells control (phase CutOff): the directory names it only if no other is left, no entry links to it, a cold replica gets another sender; it keeps its shares of all limits. An entry that is asked to relay and is cut off, too, says so. Ruled out: leaving the directory alone (callers keep an answer for 5 to 15 s, the cut lasts 12 s); one back-off for each replica (what the log showed). Entries of this build and former ones do not understand each other's links.

--- a/daisyhinge/src/active.rs
+++ b/daisyhinge/src/active.rs
@@ -45,10 +45,20 @@
     entries: impl Iterator<Item = &'entry EntryPresence>,
     region_of: impl Fn(&CentreName) -> Option<RegionName>,
     per_region: usize,
+) -> HashSet<&'entry VmName> {
+    let serving = entries.filter(|entry| entry.phase == EntryPhase::Serving);
+    select_entries(serving, region_of, per_region)
+}
+
+/// Selects the entries like [`list_active`], whatever their phase.
+pub fn select_entries<'entry>(
+    entries: impl Iterator<Item = &'entry EntryPresence>,
+    region_of: impl Fn(&CentreName) -> Option<RegionName>,
+    per_region: usize,
 ) -> HashSet<&'entry VmName> {
     let mut regions: BTreeMap<Option<RegionName>, BTreeMap<&CentreName, Vec<&VmName>>> =
         BTreeMap::new();
-    for entry in entries.filter(|entry| entry.phase == EntryPhase::Serving) {
+    for entry in entries {
         let region = regions.entry(region_of(&entry.data_centre)).or_default();
         region
             .entry(&entry.data_centre)
--- a/daisyhinge/src/directory.rs
+++ b/daisyhinge/src/directory.rs
@@ -1,10 +1,11 @@
 //! Selects the entries that a caller should connect to.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 
-use crate::active::list_active;
+use crate::active::{list_active, select_entries};
 use crate::prelude::*;
-use crate::vocabulary::registration::EntryPresence;
+use crate::vocabulary::registration::{EntryPhase, EntryPresence};
 
 /// Maximum number of addresses in one answer.
 pub const ADDRESSES_MAX: usize = 64;
@@ -20,7 +21,7 @@
 
 /// Returns the addresses of active entries for a caller, selecting `per_region` in each region:
 /// those in the caller's region or, if it has none, those in all regions that may process its
-/// requests.
+/// requests. Entries that reach no replica are named only if no other entry is left.
 pub fn list_addresses<'entry>(
     entries: impl Iterator<Item = &'entry EntryPresence> + Clone,
     region_of: impl Fn(&CentreName) -> Option<RegionName>,
@@ -28,6 +29,21 @@
     location: &CallerLocation<'_>,
 ) -> Vec<SocketAddr> {
     let active = list_active(entries.clone(), &region_of, per_region);
+    let addresses = select_addresses(entries.clone(), &region_of, &active, location);
+    if !addresses.is_empty() {
+        return addresses;
+    }
+    let cut_off = entries.filter(|entry| entry.phase == EntryPhase::CutOff);
+    let active = select_entries(cut_off.clone(), &region_of, per_region);
+    select_addresses(cut_off, &region_of, &active, location)
+}
+
+fn select_addresses<'entry>(
+    entries: impl Iterator<Item = &'entry EntryPresence>,
+    region_of: impl Fn(&CentreName) -> Option<RegionName>,
+    active: &HashSet<&VmName>,
+    location: &CallerLocation<'_>,
+) -> Vec<SocketAddr> {
     let mut local = Vec::new();
     let mut remote = Vec::new();
     for entry in entries.filter(|entry| active.contains(&entry.vm)) {
--- a/daisyhinge/src/dispatch.rs
+++ b/daisyhinge/src/dispatch.rs
@@ -25,8 +25,8 @@
 use budget::{BudgetLimits, RetryBudget};
 use caller::CallerEstimate;
 use crash::CrashMonitor;
-use fleet::{Fleet, FleetLocation, ReplicaIndex};
-use reach::{ReachMonitor, ReplicaReach};
+use fleet::{Fleet, FleetLocation, ReplicaIndex, ReplicaReach};
+use reach::ReachMonitor;
 
 /// Upper bound of the hedging delay as a percentage of the objective, round trip excluded.
 const HEDGE_OBJECTIVE_PERCENT: u32 = 22;
--- a/daisyhinge/src/dispatch/fleet.rs
+++ b/daisyhinge/src/dispatch/fleet.rs
@@ -15,8 +15,10 @@
 use crate::vocabulary::registration::{EntryPresence, ReplicaPhase, ReplicaRecord};
 use crate::vocabulary::site::SiteConfig;
 
+mod choice;
 mod cold_gate;
 mod departed;
+mod detour;
 mod locality;
 mod location;
 mod notice;
@@ -25,8 +27,10 @@
 mod request_rate;
 mod shares;
 use super::budget::SlackShare;
+pub use choice::{Choice, ChoiceQuery};
 use cold_gate::ColdGate;
 use departed::DepartedReplicas;
+pub use detour::ReplicaReach;
 pub use locality::Locality;
 pub use location::FleetLocation;
 pub use notice::{NoticeCounts, ReplicaNotice};
@@ -37,28 +41,6 @@
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct ReplicaIndex(pub u32);
 
-/// Result of choosing a replica.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Choice {
-    /// Index of the chosen replica.
-    Replica(ReplicaIndex),
-    /// All usable replicas are at this entry's limit of concurrent requests.
-    Busy,
-    /// No replica that the criteria allow can be used at present.
-    Unavailable,
-}
-
-/// Criteria for choosing a replica.
-#[derive(Clone, Copy, Debug)]
-pub struct ChoiceQuery<'query> {
-    /// Service whose replicas are considered.
-    pub service: &'query ServiceName,
-    /// Replicas to exclude, since they were tried before.
-    pub tried: &'query [ReplicaIndex],
-    /// Regions that may receive the request; empty for all.
-    pub allowed_regions: &'query [RegionName],
-}
-
 #[derive(Clone, Debug, Default)]
 struct ServiceState {
     members: Vec<ReplicaIndex>,
@@ -80,6 +62,7 @@
     slack: SlackShare,
     /// Regions to which a link to another entry is open.
     linked_regions: BTreeSet<RegionName>,
+    reach: ReplicaReach,
     departed: DepartedReplicas,
     /// VMs of the active entries, this one included once it is announced.
     active: BTreeSet<VmName>,
@@ -100,6 +83,7 @@
             connections_min: None,
             slack: SlackShare::OneOf(1),
             linked_regions: BTreeSet::new(),
+            reach: ReplicaReach::default(),
             departed: DepartedReplicas::default(),
             active: BTreeSet::new(),
             cold_gate: ColdGate::default(),
@@ -231,16 +215,6 @@
         self.replicas.get(index).map(|replica| &replica.record)
     }
 
-    /// Returns the number of replicas of all services.
-    pub fn len(&self) -> usize {
-        self.replicas.len()
-    }
-
-    /// Returns whether no replica is known.
-    pub fn is_empty(&self) -> bool {
-        self.replicas.is_empty()
-    }
-
     /// Iterates over the replicas of all services.
     pub fn replicas(&self) -> impl Iterator<Item = (ReplicaIndex, &FleetReplica)> {
         self.replicas
@@ -301,6 +275,7 @@
         self.is_permitted(replica, allowed)
             && replica.blocked_until(now).is_none()
             && !replica.is_backed_off(now)
+            && self.is_reachable(replica)
     }
 
     /// Whether a replica takes requests at all and is in one of the regions.
--- a/daisyhinge/src/dispatch/fleet/replica.rs
+++ b/daisyhinge/src/dispatch/fleet/replica.rs
@@ -352,6 +352,12 @@
         self.fail_rate_at = now;
     }
 
+    /// Ends the backoff, and starts the next one with the shortest time.
+    pub(super) fn clear_backoff(&mut self, now: MonotonicTime) {
+        self.failures = 0;
+        self.backoff_until = self.backoff_until.min(now);
+    }
+
     fn back_off(&mut self, now: MonotonicTime, is_only: bool) {
         let backoff_max = if is_only {
             BACKOFF_ONLY_MAX
--- a/daisyhinge/src/dispatch/fleet/shares.rs
+++ b/daisyhinge/src/dispatch/fleet/shares.rs
@@ -4,10 +4,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-use super::Fleet;
 use super::request_rate::RateShare;
+use super::{Fleet, ReplicaReach};
 use crate::active::{
     OTHER_REGION_CONNECTIONS, SAME_REGION_CONNECTIONS, active_entries_per_region, list_active,
+    select_entries,
 };
 use crate::dispatch::budget::SlackShare;
 use crate::dispatch::share::{EntryCount, connection_share, hash_fraction, hash_pair, rate_share};
@@ -23,6 +24,8 @@
     data_centre: CentreName,
     region: Option<RegionName>,
     address: SocketAddr,
+    /// Whether the entry reaches replicas itself.
+    is_serving: bool,
 }
 
 impl Fleet {
@@ -46,6 +49,8 @@
             let name = replica.record.name.as_str();
             let (count, rank) =
                 rank_entry(&self.location.vm, name, is_in_same_region, region, &peers);
+            let serving = peers.iter().filter(|peer| peer.is_serving);
+            let is_first = !outranks_entry(&self.location.vm, name, region, serving);
             replica.limiter.share = RateShare {
                 fraction: rate_share(count, is_in_same_region),
                 offset: hash_fraction(hash_pair(self.location.vm.as_str(), name)),
@@ -59,7 +64,7 @@
             let connections_max = connections_max.unwrap_or(CONNECTIONS_DEFAULT);
             replica.connections_max =
                 connection_share(connections_max, count, is_in_same_region, rank);
-            let sends_cold = rank == 0 && is_in_same_region && is_announced;
+            let sends_cold = is_first && is_in_same_region && is_announced;
             replica.cold_rate = cold_rate.map(|rate| if sends_cold { rate } else { 0.0 });
         }
         if is_active {
@@ -72,7 +77,8 @@
         let own = self.entries.get(&self.location.vm);
         let is_announced = is_active && own.is_some_and(|own| own.phase == EntryPhase::Serving);
         let own = is_announced.then(|| self.location.vm.clone());
-        let active = peers.iter().map(|peer| peer.vm.clone()).chain(own);
+        let peers = peers.iter().filter(|peer| peer.is_serving);
+        let active = peers.map(|peer| peer.vm.clone()).chain(own);
         let active: BTreeSet<VmName> = active.collect();
         if active != self.active {
             self.active = active;
@@ -81,8 +87,9 @@
         is_announced
     }
 
-    /// Lists the entries in each data centre of other regions through which its replicas can be
-    /// reached, the preferred entry first. Empty if callers are not sent to this entry.
+    /// Lists the entries in each data centre through which its replicas can be reached, the
+    /// preferred entry first: in other regions and, while this entry cannot connect to replicas
+    /// itself, in its own. Empty if callers are not sent to this entry.
     pub fn list_relays(&self) -> BTreeMap<CentreName, Vec<SocketAddr>> {
         let (is_active, peers) = self.list_peers();
         let mut relays: BTreeMap<CentreName, Vec<(u64, SocketAddr)>> = BTreeMap::new();
@@ -91,7 +98,8 @@
         }
         let own = self.location.region_of(&self.location.data_centre);
         for peer in peers {
-            if peer.region.as_ref() == own {
+            let is_near = peer.region.as_ref() == own;
+            if !peer.is_serving || (is_near && self.reach == ReplicaReach::Full) {
                 continue;
             }
             let hash = hash_pair(self.location.vm.as_str(), peer.vm.as_str());
@@ -115,17 +123,22 @@
     }
 
     /// Returns whether this entry is active, and the other active entries. This entry counts as
-    /// active until its own announcement has been received.
+    /// active until its own announcement has been received. Entries that reach no replica count,
+    /// too: they may still have open connections, or come back at any time.
     fn list_peers(&self) -> (bool, Vec<ActivePeer>) {
         let own = &self.location.vm;
         let per_region = self.connections_min.unwrap_or(CONNECTIONS_DEFAULT);
-        let active = list_active(
-            self.entries.values(),
-            |centre| self.location.region_of(centre).cloned(),
-            active_entries_per_region(per_region),
-        );
+        let per_region = active_entries_per_region(per_region);
+        let region_of = |centre: &CentreName| self.location.region_of(centre).cloned();
+        let entries = self.entries.values();
+        let cut_off = entries
+            .clone()
+            .filter(|entry| entry.phase == EntryPhase::CutOff);
+        let mut active = list_active(entries, region_of, per_region);
+        active.extend(select_entries(cut_off, region_of, per_region));
         let own_entry = self.entries.get(own);
-        let is_announced = own_entry.is_some_and(|entry| entry.phase == EntryPhase::Serving);
+        let is_open = |phase| matches!(phase, EntryPhase::Serving | EntryPhase::CutOff);
+        let is_announced = own_entry.is_some_and(|entry| is_open(entry.phase));
         let is_active = !is_announced || active.contains(own);
         let others = active.into_iter().filter(|vm| *vm != own);
         let peers = others.filter_map(|vm| self.entries.get(vm));
@@ -134,6 +147,7 @@
             data_centre: entry.data_centre.clone(),
             region: self.location.region_of(&entry.data_centre).cloned(),
             address: entry.address,
+            is_serving: entry.phase == EntryPhase::Serving,
         });
         (is_active, peers.collect())
     }
@@ -158,6 +172,19 @@
     }
 }
 
+/// Returns whether any of `peers` in the replica's region ranks before this entry by hash.
+fn outranks_entry<'peer>(
+    own: &VmName,
+    replica: &str,
+    region: Option<&RegionName>,
+    mut peers: impl Iterator<Item = &'peer ActivePeer>,
+) -> bool {
+    let own_hash = hash_pair(own.as_str(), replica);
+    peers.any(|peer| {
+        peer.region.as_ref() == region && hash_pair(peer.vm.as_str(), replica) > own_hash
+    })
+}
+
 /// Counts the active entries inside and outside a replica's region, and those on this entry's side
 /// that rank before it by hash.
 fn rank_entry(
--- a/daisyhinge/src/dispatch/reach.rs
+++ b/daisyhinge/src/dispatch/reach.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use super::fleet::ReplicaIndex;
+use super::fleet::{ReplicaIndex, ReplicaReach};
 use crate::prelude::*;
 
 /// Number of different replicas that must take no connection, fewer only if fewer are known.
@@ -16,18 +16,6 @@
 /// Time without any answer after which open connections count as lost, too.
 const SILENCE_MIN: Duration = Duration::from_millis(300);
 
-/// How an entry reaches replicas.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub enum ReplicaReach {
-    /// By new connections, as far as is known.
-    #[default]
-    Full,
-    /// By the connections that are open, while no new ones can be made.
-    OpenOnly,
-    /// Not at all.
-    Lost,
-}
-
 /// Evidence of connects and answers, from which the reach follows.
 #[derive(Clone, Debug, Default)]
 pub struct ReachMonitor {
@@ -64,9 +52,9 @@
         }
     }
 
-    /// Whether other replicas should be probed, since some took no connection.
-    pub fn is_suspicious(&self) -> bool {
-        self.failed.len() >= SUSPICION_MIN
+    /// Whether other replicas should be probed, since some of the `known` took no connection.
+    pub fn is_suspicious(&self, known: usize) -> bool {
+        self.failed.len() >= SUSPICION_MIN.min(known).max(1)
     }
 
     /// Returns the number of replicas that took no connection since one was made.
--- a/daisyhinge/src/shell/forward/attempt.rs
+++ b/daisyhinge/src/shell/forward/attempt.rs
@@ -14,6 +14,7 @@
 use super::drop_reason::DropReason;
 use super::gate::WritePermit;
 use super::outgoing::OutgoingRequest;
+use super::relay::REQUEST_MAX_BYTES;
 use super::relay::link::send_over_link;
 use super::relay::table::PeerLink;
 use super::state::ForwardState;
@@ -71,9 +72,9 @@
         Some(_) if !state.may_serve() => Err(AttemptEnd::Withdrawn),
         // Superseded, or its request was answered, before it was polled for the first time.
         Some(_) if !permit.try_acquire() => Err(AttemptEnd::Withdrawn),
-        Some((link, top_records)) => {
+        Some(link) => {
             state.counters.relayed.inc();
-            send_over_link(&state, &link, &request, top_records, replica).await
+            send_over_link(&state, &link, &request, replica).await
         }
         None => send_direct(&state, &request, replica, &permit).await,
     };
@@ -88,15 +89,20 @@
     }
 }
 
-/// Returns the link for one part of a gather request, if the replica is in another region.
+/// Returns the link for a part of a gather if the replica is in another region, and for any request
+/// if this entry cannot connect to the replica itself.
 fn find_link(
     state: &ForwardState,
     request: &OutgoingRequest,
     replica: ReplicaIndex,
-) -> Option<(PeerLink, usize)> {
-    let top_records = request.top_records.filter(|_| request.body.is_empty())?;
-    let link = state.links.find(&state.dispatcher.lock().fleet, replica)?;
-    Some((link, top_records))
+) -> Option<PeerLink> {
+    let fleet = &state.dispatcher.lock().fleet;
+    let known = fleet.replica(replica)?;
+    let is_part = request.top_records.is_some() && request.body.is_empty();
+    let is_far_part = is_part && !known.is_in_same_region();
+    let needs_detour = fleet.needs_detour(known) && request.body.len() <= REQUEST_MAX_BYTES;
+    let link = || state.links.find(fleet, replica);
+    (is_far_part || needs_detour).then(link).flatten()
 }
 
 /// Sends a request to a replica over a connection of this entry.
--- a/daisyhinge/src/shell/forward/reach.rs
+++ b/daisyhinge/src/shell/forward/reach.rs
@@ -5,12 +5,12 @@
 use std::time::Duration;
 
 use futures::future::join_all;
+use tokio::sync::watch;
 
 use super::connection::ReplicaConnection;
 use super::state::ForwardState;
 use crate::dispatch::Dispatcher;
-use crate::dispatch::fleet::ReplicaIndex;
-use crate::dispatch::reach::ReplicaReach;
+use crate::dispatch::fleet::{ReplicaIndex, ReplicaReach};
 use crate::prelude::*;
 use crate::shell::line_budget::LineClass;
 
@@ -40,7 +40,7 @@
     round: usize,
 ) -> Vec<(ReplicaIndex, SocketAddr)> {
     let reach = &dispatcher.reach;
-    if !reach.is_suspicious() {
+    if !reach.is_suspicious(dispatcher.fleet.len()) {
         return Vec::new();
     }
     let offered = dispatcher.fleet.replicas();
@@ -83,31 +83,35 @@
 impl ForwardState {
     /// Records whether a connection to a replica was made.
     pub(super) fn record_connect(&self, replica: ReplicaIndex, connected: bool) {
-        let reach = &mut self.dispatcher.lock().reach;
         if connected {
-            reach.record_connected();
-        } else {
-            reach.record_failed(replica);
-            self.counters.connects_failed.inc();
+            self.dispatcher.lock().reach.record_connected();
+            return;
         }
+        self.dispatcher.lock().reach.record_failed(replica);
+        self.counters.connects_failed.inc();
+        // Refused connects fail within a millisecond, and requests would run out of replicas.
+        self.review_reach();
+    }
+
+    /// Returns how this entry reaches replicas, and the changes.
+    pub fn watch_reach(&self) -> watch::Receiver<ReplicaReach> {
+        self.reach.subscribe()
     }
 
-    /// Returns how this entry reaches replicas.
-    pub fn reach(&self) -> ReplicaReach {
-        *self.reach.borrow()
+    /// Whether this entry reaches no replica itself.
+    pub(super) fn is_cut_off(&self) -> bool {
+        *self.reach.borrow() == ReplicaReach::Lost
     }
 
     /// Updates the reach from the evidence, and logs a change.
     pub(super) fn review_reach(&self) {
         let now = self.clock.now();
         let (reach, failed, silence) = {
-            let dispatcher = self.dispatcher.lock();
+            let mut dispatcher = self.dispatcher.lock();
+            let reach = dispatcher.reach(now);
+            dispatcher.fleet.set_reach(now, reach);
             let monitor = &dispatcher.reach;
-            (
-                dispatcher.reach(now),
-                monitor.failed(),
-                monitor.silence(now),
-            )
+            (reach, monitor.failed(), monitor.silence(now))
         };
         let changed = self.reach.send_if_modified(|known| {
             let changed = *known != reach;
--- a/daisyhinge/src/shell/forward/relay/link.rs
+++ b/daisyhinge/src/shell/forward/relay/link.rs
@@ -1,4 +1,5 @@
-//! The calling side of relay links: one link to an entry in each data centre of other regions.
+//! The calling side of relay links: one link to an entry in each data centre of other regions, and
+//! in the own region while this entry cannot connect to replicas itself.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -15,9 +16,9 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use super::head::write_head;
+use super::head::{read_headers, write_head};
 use super::table::PeerLink;
-use super::{HeadRef, RelayLinkClient, RelayPart, RelayReply, RelayRequest};
+use super::{HeadRef, RelayAnswer, RelayLinkClient, RelayReply, RelayRequest};
 use crate::dispatch::fleet::ReplicaIndex;
 use crate::dispatch::request::AttemptEnd;
 use crate::prelude::*;
@@ -39,13 +40,12 @@
     state: &ForwardState,
     link: &PeerLink,
     request: &OutgoingRequest,
-    top_records: usize,
     replica: ReplicaIndex,
 ) -> Result<(AttemptEnd, ReplicaAnswer), AttemptEnd> {
     let number = request.number;
     let text = || build_head(state, request);
     let head = link.sent_heads.lock().head_ref(number, text);
-    let relay_request = build_relay_request(state, request, top_records, replica, head);
+    let relay_request = build_relay_request(state, request, replica, head);
     let relay_request = relay_request.ok_or(AttemptEnd::Withdrawn)?;
     let mut reply = call_link(state, link, request, relay_request.clone()).await?;
     if reply.head_unknown {
@@ -62,6 +62,11 @@
         )
         .await?;
     }
+    if reply.cut_off {
+        // Another entry takes its place on the next update of the links.
+        state.log_peer(link.address, false);
+        state.links.drop_link(state.clock.now(), link.address);
+    }
     let replica_record = {
         let dispatcher = state.dispatcher.lock();
         let known = dispatcher.fleet.replica(replica);
@@ -70,7 +75,7 @@
     if let Some((name, born_ms)) = replica_record {
         state.record_notice(replica, &name, born_ms, reply.notice);
     }
-    let answer = reply.part.and_then(|part| read_part(state, part));
+    let answer = reply.answer.and_then(|answer| read_answer(state, answer));
     match answer {
         Some(answer) => Ok((reply.end, answer)),
         None if reply.end == AttemptEnd::Answered => Err(AttemptEnd::Lost),
@@ -123,7 +128,6 @@
 fn build_relay_request(
     state: &ForwardState,
     request: &OutgoingRequest,
-    top_records: usize,
     replica: ReplicaIndex,
     head: HeadRef,
 ) -> Option<RelayRequest> {
@@ -135,12 +139,31 @@
     Some(RelayRequest {
         replica,
         left_ms: u32::try_from(left_ms).ok().filter(|left| *left > 0)?,
-        top_records: u32::try_from(top_records).ok()?,
+        top_records: match request.top_records {
+            Some(top_records) => Some(u32::try_from(top_records).ok()?),
+            None => None,
+        },
+        kind: request.kind,
+        body: request.body.clone(),
         head,
     })
 }
 
-fn read_part(state: &ForwardState, part: RelayPart) -> Option<ReplicaAnswer> {
+fn read_answer(state: &ForwardState, answer: RelayAnswer) -> Option<ReplicaAnswer> {
+    let part = match answer {
+        RelayAnswer::Part(part) => part,
+        RelayAnswer::Whole {
+            status,
+            headers,
+            body,
+        } => {
+            return Some(ReplicaAnswer {
+                status,
+                headers: read_headers(&headers)?,
+                body,
+            });
+        }
+    };
     let signature = HeaderValue::from_maybe_shared::<Bytes>(part.signature).ok()?;
     let mut headers = HeaderMap::new();
     headers.insert(state.names.signature.clone(), signature);
@@ -151,9 +174,9 @@
     })
 }
 
-/// Maintains a link to one entry in each data centre of other regions. Entries listen for links on
-/// `port`. Never returns.
+/// Maintains the links to other entries, which listen for them on `port`. Never returns.
 pub async fn run_links(state: Arc<ForwardState>, port: u16) {
+    let mut reach = state.watch_reach();
     loop {
         let wanted = state.dispatcher.lock().fleet.list_relays();
         drop_unwanted_links(&state, &wanted, port);
@@ -168,7 +191,8 @@
             .lock()
             .fleet
             .set_linked_regions(linked_regions);
-        tokio::time::sleep(RECONCILE_INTERVAL).await;
+        // The state holds the sender, so a change is the only other outcome.
+        drop(timeout(RECONCILE_INTERVAL, reach.changed()).await);
     }
 }
 
--- a/daisyhinge/src/shell/forward/relay/serve.rs
+++ b/daisyhinge/src/shell/forward/relay/serve.rs
@@ -14,9 +14,9 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinSet;
 
-use super::head::read_head;
+use super::head::{read_head, write_headers};
 use super::head_cache::ReceivedHeads;
-use super::{RelayLink, RelayPart, RelayReply, RelayRequest};
+use super::{ANSWER_MAX_BYTES, RelayAnswer, RelayLink, RelayPart, RelayReply, RelayRequest};
 use crate::dispatch::fleet::{Choice, RateNotice, ReplicaIndex, ReplicaNotice, ReplicaOutcome};
 use crate::dispatch::merge::merge_parts;
 use crate::dispatch::request::AttemptEnd;
@@ -26,7 +26,6 @@
 use crate::shell::forward::gate::WritePermit;
 use crate::shell::forward::outgoing::OutgoingRequest;
 use crate::shell::forward::state::ForwardState;
-use crate::vocabulary::site::RouteKind;
 
 /// Maximum number of open links.
 const LINKS_MAX: usize = 1_024;
@@ -82,15 +81,20 @@
 
 impl RelayLink for RelayServer {
     async fn relay(self, _: Context, relay_request: RelayRequest) -> RelayReply {
-        let Some(text) = self.heads.lock().find(relay_request.head) else {
+        if self.state.is_cut_off() {
+            return RelayReply {
+                cut_off: true,
+                ..refuse_part(AttemptEnd::Withdrawn)
+            };
+        }
+        let Some(text) = self.heads.lock().find(relay_request.head.clone()) else {
             return RelayReply {
                 head_unknown: true,
                 ..refuse_part(AttemptEnd::Withdrawn)
             };
         };
-        let top_records = relay_request.top_records as usize;
         let deadline = self.state.clock.now() + Duration::from_millis(relay_request.left_ms.into());
-        let Some(request) = read_request(&self.state, &text, top_records, deadline) else {
+        let Some(request) = read_request(&self.state, &text, &relay_request, deadline) else {
             return refuse_part(AttemptEnd::Withdrawn);
         };
         let mut attempt = match RelayAttempt::begin(&self.state, &relay_request.replica) {
@@ -118,12 +122,16 @@
         if end == AttemptEnd::Answered && notice.rate == RateNotice::Unstated {
             notice.rate = RateNotice::Unlimited;
         }
-        let part = answer.and_then(|answer| build_part(&self.state, top_records, &answer));
+        let answer = answer.and_then(|answer| match request.top_records {
+            Some(top_records) => build_part(&self.state, top_records, &answer),
+            None => build_whole(answer),
+        });
         RelayReply {
             end,
-            part,
+            answer,
             notice,
             head_unknown: false,
+            cut_off: false,
         }
     }
 }
@@ -141,16 +149,17 @@
 fn refuse_part(end: AttemptEnd) -> RelayReply {
     RelayReply {
         end,
-        part: None,
+        answer: None,
         notice: ReplicaNotice::default(),
         head_unknown: false,
+        cut_off: false,
     }
 }
 
 fn read_request(
     state: &ForwardState,
     text: &[u8],
-    top_records: usize,
+    relay_request: &RelayRequest,
     deadline: MonotonicTime,
 ) -> Option<OutgoingRequest> {
     let mut head = read_head(text)?;
@@ -160,10 +169,10 @@
         method: head.method,
         target: head.target,
         headers: head.headers,
-        body: Bytes::new(),
+        body: relay_request.body.clone(),
         id,
-        kind: RouteKind::Safe,
-        top_records: Some(top_records),
+        kind: relay_request.kind,
+        top_records: relay_request.top_records.map(|count| count as usize),
         deadline,
     })
 }
@@ -173,12 +182,22 @@
     state: &ForwardState,
     top_records: usize,
     answer: &ReplicaAnswer,
-) -> Option<RelayPart> {
+) -> Option<RelayAnswer> {
     let signature = answer.headers.get(&state.names.signature)?;
     let records = merge_parts(std::iter::once(&*answer.body), top_records);
-    Some(RelayPart {
+    Some(RelayAnswer::Part(RelayPart {
         signature: Bytes::copy_from_slice(signature.as_bytes()),
         records: records.into(),
+    }))
+}
+
+/// Returns a whole answer for the link, or `None` if it is too large.
+fn build_whole(answer: ReplicaAnswer) -> Option<RelayAnswer> {
+    let fits = answer.body.len() <= ANSWER_MAX_BYTES;
+    fits.then(|| RelayAnswer::Whole {
+        status: answer.status,
+        headers: write_headers(&answer.headers),
+        body: answer.body,
     })
 }
 
--- a/daisyhinge/src/shell/forward/relay/table.rs
+++ b/daisyhinge/src/shell/forward/relay/table.rs
@@ -1,4 +1,4 @@
-//! The open links of an entry to entries in other regions.
+//! The open links of an entry to other entries.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -16,8 +16,7 @@
 /// Period for which an entry is avoided after its link hung or broke.
 const AVOID_PERIOD: Duration = Duration::from_secs(3);
 
-/// An open connection to an entry in another region, which relays requests to that region's
-/// replicas.
+/// An open connection to another entry, which relays requests to the replicas of its region.
 #[derive(Clone, Debug)]
 pub(in crate::shell::forward) struct PeerLink {
     pub(super) address: SocketAddr,
@@ -37,18 +36,13 @@
 }
 
 impl PeerLinks {
-    /// Returns the link to the data centre of a replica in another region, or else any link to its
-    /// region.
+    /// Returns the link to the data centre of a replica, or else any link to its region.
     pub(in crate::shell::forward) fn find(
         &self,
         fleet: &Fleet,
         replica: ReplicaIndex,
     ) -> Option<PeerLink> {
-        let known = fleet.replica(replica)?;
-        if known.is_in_same_region() {
-            return None;
-        }
-        let centre = &known.record.data_centre;
+        let centre = &fleet.replica(replica)?.record.data_centre;
         let region = fleet.location().region_of(centre);
         let links = self.links.lock();
         let same_region = || links.values().find(|link| link.region.as_ref() == region);
--- a/daisyhinge/src/vocabulary/registration.rs
+++ b/daisyhinge/src/vocabulary/registration.rs
@@ -61,6 +61,8 @@
     Leaving,
     /// Sent no request for some time.
     Lost,
+    /// Reaches no replica itself, and serves through other entries.
+    CutOff,
 }
 
 /// Record of an entry process at control.
--- a/daisyhinge/src/vocabulary/site.rs
+++ b/daisyhinge/src/vocabulary/site.rs
@@ -51,7 +51,7 @@
 }
 
 /// Whether the requests of a route may be repeated.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub enum RouteKind {
     /// Idempotent: may run more than once.
     Safe,
--- a/daisyhinge/tests/dispatch.rs
+++ b/daisyhinge/tests/dispatch.rs
@@ -13,6 +13,8 @@
 mod crash;
 #[path = "dispatch/crash_reports.rs"]
 mod crash_reports;
+#[path = "dispatch/detours.rs"]
+mod detours;
 #[path = "dispatch/load.rs"]
 mod load;
 #[path = "dispatch/notices.rs"]
--- a/daisyhinge/tests/relay.rs
+++ b/daisyhinge/tests/relay.rs
@@ -314,7 +314,9 @@
     let relay_request = |head| RelayRequest {
         replica: "replica-1".into(),
         left_ms: 900,
-        top_records: 2,
+        top_records: Some(2),
+        kind: RouteKind::Safe,
+        body: Bytes::new(),
         head,
     };
     let mut sent = SentHeads::default();
@@ -326,7 +328,7 @@
         let reply = client.relay(context::current(), relay_request(head)).await;
         let reply = reply.expect("a reply");
         assert_eq!(reply.head_unknown, is_unknown);
-        assert_eq!(reply.part.is_none(), is_unknown);
+        assert_eq!(reply.answer.is_none(), is_unknown);
         assert_eq!(seen.lock().len() - calls_before, usize::from(!is_unknown));
     }
     replica.close().await;
--- a/daisyhinge/tests/site.rs
+++ b/daisyhinge/tests/site.rs
@@ -258,3 +258,17 @@
     packed.truncate(packed.len() / 2);
     serde_json::from_value(value).expect("a document")
 }
+
+#[test]
+fn entry_that_reaches_no_replica_is_named_only_if_no_other_is_left() {
+    let mut entries = [entry(1, "a1"), entry(2, "a2"), entry(3, "b1")];
+    entries[0].phase = EntryPhase::CutOff;
+    assert_eq!(list(&entries, "a", &[]), [2]);
+    entries[1].phase = EntryPhase::CutOff;
+    assert_eq!(list(&entries, "a", &[]), [3]);
+    // The region of the only sound entry may not process the requests.
+    assert_eq!(list(&entries, "a", &["a".into()]), [1, 2]);
+    entries[2].phase = EntryPhase::CutOff;
+    assert_eq!(list(&entries, "a", &[]), [1, 2]);
+    assert_eq!(list(&entries, "b", &[]), [3]);
+}
