Do not back off replicas for connects from before the reach changed

Cause: connects to other regions fail a round trip later than those that show that an entry cannot connect; they then backed off replicas that other entries reach, for 150 ms and more. Test first: connect_that_began_before_the_reach_changed_backs_off_no_replica failed (no replica chosen), now passes.

--- a/daisyhinge/src/dispatch/fleet.rs
+++ b/daisyhinge/src/dispatch/fleet.rs
@@ -63,6 +63,7 @@
     /// Regions to which a link to another entry is open.
     linked_regions: BTreeSet<RegionName>,
     reach: ReplicaReach,
+    reach_changed_at: MonotonicTime,
     departed: DepartedReplicas,
     /// VMs of the active entries, this one included once it is announced.
     active: BTreeSet<VmName>,
@@ -84,6 +85,7 @@
             slack: SlackShare::OneOf(1),
             linked_regions: BTreeSet::new(),
             reach: ReplicaReach::default(),
+            reach_changed_at: MonotonicTime(0),
             departed: DepartedReplicas::default(),
             active: BTreeSet::new(),
             cold_gate: ColdGate::default(),
@@ -344,6 +346,7 @@
         let Some(replica) = self.replicas.get(&index) else {
             return;
         };
+        let outcome = self.judge_outcome(replica, attempt, outcome);
         let is_only = self
             .services
             .get(&replica.record.service)
--- a/daisyhinge/src/dispatch/fleet/detour.rs
+++ b/daisyhinge/src/dispatch/fleet/detour.rs
@@ -1,6 +1,6 @@
 //! Reaching replicas through other entries while this one cannot connect to them itself.
 
-use super::{Fleet, FleetReplica};
+use super::{Fleet, FleetReplica, ReplicaOutcome};
 use crate::prelude::*;
 
 /// How an entry reaches replicas.
@@ -21,11 +21,28 @@
     pub fn set_reach(&mut self, now: MonotonicTime, reach: ReplicaReach) {
         if reach != self.reach {
             self.reach = reach;
+            self.reach_changed_at = now;
             let replicas = self.replicas.values_mut();
             replicas.for_each(|replica| replica.clear_backoff(now));
         }
     }
 
+    /// Returns the outcome that counts for a replica. A connect of this entry that began before its
+    /// reach changed says nothing about the replica.
+    pub(super) fn judge_outcome(
+        &self,
+        replica: &FleetReplica,
+        attempt: u64,
+        outcome: ReplicaOutcome,
+    ) -> ReplicaOutcome {
+        let since = replica.running_since(attempt);
+        let is_earlier = since.is_some_and(|since| since < self.reach_changed_at);
+        match outcome {
+            ReplicaOutcome::Unreachable if is_earlier => ReplicaOutcome::Cancelled,
+            _ => outcome,
+        }
+    }
+
     /// Whether requests to a replica have to be sent through another entry.
     pub fn needs_detour(&self, replica: &FleetReplica) -> bool {
         match self.reach {
--- a/daisyhinge/src/dispatch/fleet/replica.rs
+++ b/daisyhinge/src/dispatch/fleet/replica.rs
@@ -194,6 +194,13 @@
         self.running.len()
     }
 
+    /// Returns when an attempt in flight began.
+    pub(super) fn running_since(&self, attempt: u64) -> Option<MonotonicTime> {
+        let mut running = self.running.iter();
+        let found = running.find(|(number, _)| *number == attempt);
+        found.map(|(_, since)| *since)
+    }
+
     /// Whether the replica is cold according to its last announcement.
     pub fn is_cold(&self, now: MonotonicTime) -> bool {
         now < self.cold_until
--- a/daisyhinge/tests/dispatch/detours.rs
+++ b/daisyhinge/tests/dispatch/detours.rs
@@ -188,3 +188,22 @@
     let sends_then = pair.each_ref().map(|entry| choose(entry, 10_001).is_some());
     assert_eq!(sends_then, sends.map(|sends| !sends));
 }
+
+/// Connects to other regions fail later than those that show that all connects fail.
+#[test]
+fn connect_that_began_before_the_reach_changed_backs_off_no_replica() {
+    let mut dispatcher = dispatcher(1);
+    link(&mut dispatcher, &["south"]);
+    let replicas = dispatcher.fleet.replicas();
+    let indexes: Vec<_> = replicas.map(|(index, _)| index).collect();
+    for (attempt, index) in indexes.iter().enumerate() {
+        dispatcher.fleet.begin(at(1), *index, attempt as u64);
+    }
+    dispatcher.fleet.set_reach(at(10), ReplicaReach::OpenOnly);
+    for (attempt, index) in indexes.iter().enumerate() {
+        let outcome = ReplicaOutcome::Unreachable;
+        let fleet = &mut dispatcher.fleet;
+        fleet.finish(at(26), *index, attempt as u64, outcome);
+    }
+    assert_eq!(choose(&dispatcher, 27).as_deref(), Some("b"));
+}
