Open links at an entry that is not active while it cannot connect

Callers of an entry that had just ceased to be active were refused for 0.65 s after it was cut off. Cause: an entry to which callers are not sent keeps no links, but callers that have its address go on using it. Test first: entry_that_is_not_active_has_links_while_it_cannot_connect failed (no link wanted), now passes.

--- a/daisyhinge/src/dispatch/fleet/shares.rs
+++ b/daisyhinge/src/dispatch/fleet/shares.rs
@@ -89,11 +89,11 @@
 
     /// Lists the entries in each data centre through which its replicas can be reached, the
     /// preferred entry first: in other regions and, while this entry cannot connect to replicas
-    /// itself, in its own. Empty if callers are not sent to this entry.
+    /// itself, in its own. Empty if callers are not sent to this entry and it can connect.
     pub fn list_relays(&self) -> BTreeMap<CentreName, Vec<SocketAddr>> {
         let (is_active, peers) = self.list_peers();
         let mut relays: BTreeMap<CentreName, Vec<(u64, SocketAddr)>> = BTreeMap::new();
-        if !is_active {
+        if !is_active && self.reach == ReplicaReach::Full {
             return BTreeMap::new();
         }
         let own = self.location.region_of(&self.location.data_centre);
--- a/daisyhinge/tests/dispatch/detours.rs
+++ b/daisyhinge/tests/dispatch/detours.rs
@@ -207,3 +207,18 @@
     }
     assert_eq!(choose(&dispatcher, 27).as_deref(), Some("b"));
 }
+
+/// It still has callers that were sent to it before.
+#[test]
+fn entry_that_is_not_active_has_links_while_it_cannot_connect() {
+    let mut dispatcher = dispatcher(1);
+    let others = (2..30).map(|number| format!("entry-{number}"));
+    let others = others.map(|vm| presence(&vm, "a", EntryPhase::Serving));
+    let own = presence("entry-1", "a", EntryPhase::Serving);
+    dispatcher
+        .fleet
+        .update_entries(others.chain([own]).collect());
+    assert!(dispatcher.fleet.list_relays().is_empty());
+    dispatcher.fleet.set_reach(at(1), ReplicaReach::OpenOnly);
+    assert!(!dispatcher.fleet.list_relays().is_empty());
+}
