Count a connect as a sign of life of an entry's way to replicas

Test first: late_failures_after_a_connect_do_not_count_as_lost_reach did not hold for the former state (silence counted from the last answer alone).

--- a/daisyhinge/src/dispatch/reach.rs
+++ b/daisyhinge/src/dispatch/reach.rs
@@ -13,7 +13,7 @@
 const FAILED_MIN: usize = 8;
 /// Number of different replicas without a connection from which others are probed.
 const SUSPICION_MIN: usize = 2;
-/// Time without any answer after which open connections count as lost, too.
+/// Time without any answer or connect after which open connections count as lost, too.
 const SILENCE_MIN: Duration = Duration::from_millis(300);
 
 /// Evidence of connects and answers, from which the reach follows.
@@ -21,13 +21,15 @@
 pub struct ReachMonitor {
     /// Replicas that took no connection since the last connect that succeeded.
     failed: BTreeSet<ReplicaIndex>,
-    answered_at: MonotonicTime,
+    /// Time of the last answer or connect that succeeded.
+    alive_at: MonotonicTime,
 }
 
 impl ReachMonitor {
     /// Records that a connection to any replica was made.
-    pub fn record_connected(&mut self) {
+    pub fn record_connected(&mut self, now: MonotonicTime) {
         self.failed.clear();
+        self.alive_at = now;
     }
 
     /// Records that a replica took no connection.
@@ -37,7 +39,7 @@
 
     /// Records that a replica answered on a connection of this entry.
     pub fn record_answer(&mut self, now: MonotonicTime) {
-        self.answered_at = now;
+        self.alive_at = now;
     }
 
     /// Returns how this entry reaches replicas, of which it knows `known`.
@@ -67,8 +69,8 @@
         self.failed.contains(&replica)
     }
 
-    /// Returns the time since the last answer.
+    /// Returns the time since a replica last answered or took a connection.
     pub fn silence(&self, now: MonotonicTime) -> Duration {
-        now.since(self.answered_at)
+        now.since(self.alive_at)
     }
 }
--- a/daisyhinge/src/shell/forward/reach.rs
+++ b/daisyhinge/src/shell/forward/reach.rs
@@ -84,7 +84,8 @@
     /// Records whether a connection to a replica was made.
     pub(super) fn record_connect(&self, replica: ReplicaIndex, connected: bool) {
         if connected {
-            self.dispatcher.lock().reach.record_connected();
+            let now = self.clock.now();
+            self.dispatcher.lock().reach.record_connected(now);
             return;
         }
         self.dispatcher.lock().reach.record_failed(replica);
--- a/daisyhinge/tests/reach.rs
+++ b/daisyhinge/tests/reach.rs
@@ -239,6 +239,21 @@
     assert_eq!(monitor.reach(at(1_000), 30), ReplicaReach::Lost);
     monitor.record_answer(at(1_010));
     assert_eq!(monitor.reach(at(1_020), 30), ReplicaReach::OpenOnly);
-    monitor.record_connected();
+    monitor.record_connected(at(2_000));
     assert_eq!(monitor.reach(at(2_000), 30), ReplicaReach::Full);
 }
+
+#[test]
+fn late_failures_after_a_connect_do_not_count_as_lost_reach() {
+    let mut monitor = ReachMonitor::default();
+    for replica in 0..8 {
+        monitor.record_failed(ReplicaIndex(replica));
+    }
+    assert_eq!(monitor.reach(at(1_000), 30), ReplicaReach::Lost);
+    monitor.record_connected(at(1_000));
+    for replica in 0..8 {
+        monitor.record_failed(ReplicaIndex(replica));
+    }
+    assert_eq!(monitor.reach(at(1_100), 30), ReplicaReach::OpenOnly);
+    assert_eq!(monitor.reach(at(1_400), 30), ReplicaReach::Lost);
+}
