Send an attempt through another entry once its connect has failed for all

Cause: requests that began at the same moment counted on the same open connection; the rest tried connects that could only fail, which backed off replicas that other entries reach, for longer each time. Now open connections are counted again before an attempt is sent, and an attempt whose connect failed goes through another entry if the entry knows by then that it cannot connect; it backs off nothing. Test first: attempt_whose_connect_shows_that_none_succeeds_goes_through_another_ entry ended not_sent, now answered. requests_beyond_the_open_connections_go_ through_another_entry passed before, too; it covers the state.

--- a/daisyhinge/src/shell/forward/attempt.rs
+++ b/daisyhinge/src/shell/forward/attempt.rs
@@ -19,7 +19,7 @@
 use super::relay::table::PeerLink;
 use super::state::ForwardState;
 use super::wire::{encode_number, header_text};
-use crate::dispatch::fleet::ReplicaIndex;
+use crate::dispatch::fleet::{ReplicaIndex, ReplicaReach};
 use crate::dispatch::request::AttemptEnd;
 use crate::prelude::*;
 use crate::vocabulary::clock::duration_to_micros;
@@ -69,14 +69,12 @@
     permit: Arc<WritePermit>,
 ) -> AttemptReport {
     let result = match find_link(&state, &request, replica) {
-        Some(_) if !state.may_serve() => Err(AttemptEnd::Withdrawn),
-        // Superseded, or its request was answered, before it was polled for the first time.
-        Some(_) if !permit.try_acquire() => Err(AttemptEnd::Withdrawn),
-        Some(link) => {
-            state.counters.relayed.inc();
-            send_over_link(&state, &link, &request, replica).await
-        }
-        None => send_direct(&state, &request, replica, &permit).await,
+        Some(link) => send_linked(&state, &link, &request, replica, &permit).await,
+        None => match send_direct(&state, &request, replica, &permit).await {
+            // The connect may have shown that this entry cannot connect to any replica.
+            Err(AttemptEnd::NotSent) => send_around(&state, &request, replica, &permit).await,
+            result => result,
+        },
     };
     let (end, answer) = match result {
         Ok((end, answer)) => (end, Some(answer)),
@@ -89,6 +87,35 @@
     }
 }
 
+/// Sends a request over a link, unless its permit was revoked before.
+async fn send_linked(
+    state: &ForwardState,
+    link: &PeerLink,
+    request: &OutgoingRequest,
+    replica: ReplicaIndex,
+    permit: &WritePermit,
+) -> Result<(AttemptEnd, ReplicaAnswer), AttemptEnd> {
+    // The attempt may have been superseded, or its request answered.
+    if !state.may_serve() || !permit.try_acquire() {
+        return Err(AttemptEnd::Withdrawn);
+    }
+    state.counters.relayed.inc();
+    send_over_link(state, link, request, replica).await
+}
+
+/// Sends a request over a link after no connection to its replica could be made, if there is one.
+async fn send_around(
+    state: &ForwardState,
+    request: &OutgoingRequest,
+    replica: ReplicaIndex,
+    permit: &WritePermit,
+) -> Result<(AttemptEnd, ReplicaAnswer), AttemptEnd> {
+    match find_link(state, request, replica) {
+        Some(link) => send_linked(state, &link, request, replica, permit).await,
+        None => Err(AttemptEnd::NotSent),
+    }
+}
+
 /// Returns the link for a part of a gather if the replica is in another region, and for any request
 /// if this entry cannot connect to the replica itself.
 fn find_link(
@@ -96,6 +123,10 @@
     request: &OutgoingRequest,
     replica: ReplicaIndex,
 ) -> Option<PeerLink> {
+    if *state.reach.borrow() != ReplicaReach::Full {
+        // Requests that were started at the same moment may have taken the open connections.
+        state.record_idle(replica);
+    }
     let fleet = &state.dispatcher.lock().fleet;
     let known = fleet.replica(replica)?;
     let is_part = request.top_records.is_some() && request.body.is_empty();
--- a/daisyhinge/tests/reach.rs
+++ b/daisyhinge/tests/reach.rs
@@ -3,6 +3,7 @@
 #[path = "support/known_replica.rs"]
 mod known_replica;
 
+use std::convert::Infallible;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -11,9 +12,13 @@
 use bytes::Bytes;
 use daisyhinge::dispatch::fleet::{FleetLocation, ReplicaIndex, ReplicaReach};
 use daisyhinge::dispatch::reach::ReachMonitor;
+use daisyhinge::dispatch::request::AttemptEnd;
 use daisyhinge::lease::LapsePolicy;
 use daisyhinge::prelude::*;
+use daisyhinge::shell::forward::attempt::run_attempt;
+use daisyhinge::shell::forward::gate::WritePermit;
 use daisyhinge::shell::forward::listen::serve_callers;
+use daisyhinge::shell::forward::outgoing::OutgoingRequest;
 use daisyhinge::shell::forward::reach::run_reach_probes;
 use daisyhinge::shell::forward::relay::link::run_links;
 use daisyhinge::shell::forward::relay::serve::bind_relay;
@@ -27,10 +32,11 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
-use hyper::{Method, Request, Response};
+use hyper::{HeaderMap, Method, Request, Response};
 use hyper_util::rt::TokioIo;
 use known_replica::{BUDGET, header_names, sync_reply_with};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
 const CALLER_PORT: u16 = 27_862;
@@ -90,25 +96,33 @@
     })
 }
 
+/// Entry 21 is in another region than the replicas and the other entries.
+fn centre_of(number: u8) -> CentreName {
+    let centre = if number == 21 { "b" } else { "a" };
+    centre.into()
+}
+
 fn presence(number: u8) -> EntryPresence {
     EntryPresence {
         vm: format!("entry-{number}").into(),
         incarnation: 1,
         address: SocketAddr::new(host(number), CALLER_PORT),
-        data_centre: "a".into(),
+        data_centre: centre_of(number),
         phase: EntryPhase::Serving,
         stamp: 1,
         holder: 1,
     }
 }
 
-/// Opens an entry that knows both entries, and all replicas at `replicas`.
+/// Opens an entry that knows itself and one other, and all replicas at `replicas`.
 fn open_entry(number: u8, replicas: IpAddr) -> Arc<ForwardState> {
     let state = ForwardState::open(ForwardSettings {
         location: FleetLocation {
             vm: format!("entry-{number}").into(),
-            data_centre: "a".into(),
-            regions: [("a".into(), "north".into())].into(),
+            data_centre: centre_of(number),
+            regions: [("a", "north"), ("b", "south")]
+                .map(|(centre, region)| (centre.into(), region.into()))
+                .into(),
         },
         budget: BUDGET,
         names: header_names(),
@@ -117,7 +131,9 @@
         answer_memory_max: 32 << 20,
     });
     let address = SocketAddr::new(replicas, REPLICA_PORT);
-    let entries = vec![presence(1), presence(2)];
+    // The numbers of the two entries of a test differ by one, the first one is odd.
+    let first = number - u8::from(number.is_multiple_of(2));
+    let entries = vec![presence(first), presence(first + 1)];
     let reply = sync_reply_with(address, "card", "a", entries);
     let known = (0..REPLICAS).map(|replica| ReplicaRecord {
         name: format!("replica-{replica}").into(),
@@ -132,7 +148,15 @@
 }
 
 async fn call(method: Method, path: &str, body: &'static [u8]) -> Response<Bytes> {
-    let address = SocketAddr::new(host(1), CALLER_PORT);
+    call_at(SocketAddr::new(host(1), CALLER_PORT), method, path, body).await
+}
+
+async fn call_at(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    body: &'static [u8],
+) -> Response<Bytes> {
     let stream = TcpStream::connect(address).await.expect("an open port");
     let io = TokioIo::new(stream);
     let (mut sender, driver) = hyper::client::conn::http1::handshake(io)
@@ -220,6 +244,116 @@
     replicas.close().await;
 }
 
+/// Answers requests on one connection for as long as it is open.
+async fn serve_connection(stream: TcpStream) {
+    let answer = |request: Request<Incoming>| async move {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+        let mut answer = reply_text("text/plain", "0123456789abcdef".to_owned());
+        let headers = answer.headers_mut();
+        headers.insert("x-seal", HeaderValue::from_static("seal-1"));
+        headers.insert("x-id", request.headers()["x-id"].clone());
+        Ok::<_, Infallible>(answer)
+    };
+    let service = hyper::service::service_fn(answer);
+    let served = hyper::server::conn::http1::Builder::new()
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+    drop(served);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
+async fn requests_beyond_the_open_connections_go_through_another_entry() {
+    let listener = TcpListener::bind(SocketAddr::new(host(19), REPLICA_PORT)).await;
+    let listener = listener.expect("bind the port");
+    let accepting = tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(serve_connection(stream));
+        }
+    });
+    let sound_listener = TcpListener::bind(SocketAddr::new(host(18), REPLICA_PORT)).await;
+    let sound_listener = sound_listener.expect("bind the port");
+    let sound_accepting = tokio::spawn(async move {
+        while let Ok((stream, _)) = sound_listener.accept().await {
+            tokio::spawn(serve_connection(stream));
+        }
+    });
+    let partly_cut = open_entry(11, host(19));
+    let sound = open_entry(12, host(18));
+    bind_relay(sound, SocketAddr::new(host(12), RELAY_PORT))
+        .await
+        .expect("bind the port");
+    let links = tokio::spawn(run_links(Arc::clone(&partly_cut), RELAY_PORT));
+    let probes = tokio::spawn(run_reach_probes(Arc::clone(&partly_cut)));
+    let stop = CancellationToken::new();
+    let address = SocketAddr::new(host(11), CALLER_PORT);
+    let grace = Duration::from_secs(1);
+    let serving = serve_callers(Arc::clone(&partly_cut), address, stop.clone(), grace);
+    let serving = tokio::spawn(serving);
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let call_many = |count: usize| {
+        let calls = (0..count).map(|_| call_at(address, Method::GET, "/card/1", b""));
+        futures::future::join_all(calls)
+    };
+    call_many(4).await;
+    accepting.abort();
+    // Within this time the entry finds out that it can open no further connection.
+    for _ in 0..10 {
+        call_many(12).await;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    for round in 0..20 {
+        let answers = call_many(12).await;
+        let served = answers.iter().filter(|answer| answer.status() == 200);
+        assert_eq!(served.count(), 12, "round {round}");
+    }
+    stop.cancel();
+    drop(serving.await);
+    [links, probes, sound_accepting]
+        .iter()
+        .for_each(JoinHandle::abort);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
+async fn attempt_whose_connect_shows_that_none_succeeds_goes_through_another_entry() {
+    let listener = TcpListener::bind(SocketAddr::new(host(28), REPLICA_PORT)).await;
+    let listener = listener.expect("bind the port");
+    let accepting = tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(serve_connection(stream));
+        }
+    });
+    // Nothing listens where the first entry looks for the replicas.
+    let cut_off = open_entry(21, host(29));
+    let sound = open_entry(22, host(28));
+    bind_relay(sound, SocketAddr::new(host(22), RELAY_PORT))
+        .await
+        .expect("bind the port");
+    let links = tokio::spawn(run_links(Arc::clone(&cut_off), RELAY_PORT));
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    let send = |replica: u32| {
+        let request = OutgoingRequest {
+            number: u64::from(replica),
+            method: Method::GET,
+            target: "/card/1".parse().expect("a path"),
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+            id: Some(HeaderValue::from_static("id-7")),
+            kind: RouteKind::Safe,
+            top_records: None,
+            deadline: cut_off.clock.now() + Duration::from_secs(1),
+        };
+        let (entry, permit) = (Arc::clone(&cut_off), Arc::<WritePermit>::default());
+        run_attempt(entry, Arc::new(request), 1, ReplicaIndex(replica), permit)
+    };
+    for replica in 0..7 {
+        assert_eq!(send(replica).await.end, AttemptEnd::NotSent);
+    }
+    assert_eq!(send(7).await.end, AttemptEnd::Answered);
+    assert_eq!(send(0).await.end, AttemptEnd::Answered);
+    links.abort();
+    accepting.abort();
+}
+
 fn at(ms: u64) -> MonotonicTime {
     MonotonicTime(1_000_000_000 + ms * 1_000)
 }
