Relay nothing and take no callers at an entry that cannot connect

Cause: an entry that keeps some open connections but can make none was still chosen for links, tried to connect for others, failed, and the entry that had asked took that for the replica's fault and backed it off; shards ended without any replica. Now such an entry says that it cannot connect instead of trying, and tells control after 0.4 s, so that no entry links to it and callers are sent to others. Test first: entry_with_no_open_connection_left_refuses_to_relay_instead_of_ trying_to_connect: not_sent before, withdrawn now.

--- a/daisyhinge/src/dispatch/fleet/detour.rs
+++ b/daisyhinge/src/dispatch/fleet/detour.rs
@@ -1,6 +1,6 @@
 //! Reaching replicas through other entries while this one cannot connect to them itself.
 
-use super::{Fleet, FleetReplica, ReplicaOutcome};
+use super::{Fleet, FleetReplica, ReplicaIndex, ReplicaOutcome};
 use crate::prelude::*;
 
 /// How an entry reaches replicas.
@@ -60,6 +60,11 @@
         !self.needs_detour(replica) || self.linked_regions.is_empty() || is_linked()
     }
 
+    /// Returns the index of the named replica.
+    pub fn find_index(&self, name: &ReplicaName) -> Option<ReplicaIndex> {
+        self.names.get(name).copied()
+    }
+
     /// Returns the number of replicas of all services.
     pub fn len(&self) -> usize {
         self.replicas.len()
--- a/daisyhinge/src/shell/forward/reach.rs
+++ b/daisyhinge/src/shell/forward/reach.rs
@@ -99,9 +99,15 @@
         self.reach.subscribe()
     }
 
-    /// Whether this entry reaches no replica itself.
-    pub(super) fn is_cut_off(&self) -> bool {
-        *self.reach.borrow() == ReplicaReach::Lost
+    /// Whether requests to the named replica have to be sent through another entry.
+    pub(super) fn needs_detour_to(&self, name: &ReplicaName) -> bool {
+        if *self.reach.borrow() == ReplicaReach::Full {
+            return false;
+        }
+        let fleet = &self.dispatcher.lock().fleet;
+        let found = fleet.find_index(name);
+        let known = found.and_then(|index| fleet.replica(index));
+        known.is_some_and(|replica| fleet.needs_detour(replica))
     }
 
     /// Updates the reach from the evidence, and logs a change.
--- a/daisyhinge/src/shell/forward/relay.rs
+++ b/daisyhinge/src/shell/forward/relay.rs
@@ -73,7 +73,7 @@
     /// Set if nothing was sent because the receiver no longer stores the head. The caller then
     /// sends the complete head.
     pub head_unknown: bool,
-    /// Set if nothing was sent because the receiver reaches no replica itself.
+    /// Set if nothing was sent because the receiver cannot connect to the replica itself.
     pub cut_off: bool,
 }
 
--- a/daisyhinge/src/shell/forward/relay/serve.rs
+++ b/daisyhinge/src/shell/forward/relay/serve.rs
@@ -81,7 +81,7 @@
 
 impl RelayLink for RelayServer {
     async fn relay(self, _: Context, relay_request: RelayRequest) -> RelayReply {
-        if self.state.is_cut_off() {
+        if self.state.needs_detour_to(&relay_request.replica) {
             return RelayReply {
                 cut_off: true,
                 ..refuse_part(AttemptEnd::Withdrawn)
--- a/daisyhinge/src/vocabulary/registration.rs
+++ b/daisyhinge/src/vocabulary/registration.rs
@@ -61,7 +61,7 @@
     Leaving,
     /// Sent no request for some time.
     Lost,
-    /// Reaches no replica itself, and serves through other entries.
+    /// Cannot connect to replicas itself, and serves through other entries.
     CutOff,
 }
 
--- a/daisyhinge/tests/reach.rs
+++ b/daisyhinge/tests/reach.rs
@@ -15,7 +15,7 @@
 use daisyhinge::dispatch::request::AttemptEnd;
 use daisyhinge::lease::LapsePolicy;
 use daisyhinge::prelude::*;
-use daisyhinge::shell::forward::attempt::run_attempt;
+use daisyhinge::shell::forward::attempt::{AttemptReport, run_attempt};
 use daisyhinge::shell::forward::gate::WritePermit;
 use daisyhinge::shell::forward::listen::serve_callers;
 use daisyhinge::shell::forward::outgoing::OutgoingRequest;
@@ -244,6 +244,23 @@
     replicas.close().await;
 }
 
+/// Sends one attempt of a request for a card to a replica.
+async fn send_card(entry: &Arc<ForwardState>, replica: u32) -> AttemptReport {
+    let request = OutgoingRequest {
+        number: u64::from(replica),
+        method: Method::GET,
+        target: "/card/1".parse().expect("a path"),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+        id: Some(HeaderValue::from_static("id-7")),
+        kind: RouteKind::Safe,
+        top_records: None,
+        deadline: entry.clock.now() + Duration::from_secs(1),
+    };
+    let (entry, permit) = (Arc::clone(entry), Arc::<WritePermit>::default());
+    run_attempt(entry, Arc::new(request), 1, ReplicaIndex(replica), permit).await
+}
+
 /// Answers requests on one connection for as long as it is open.
 async fn serve_connection(stream: TcpStream) {
     let answer = |request: Request<Incoming>| async move {
@@ -330,26 +347,41 @@
         .expect("bind the port");
     let links = tokio::spawn(run_links(Arc::clone(&cut_off), RELAY_PORT));
     tokio::time::sleep(Duration::from_millis(400)).await;
-    let send = |replica: u32| {
-        let request = OutgoingRequest {
-            number: u64::from(replica),
-            method: Method::GET,
-            target: "/card/1".parse().expect("a path"),
-            headers: HeaderMap::new(),
-            body: Bytes::new(),
-            id: Some(HeaderValue::from_static("id-7")),
-            kind: RouteKind::Safe,
-            top_records: None,
-            deadline: cut_off.clock.now() + Duration::from_secs(1),
-        };
-        let (entry, permit) = (Arc::clone(&cut_off), Arc::<WritePermit>::default());
-        run_attempt(entry, Arc::new(request), 1, ReplicaIndex(replica), permit)
-    };
     for replica in 0..7 {
-        assert_eq!(send(replica).await.end, AttemptEnd::NotSent);
+        assert_eq!(send_card(&cut_off, replica).await.end, AttemptEnd::NotSent);
+    }
+    assert_eq!(send_card(&cut_off, 7).await.end, AttemptEnd::Answered);
+    assert_eq!(send_card(&cut_off, 0).await.end, AttemptEnd::Answered);
+    links.abort();
+    accepting.abort();
+}
+
+/// What it would report of a replica is due to itself, and would back the replica off.
+#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
+async fn entry_with_no_open_connection_left_refuses_to_relay_instead_of_trying_to_connect() {
+    let listener = TcpListener::bind(SocketAddr::new(host(39), REPLICA_PORT)).await;
+    let listener = listener.expect("bind the port");
+    let accepting = tokio::spawn(async move {
+        let (stream, _) = listener.accept().await.expect("a connection");
+        drop(listener);
+        serve_connection(stream).await;
+    });
+    let cut_off = open_entry(21, host(38));
+    let peer = open_entry(22, host(39));
+    bind_relay(Arc::clone(&peer), SocketAddr::new(host(22), RELAY_PORT + 1))
+        .await
+        .expect("bind the port");
+    let links = tokio::spawn(run_links(Arc::clone(&cut_off), RELAY_PORT + 1));
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    assert_eq!(send_card(&peer, 0).await.end, AttemptEnd::Answered);
+    for replica in 1..9 {
+        assert_eq!(send_card(&peer, replica).await.end, AttemptEnd::NotSent);
+    }
+    assert_eq!(*peer.watch_reach().borrow(), ReplicaReach::OpenOnly);
+    for replica in 0..7 {
+        assert_eq!(send_card(&cut_off, replica).await.end, AttemptEnd::NotSent);
     }
-    assert_eq!(send(7).await.end, AttemptEnd::Answered);
-    assert_eq!(send(0).await.end, AttemptEnd::Answered);
+    assert_eq!(send_card(&cut_off, 7).await.end, AttemptEnd::Withdrawn);
     links.abort();
     accepting.abort();
 }
