--- a/daisyhinge/src/dispatch/fleet/request_rate.rs
+++ b/daisyhinge/src/dispatch/fleet/request_rate.rs
@@ -12,13 +12,11 @@
 
 use crate::prelude::*;
 
-/// Percentage of a stated rate that is divided among the entries. The rest is for requests that
-/// arrive closer together than they were sent, and for entries that know different ones as active.
+/// Percentage of a stated rate that is divided among the entries; they may disagree on who is active.
 const ALLOCATED_PERCENT: f64 = 90.0;
 /// Time for which a permit is valid.
 const PERMIT_LIFETIME: Duration = Duration::from_secs(1);
-/// Rate that is used if a replica states a lower one. Entries learn only from answers that a limit
-/// has been lifted.
+/// Rate that is used if a replica states a lower one: only answers tell that a limit was lifted.
 const RATE_MIN: RequestRate = RequestRate(500);
 /// Maximum interval between the permits of an entry.
 const INTERVAL_MAX: Duration = Duration::from_hours(1);
--- a/daisyhinge/src/dispatch/share.rs
+++ b/daisyhinge/src/dispatch/share.rs
@@ -13,8 +13,7 @@
 const LOCAL_PERCENT: u32 = 50;
 /// Percentage of the connections for all other entries.
 const REMOTE_PERCENT: u32 = 44;
-/// Percentage of the rate that a replica takes for entries in its region. Those in other regions
-/// have nearer replicas, and reach it through entries of its region.
+/// Percentage of a stated rate for entries in the replica's region; the others have nearer replicas.
 const LOCAL_RATE_PERCENT: u32 = 90;
 /// Seed of the hash; part of the protocol, since all entries must compute the same ranking.
 const SHARE_SEED: u64 = 0x7368_6172_6573_0001;
