--- a/daisyhinge/src/shell/http_port/reply.rs
+++ b/daisyhinge/src/shell/http_port/reply.rs
@@ -51,6 +51,11 @@
     build_reply(200, content_type, Bytes::from(text))
 }
 
+/// Builds a reply with status 200 whose body is `bytes` unchanged.
+pub fn reply_bytes(content_type: &'static str, bytes: Vec<u8>) -> Response<ReplyBody> {
+    build_reply(200, content_type, Bytes::from(bytes))
+}
+
 /// Builds a refusal with a numeric result code.
 pub fn reply_refusal(code: ResultCode, errors: Vec<FieldError>) -> Response<ReplyBody> {
     reply_json(code.http_status(), &PortRefusal::new(code, errors))
