Start a changed split without the credits of the former one

Callers saw: after a change of weights, requests of a split route went to one part for a while. At an entry that had sent one request by the weights 50 and 50, the next 72 requests by 0.7 and 0.3 went to the same part.

Cause: the round robin of a route outlived the configuration that its credits were counted in. State of an older configuration was used under a newer one. It was also found by the route's name, which two routes may share.

Why it works: the round robin keeps the parts that its credits belong to and starts anew with other parts. Routes are told apart by host and path prefix, which are unique in a configuration.

--- a/daisyhinge/src/dispatch.rs
+++ b/daisyhinge/src/dispatch.rs
@@ -16,7 +16,7 @@
 pub mod rollout_counts;
 pub mod share;
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -55,12 +55,18 @@
     pub rollouts: RolloutCounts,
     limits: BudgetLimits,
     budgets: HashMap<ServiceName, RetryBudget>,
-    round_robins: HashMap<Arc<str>, WeightedRoundRobin>,
+    /// Round robins by host and path prefix of the route.
+    round_robins: HashMap<(Arc<str>, Arc<str>), WeightedRoundRobin>,
     /// Latencies of single attempts by route, without the round trip to the replica.
     latencies: HashMap<Arc<str>, LatencyEstimate>,
     attempts: u64,
 }
 
+/// Returns what identifies a route among those of one configuration; names need not be unique.
+fn place_of(route: &SiteRoute) -> (Arc<str>, Arc<str>) {
+    (Arc::clone(&route.host), Arc::clone(&route.path_prefix))
+}
+
 impl Dispatcher {
     /// Creates the dispatcher of an entry at `location`.
     pub fn open(location: FleetLocation, limits: BudgetLimits) -> Self {
@@ -83,7 +89,8 @@
     pub fn apply_config(&mut self, config: &SiteConfig) {
         self.fleet.update_services(config);
         let known = |name: &Arc<str>| config.routes.iter().any(|route| route.name == *name);
-        self.round_robins.retain(|name, _| known(name));
+        let places: HashSet<_> = config.routes.iter().map(|route| place_of(route)).collect();
+        self.round_robins.retain(|place, _| places.contains(place));
         self.latencies.retain(|name, _| known(name));
         self.callers.retain(known);
     }
@@ -93,10 +100,7 @@
         match &route.target {
             RouteTarget::Gather(plan) => Arc::clone(&plan.shards),
             RouteTarget::Split(parts) => {
-                let round_robin = self
-                    .round_robins
-                    .entry(Arc::clone(&route.name))
-                    .or_default();
+                let round_robin = self.round_robins.entry(place_of(route)).or_default();
                 let part = round_robin.next_part(parts);
                 parts
                     .get(part)
--- a/daisyhinge/src/routing.rs
+++ b/daisyhinge/src/routing.rs
@@ -46,13 +46,19 @@
 /// Smooth weighted round robin over the parts of a route's traffic split.
 #[derive(Clone, Debug, Default)]
 pub struct WeightedRoundRobin {
+    /// Parts that the credits belong to.
+    parts: Arc<[SplitPart]>,
     credits: Vec<i64>,
 }
 
 impl WeightedRoundRobin {
     /// Returns the index of the part for the next request. Parts of weight 0 receive no requests.
-    pub fn next_part(&mut self, parts: &[SplitPart]) -> usize {
-        self.credits.resize(parts.len(), 0);
+    /// Other parts than at the last call start without credits.
+    pub fn next_part(&mut self, parts: &Arc<[SplitPart]>) -> usize {
+        if self.parts != *parts {
+            self.parts = Arc::clone(parts);
+            self.credits = vec![0; parts.len()];
+        }
         let total: i64 = parts.iter().map(|part| i64::from(part.weight)).sum();
         let mut best = 0;
         for (index, part) in parts.iter().enumerate() {
--- a/daisyhinge/tests/dispatch/parts.rs
+++ b/daisyhinge/tests/dispatch/parts.rs
@@ -1,5 +1,7 @@
 //! Routes, splits, shares, retry budgets and the merge.
 
+use std::sync::Arc;
+
 use daisyhinge::dispatch::budget::{BudgetLimits, RetryBudget, SlackShare};
 use daisyhinge::dispatch::merge::{RECORD_BYTES, merge_parts};
 use daisyhinge::dispatch::share::{EntryCount, connection_share};
@@ -30,15 +32,30 @@
     assert_eq!(find("other.example", "/a/b/c"), None);
 }
 
+fn split_parts(weights: &[(&str, u32)]) -> Arc<[SplitPart]> {
+    let parts = weights.iter().map(|(service, weight)| SplitPart {
+        service: (*service).into(),
+        weight: *weight,
+    });
+    parts.collect()
+}
+
+// Credits in units of the former weights sent every request to one part for a long time.
+#[test]
+fn changed_weights_apply_from_the_next_request_on() {
+    let mut round_robin = WeightedRoundRobin::default();
+    round_robin.next_part(&split_parts(&[("a", 50_000), ("b", 50_000)]));
+    let changed = split_parts(&[("a", 700), ("b", 300)]);
+    let mut counts = [0; 2];
+    for _ in 0..20 {
+        counts[round_robin.next_part(&changed)] += 1;
+    }
+    assert_eq!(counts, [14, 6]);
+}
+
 #[test]
 fn a_split_keeps_exact_proportions() {
-    let parts: Vec<SplitPart> = [("a", 90), ("b", 10), ("c", 0)]
-        .into_iter()
-        .map(|(service, weight)| SplitPart {
-            service: service.into(),
-            weight,
-        })
-        .collect();
+    let parts = split_parts(&[("a", 90), ("b", 10), ("c", 0)]);
     let mut round_robin = WeightedRoundRobin::default();
     let mut counts = [0; 3];
     for _ in 0..200 {
