Count only contact that confirms a control process's state

Callers saw: entries stayed with, or after a start adopted, the state of a control process that lagged behind the log, since its replies stated a recent confirmation by a quorum. A change that was accepted came into force late there, and after a restart of all processes an older one could come back.

An election, on the other hand, undid the last confirmation, so that all control processes said for a moment that there had never been one.

A leader states its commit index in each append. A follower that has applied everything up to it, including an entry of the leader's term, has all that was accepted when the message was sent (Raft, section 5.4.2). The state only grows, so an earlier confirmation stays valid when the term or role changes. No message changes.

--- a/daisyhinge/src/control/voter.rs
+++ b/daisyhinge/src/control/voter.rs
@@ -18,6 +18,7 @@
 use crate::prelude::*;
 
 pub mod action;
+mod contact;
 mod election;
 mod follower;
 mod leader;
@@ -25,6 +26,7 @@
 mod save;
 
 pub use action::{SaveBatch, VoterAction, VoterEvent};
+use contact::QuorumContact;
 use leader::LeaderState;
 
 /// Interval between a leader's heartbeats.
@@ -74,6 +76,7 @@
     leader_operator: Option<SocketAddr>,
     /// Time of the last message from the leader.
     last_leader_contact: Option<MonotonicTime>,
+    contact: QuorumContact,
     election_deadline: MonotonicTime,
     /// End of the period in which the first election after the start takes place; `None` once a
     /// leader has sent a message.
@@ -129,6 +132,7 @@
             leader: None,
             leader_operator: None,
             last_leader_contact: None,
+            contact: QuorumContact::open(now),
             election_deadline: now,
             startup_until: None,
             commit: snapshot_index,
@@ -156,6 +160,7 @@
     /// If an invariant is broken, which is a bug in the program or a failure of the disk.
     pub fn step(&mut self, now: MonotonicTime, event: VoterEvent, actions: &mut Vec<VoterAction>) {
         let before = (self.commit, self.hard.term);
+        self.contact.record_step(now);
         match event {
             VoterEvent::Tick => self.tick(now, actions),
             VoterEvent::Received(message) => self.receive(now, message, actions),
@@ -360,21 +365,6 @@
         self.save_snapshot(snapshot, false, actions);
     }
 
-    fn save_snapshot(
-        &mut self,
-        snapshot: LogSnapshot,
-        reset: bool,
-        actions: &mut Vec<VoterAction>,
-    ) {
-        self.sequence += 1;
-        self.saves.push_back((self.sequence, 0));
-        actions.push(VoterAction::SaveSnapshot {
-            sequence: self.sequence,
-            snapshot,
-            reset,
-        });
-    }
-
     /// Returns the member set as of the entry at `index`.
     fn voters_at(&self, index: u64) -> &VoterSet {
         let set = self.voter_sets.iter().rev().find(|(at, _)| *at <= index);
--- a/daisyhinge/src/control/voter/election.rs
+++ b/daisyhinge/src/control/voter/election.rs
@@ -75,16 +75,6 @@
         }
     }
 
-    /// Returns the time of the last evidence that a quorum supports the state of this voter: for a
-    /// leader, a confirmation by a quorum; for a follower, a message from its leader.
-    pub fn last_quorum_contact(&self) -> Option<MonotonicTime> {
-        if self.is_leader() {
-            self.confirmed_at()
-        } else {
-            self.last_leader_contact
-        }
-    }
-
     fn log_end(&self) -> LogEnd {
         LogEnd {
             term: self.log.last_term(),
--- a/daisyhinge/src/control/voter/follower.rs
+++ b/daisyhinge/src/control/voter/follower.rs
@@ -64,6 +64,7 @@
         if commit > self.commit {
             self.commit_to(commit, actions);
         }
+        self.confirm_applied(now, request.commit);
         let body = VoterBody::AppendReply(AppendReply {
             round: request.round,
             accepted: true,
--- a/daisyhinge/src/control/voter/leader.rs
+++ b/daisyhinge/src/control/voter/leader.rs
@@ -153,6 +153,7 @@
 
     pub(super) fn step_down(&mut self, actions: &mut Vec<VoterAction>) {
         let term = self.hard.term;
+        self.contact.record_confirmed(self.confirmed_at());
         let Some(state) = self.leader_state_mut() else {
             return;
         };
--- a/daisyhinge/src/control/voter/save.rs
+++ b/daisyhinge/src/control/voter/save.rs
@@ -1,7 +1,7 @@
 //! Saves, and the messages and acknowledgements that wait for them.
 
 use super::{SaveBatch, VoterAction, VoterMachine};
-use crate::control::log::LogEntry;
+use crate::control::log::{LogEntry, LogSnapshot};
 use crate::control::member::VoterId;
 use crate::control::message::{VoterBody, VoterMessage};
 use crate::prelude::*;
@@ -55,6 +55,21 @@
         }));
     }
 
+    pub(super) fn save_snapshot(
+        &mut self,
+        snapshot: LogSnapshot,
+        reset: bool,
+        actions: &mut Vec<VoterAction>,
+    ) {
+        self.sequence += 1;
+        self.saves.push_back((self.sequence, 0));
+        actions.push(VoterAction::SaveSnapshot {
+            sequence: self.sequence,
+            snapshot,
+            reset,
+        });
+    }
+
     /// Saves entries that were not yet submitted to the disk.
     pub(super) fn save_entries(&mut self, actions: &mut Vec<VoterAction>) {
         if self.last_submitted < self.log.last_index() {
--- a/daisyhinge/tests/control_schedules/cluster.rs
+++ b/daisyhinge/tests/control_schedules/cluster.rs
@@ -31,6 +31,9 @@
     silent_timeout: None,
 };
 
+/// Time that a message may take, and for which a leader without a quorum may go on sending.
+const CONTACT_TOLERANCE_US: u64 = 400_000 + 900_000;
+
 #[derive(Debug)]
 enum DiskJob {
     Save(SaveBatch),
@@ -52,6 +55,11 @@
     /// Offset of the VM's clock from simulated time, in microseconds.
     offset: u64,
     pub frozen_until: u64,
+    /// Number of starts of the process.
+    starts: u64,
+    /// Contact by a message that waited for a process that has crashed since. On real VMs it is lost
+    /// with the connection.
+    unreal_contact: Option<MonotonicTime>,
     checked_index: u64,
 }
 
@@ -61,6 +69,8 @@
     from: usize,
     to: usize,
     message: VoterMessage,
+    /// Start of the frozen process for which the message waits.
+    waits_for: Option<u64>,
 }
 
 /// A request that waits for its reply, and the time at which it was sent.
@@ -119,6 +129,8 @@
                 plan_sequence: 0,
                 offset: rng.random_range(0..10_000_000_000),
                 frozen_until: 0,
+                starts: 0,
+                unreal_contact: None,
                 checked_index: 0,
             })
             .collect();
@@ -192,6 +204,7 @@
             vm.disk.run(op);
         }
         vm.number = opened.id.number;
+        vm.starts += 1;
         vm.checked_index = 0;
         let mut opening_actions = Vec::new();
         let operator_address = address_of(node + 100);
@@ -437,6 +450,7 @@
                 from,
                 to,
                 message: message.clone(),
+                waits_for: None,
             });
         }
     }
@@ -459,12 +473,36 @@
             self.run_disk(node);
             self.step(node, CoreEvent::Tick);
             self.step(node, CoreEvent::Flush);
+            self.check_contact(node);
+        }
+    }
+
+    fn last_contact(&self, node: usize) -> Option<MonotonicTime> {
+        let core = self.vms[node].core.as_ref()?;
+        core.voter().last_quorum_contact()
+    }
+
+    /// Checks that a VM has what was accepted before the time at which its state was confirmed.
+    fn check_contact(&self, node: usize) {
+        let vm = &self.vms[node];
+        if let Some(core) = &vm.core
+            && let Some(contact) = core.voter().last_quorum_contact()
+            && vm.unreal_contact != Some(contact)
+        {
+            let at = contact.0 - vm.offset;
+            let version = core.state_machine().state().version;
+            self.oracle
+                .check_read_version(at, CONTACT_TOLERANCE_US, version);
         }
     }
 
     fn deliver(&mut self, sent: SimMessage) {
         let SimMessage {
-            from, to, message, ..
+            from,
+            to,
+            message,
+            waits_for,
+            ..
         } = sent;
         if self.partitioned_links.contains(&(from, to)) || self.vms[to].core.is_none() {
             return;
@@ -476,6 +514,7 @@
                 from,
                 to,
                 message,
+                waits_for: waits_for.or(Some(self.vms[to].starts)),
             });
             return;
         }
@@ -485,6 +524,9 @@
             self.step(from, CoreEvent::IdentityChanged { id, address });
         }
         self.step(to, CoreEvent::Received(message));
+        if waits_for.is_some_and(|start| start != self.vms[to].starts) {
+            self.vms[to].unreal_contact = self.last_contact(to);
+        }
         if self.rng.random_bool(0.5) {
             self.step(to, CoreEvent::Flush);
         }
--- a/daisyhinge/tests/control_voter.rs
+++ b/daisyhinge/tests/control_voter.rs
@@ -1,5 +1,7 @@
 //! Voters without disks or sockets: partitions, lost disks, delayed replies and membership changes.
 
+#[path = "control_voter/contact.rs"]
+mod contact;
 #[path = "control_voter/fixture.rs"]
 mod fixture;
 #[path = "control_voter/membership.rs"]
--- a/daisyhinge/tests/control_voter/fixture.rs
+++ b/daisyhinge/tests/control_voter/fixture.rs
@@ -26,14 +26,16 @@
     SocketAddr::from(([127, 0, 0, 1], 7_000))
 }
 
-/// Three voters that exchange messages without delay; one of them may be partitioned from the
-/// others.
+/// Three or more voters that exchange messages without delay; one of them may be partitioned from
+/// the others.
 pub struct TestCluster {
     pub now: MonotonicTime,
     pub voters: Vec<VoterMachine>,
     pub partitioned: Option<usize>,
     /// A voter that receives no appends.
     pub missing_appends: Option<usize>,
+    /// Voters whose VMs are gone.
+    pub lost: Vec<usize>,
     /// Messages to and from the partitioned voter, which some tests deliver later.
     pub delayed: Vec<VoterMessage>,
     pub confirmed: Vec<u64>,
@@ -43,11 +45,14 @@
 
 impl TestCluster {
     pub fn new() -> Self {
+        Self::open(3, LogLimits::default())
+    }
+
+    pub fn open(count: usize, limits: LogLimits) -> Self {
         let now = MonotonicTime(1_000_000);
-        let voters = (0..3).map(|node| {
-            let rng = ChaCha8Rng::seed_from_u64(node);
-            let id = make_id(usize::try_from(node).unwrap());
-            let limits = LogLimits::default();
+        let voters = (0..count).map(|node| {
+            let rng = ChaCha8Rng::seed_from_u64(node as u64);
+            let id = make_id(node);
             let stored = StoredLog::default();
             VoterMachine::open(
                 now,
@@ -64,12 +69,13 @@
             voters: voters.collect(),
             partitioned: None,
             missing_appends: None,
+            lost: Vec::new(),
             delayed: Vec::new(),
             confirmed: Vec::new(),
             refused: Vec::new(),
-            applied: vec![0; 3],
+            applied: vec![0; count],
         };
-        let members = (0..3).map(|node| VoterMember {
+        let members = (0..count).map(|node| VoterMember {
             id: make_id(node),
             address: make_address(),
             learner: false,
@@ -105,9 +111,12 @@
     }
 
     pub fn send(&mut self, from: usize, message: VoterMessage) {
-        let Some(to) = (0..3).find(|node| make_id(*node) == message.to) else {
+        let Some(to) = (0..self.voters.len()).find(|node| make_id(*node) == message.to) else {
             return;
         };
+        if self.lost.contains(&from) || self.lost.contains(&to) {
+            return;
+        }
         if self.partitioned == Some(from) || self.partitioned == Some(to) {
             self.delayed.push(message);
             return;
@@ -122,12 +131,14 @@
         let end = self.now + duration;
         while self.now < end {
             self.now = self.now + STEP;
-            (0..3).for_each(|node| self.step(node, VoterEvent::Tick));
+            (0..self.voters.len()).for_each(|node| self.step(node, VoterEvent::Tick));
         }
     }
 
     pub fn leader(&self) -> Option<usize> {
-        (0..3).find(|node| self.partitioned != Some(*node) && self.voters[*node].is_leader())
+        let is_reachable =
+            |node: usize| self.partitioned != Some(node) && !self.lost.contains(&node);
+        (0..self.voters.len()).find(|node| is_reachable(*node) && self.voters[*node].is_leader())
     }
 
     pub fn propose(&mut self, node: usize) {
