Log the course of a configuration at control and at entries

From the logs nobody could tell a text that control had accepted from another one of the same version, by which leader a change was decided, when each control process had applied and published it, from which control process an entry had its state and how old that one's confirmation was, whether a control process lacked what its leader had committed, and whether it was still a member.

- `change_accepted` and `change_open` have digest and size of the text, the leader that the call was relayed to and the time taken; `input_refused` has digest, size, the name of the code and the place of malformed JSON.
Texts are never logged.
- Control: `state_published`; `view_adopted` with digest, age of the confirmation, own commit and the leader's; `log_behind`, `log_caught_up`, `quorum_lost` and again `quorum_gained`, `membership_changed`, `member_added`, `member_promoted`, `member_removed`, and `entry_ahead` for an entry that has a newer revision than the process that it follows.
- Entries: `view_adopted`, `state_confirmed` and `view_refused` with the address of the control process, whether its state counted as confirmed and since when; version in force before and after, routes and digest.
- Metrics: published revision and version, log position, the leader's position, membership and refused configurations of a control process; revision, version, lease and age of the confirmation in force at an entry, and refused documents.

No message between processes has a further field and no decision is altered: the group is read from the status of the process every 100 ms, and a lagging control process notes the revision that its entries state already.

`config_course` finds the course of one accepted and two refused configurations in the logs and metrics of six processes.

--- a/daisyhinge/src/metric/forward.rs
+++ b/daisyhinge/src/metric/forward.rs
@@ -122,6 +122,8 @@
     pub rollout_requests: Family<RolloutLabels, Gauge>,
     /// Number of those that failed.
     pub rollout_failures: Family<RolloutLabels, Gauge>,
+    /// Number of configurations from control that could not be decoded.
+    pub documents_refused: Counter,
     /// Latency of requests, in seconds.
     pub latency: Histogram,
 }
@@ -154,6 +156,7 @@
             answer_bytes: Gauge::default(),
             rollout_requests: Family::default(),
             rollout_failures: Family::default(),
+            documents_refused: Counter::default(),
             latency: Histogram::new(LATENCY_BOUNDS),
         }
     }
@@ -189,6 +192,15 @@
         );
     }
 
+    fn register_documents(&self, registry: &mut Registry) {
+        let refused = "Configurations from control that could not be decoded";
+        registry.register(
+            "daisyhinge_forward_documents_refused",
+            refused,
+            self.documents_refused.clone(),
+        );
+    }
+
     fn register_customers(&self, registry: &mut Registry) {
         let customers = "Requests with a known key by customer";
         registry.register(
@@ -220,6 +232,7 @@
         );
         self.register_customers(registry);
         self.register_admission(registry);
+        self.register_documents(registry);
         let attempts = "Attempts at replicas by their end";
         registry.register(
             "daisyhinge_forward_attempts",
--- a/daisyhinge/src/shell/control.rs
+++ b/daisyhinge/src/shell/control.rs
@@ -49,6 +49,7 @@
 pub use driver::PublishedSiteState;
 use folder::DataFolder;
 use input::DriverInput;
+pub use site::ChangeOutcome;
 
 /// Timeout of a change, a read or a claim.
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
--- a/daisyhinge/src/shell/control/driver.rs
+++ b/daisyhinge/src/shell/control/driver.rs
@@ -19,7 +19,7 @@
 use crate::control::core::{ControlCore, CoreAction, CoreEvent, CoreReply};
 use crate::control::limits::LogLimits;
 use crate::control::member::VoterId;
-use crate::control::message::VoterMessage;
+use crate::control::message::{VoterBody, VoterMessage};
 use crate::control::store::OpenedStore;
 use crate::control::voter::VoterMachine;
 use crate::prelude::*;
@@ -49,6 +49,11 @@
     pub has_quorum: watch::Sender<bool>,
     /// Time of the log clock in milliseconds; advances only while this VM leads.
     pub log_clock_ms: AtomicU64,
+    /// Index of the last log entry that is applied on this VM.
+    pub commit: AtomicU64,
+    /// Index of the last committed log entry that the leader stated to this VM, or the own one
+    /// while this VM leads; 0 if no leader stated any.
+    pub leader_commit: AtomicU64,
 }
 
 /// Arguments of [`ControlDriver::open`].
@@ -178,6 +183,14 @@
         self.published_site
             .log_clock_ms
             .store(log_clock_ms, Ordering::Relaxed);
+        self.published_site
+            .commit
+            .store(voter.commit(), Ordering::Relaxed);
+        if voter.is_leader() {
+            self.published_site
+                .leader_commit
+                .store(voter.commit(), Ordering::Relaxed);
+        }
         let members = &voter.voters().members;
         self.published_site.members.send_if_modified(|published| {
             let same = published.len() == members.len()
@@ -232,6 +245,7 @@
                     self.addresses.insert(from, address);
                 }
                 for message in messages {
+                    self.record_leader_commit(&message);
                     self.step(CoreEvent::Received(message));
                 }
             }
@@ -252,6 +266,22 @@
         true
     }
 
+    /// Records the commit index that a leader states, for logs and metrics only.
+    fn record_leader_commit(&self, message: &VoterMessage) {
+        let voter = self.core.voter();
+        if message.to != *voter.id() || message.term < voter.term() {
+            return;
+        }
+        let stated = match &message.body {
+            VoterBody::Append(request) => request.commit,
+            VoterBody::SnapshotPart(part) => part.index,
+            _ => return,
+        };
+        self.published_site
+            .leader_commit
+            .store(stated, Ordering::Relaxed);
+    }
+
     fn find_leader(&self) -> Option<SocketAddr> {
         let voter = self.core.voter();
         let leader = voter.leader().filter(|leader| *leader != voter.id())?;
--- a/daisyhinge/src/shell/control/site.rs
+++ b/daisyhinge/src/shell/control/site.rs
@@ -1,5 +1,6 @@
 //! Changes and reads of the deployment's state, on this VM or relayed to the leader.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,6 +14,15 @@
 /// Timeout of a change or a read of the deployment; callers give up after one second.
 const SITE_TIMEOUT: Duration = Duration::from_millis(850);
 
+/// Outcome of a change, and the leader that it was relayed to.
+#[derive(Clone, Copy, Debug)]
+pub struct ChangeOutcome {
+    /// Address of the leader that the change was relayed to; `None` if it was not relayed.
+    pub relayed_to: Option<SocketAddr>,
+    /// Result of the change.
+    pub result: Result<CommittedSiteChange, ResultCode>,
+}
+
 impl ControlShell {
     /// Changes the state of the deployment; relayed to the leader if this VM does not lead. The
     /// change is accepted once a quorum has synced it to disk.
@@ -22,12 +32,31 @@
     /// other code it was not made. [`ResultCode::FeatureLevelTooLow`] if some process may not support
     /// the change.
     pub async fn change_site(&self, change: SiteChange) -> Result<CommittedSiteChange, ResultCode> {
-        self.check_level(&change)?;
-        match self.change_site_locally(change.clone()).await {
-            Err(ResultCode::NotLeader) => {}
-            reply => return reply,
+        self.change_site_traced(change).await.result
+    }
+
+    /// Like [`Self::change_site`], and returns the leader that the change was relayed to.
+    pub async fn change_site_traced(&self, change: SiteChange) -> ChangeOutcome {
+        let result = self.change_site_locally(change.clone()).await;
+        if result != Err(ResultCode::NotLeader) {
+            return ChangeOutcome {
+                relayed_to: None,
+                result,
+            };
         }
-        let leader = self.find_leader().await.ok_or(ResultCode::NotLeader)?;
+        let relayed_to = self.find_leader().await;
+        let result = match relayed_to {
+            Some(leader) => self.relay_change(leader, change).await,
+            None => Err(ResultCode::NotLeader),
+        };
+        ChangeOutcome { relayed_to, result }
+    }
+
+    async fn relay_change(
+        &self,
+        leader: SocketAddr,
+        change: SiteChange,
+    ) -> Result<CommittedSiteChange, ResultCode> {
         let client = peer::connect_voter(leader).await;
         let client = client.ok_or(ResultCode::NotLeader)?;
         let context = peer::call_context(SITE_TIMEOUT);
--- a/daisyhinge/src/shell/decision.rs
+++ b/daisyhinge/src/shell/decision.rs
@@ -64,10 +64,11 @@
         }
     }
 
-    /// Logs the adoption of a state of the deployment.
-    pub fn log_view(&self, state: &SiteState) {
+    /// Logs the adoption of a state of the deployment. `course` has further fields: what was in force
+    /// before, what is now, and where the state came from.
+    pub fn log_view(&self, state: &SiteState, course: &str) {
         self.send(&format!(
-            "event=view_adopted revision={} version={} evacuated={} feature_level={}",
+            "event=view_adopted revision={} version={} evacuated={} feature_level={} {course}",
             state.revision,
             state.version(),
             state.evacuated.len(),
@@ -120,11 +121,13 @@
         });
     }
 
-    /// Logs that a configuration could not be decoded.
-    pub fn log_bad_document(&self, version: u64, code: ResultCode) {
+    /// Logs that a configuration could not be decoded. `course` has further fields: digest and size
+    /// of the text, and where it came from.
+    pub fn log_bad_document(&self, version: u64, code: ResultCode, course: &str) {
         self.send(&format!(
-            "event=view_refused version={version} code={}",
-            code.number()
+            "event=view_refused version={version} code={} name={} {course}",
+            code.number(),
+            code.name()
         ));
     }
 
--- a/daisyhinge/src/shell/forward.rs
+++ b/daisyhinge/src/shell/forward.rs
@@ -9,13 +9,14 @@
 
 pub mod access;
 mod admission;
+mod adoption;
 mod answer;
 mod answer_body;
 pub mod attempt;
 pub mod connection;
 pub mod crashes;
 mod drop_reason;
-mod freshness;
+pub mod freshness;
 pub mod gate;
 mod limited_stream;
 pub mod listen;
--- a/daisyhinge/src/shell/forward/freshness.rs
+++ b/daisyhinge/src/shell/forward/freshness.rs
@@ -9,7 +9,32 @@
 use crate::shell::site::follow::ReplyProof;
 use crate::vocabulary::registration::SyncReply;
 
+/// What an entry has in force, and how long it has been known to be the newest.
+#[derive(Clone, Copy, Debug)]
+pub struct ForceReport {
+    /// Revision of the received state.
+    pub revision: u64,
+    /// Version of the configuration in force; 0 if there is none.
+    pub version: u64,
+    /// Whether the entry can prove that its configuration is the newest.
+    pub lease_held: bool,
+    /// Time since the state was last known to be the newest; `None` if it never was.
+    pub confirmed_age: Option<Duration>,
+}
+
 impl ForwardState {
+    /// Returns what this entry has in force.
+    pub fn report_force(&self) -> ForceReport {
+        let now = self.clock.now();
+        let lease = *self.lease.lock();
+        ForceReport {
+            revision: self.revision(),
+            version: self.summarise_force().version,
+            lease_held: lease.holds(now),
+            confirmed_age: lease.confirmed_at().map(|at| now.since(at)),
+        }
+    }
+
     /// Applies an update from control, and extends the lease if a quorum confirmed it.
     pub fn apply_proven(&self, reply: SyncReply, proof: ReplyProof) {
         let age = reply.quorum_age_ms.map(Duration::from_millis);
--- a/daisyhinge/src/shell/forward/state.rs
+++ b/daisyhinge/src/shell/forward/state.rs
@@ -1,5 +1,6 @@
 //! State shared by all requests of an entry.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
@@ -9,6 +10,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::admission::AdmissionWaiters;
+use super::adoption::{ForceSummary, FormerForce, StateOrigin, describe_adoption};
 use super::pool::ConnectionPool;
 use super::quota_state::QuotaState;
 use super::relay::table::PeerLinks;
@@ -27,6 +29,7 @@
 use crate::shell::decision::DecisionLog;
 use crate::vocabulary::registration::SyncReply;
 use crate::vocabulary::site::{CallerLimits, SiteConfig, SiteDocument};
+use crate::vocabulary::text_digest::TextDigest;
 
 /// Decoder for configuration documents in the format that operators submit.
 pub type ConfigDecoder = fn(&[u8]) -> Result<SiteConfig, ResultCode>;
@@ -42,6 +45,10 @@
     pub limits: CallerLimits,
     /// Customers by the digests of their keys.
     pub customers: CustomerTable,
+    /// Number of routes.
+    pub route_count: usize,
+    /// Digest and size of the text.
+    pub text: TextDigest,
 }
 
 /// Settings of a forwarding entry.
@@ -94,6 +101,8 @@
     pub(super) reach: watch::Sender<ReplicaReach>,
     /// Limit on the memory for answers in flight.
     pub answer_memory: Arc<AnswerMemory>,
+    /// Control process that is followed now.
+    pub(super) followed: Mutex<Option<SocketAddr>>,
     site: RwLock<Option<Arc<ActiveSite>>>,
     revision: Mutex<u64>,
     /// Whether the deployment has rollouts.
@@ -137,6 +146,7 @@
             rollout_reporter,
             reach: watch::Sender::default(),
             answer_memory: AnswerMemory::open(settings.answer_memory_max),
+            followed: Mutex::default(),
             site: RwLock::new(None),
             revision: Mutex::new(0),
             has_rollouts: settings.rollouts,
@@ -156,6 +166,16 @@
         self.site.read().clone()
     }
 
+    /// Returns version, number of routes and digest of the configuration in force.
+    pub(super) fn summarise_force(&self) -> ForceSummary {
+        let site = self.site();
+        site.map_or_else(ForceSummary::default, |site| ForceSummary {
+            version: site.version,
+            route_count: site.route_count,
+            text: site.text,
+        })
+    }
+
     /// Returns the revision of the received state.
     pub(super) fn revision(&self) -> u64 {
         *self.revision.lock()
@@ -176,28 +196,40 @@
     pub fn apply_reply(&self, reply: SyncReply, confirmed: bool) {
         let now = self.clock.now();
         self.quotas.apply(now, confirmed, &reply);
-        self.apply_content(reply);
+        let origin = StateOrigin {
+            address: *self.followed.lock(),
+            confirmed,
+            quorum_age_ms: reply.quorum_age_ms,
+        };
+        self.apply_content(reply, &origin);
         if confirmed && self.site().is_some() && !self.confirmed.swap(true, Ordering::Relaxed) {
             self.write_line(&format!(
-                "event=state_confirmed revision={}",
-                self.revision()
+                "event=state_confirmed revision={} version={} {origin}",
+                self.revision(),
+                self.summarise_force().version
             ));
         }
         self.updated.notify_waiters();
     }
 
-    fn apply_content(&self, reply: SyncReply) {
+    fn apply_content(&self, reply: SyncReply, origin: &StateOrigin) {
         let now = self.clock.now();
         if let Some(site) = &reply.site {
             let mut revision = self.revision.lock();
             if site.revision > *revision {
+                let former = FormerForce {
+                    revision: *revision,
+                    version: self.summarise_force().version,
+                };
                 *revision = site.revision;
                 drop(revision);
                 if let Some(document) = &site.document {
-                    self.apply_document(document);
+                    self.apply_document(document, origin);
                 }
                 let evacuated = site.evacuated.clone();
-                self.log.log_view(site);
+                let in_force = self.summarise_force();
+                self.log
+                    .log_view(site, &describe_adoption(former, &in_force, origin));
                 let mut dispatcher = self.dispatcher.lock();
                 dispatcher.fleet.set_evacuated(evacuated);
                 let changed = dispatcher.fleet.set_rollouts(&site.rollouts);
@@ -216,12 +248,16 @@
         }
     }
 
-    fn apply_document(&self, document: &SiteDocument) {
+    fn apply_document(&self, document: &SiteDocument, origin: &StateOrigin) {
         let former = self.site();
         if document.version <= former.as_ref().map_or(0, |site| site.version) {
             return;
         }
-        let config = document.unpack().and_then(|text| (self.decode)(&text));
+        let text = document.unpack();
+        let digest = text
+            .as_ref()
+            .map_or_else(|_| TextDigest::default(), |text| TextDigest::of(text));
+        let config = text.and_then(|text| (self.decode)(&text));
         match config {
             Ok(config) => {
                 self.dispatcher.lock().apply_config(&config);
@@ -230,13 +266,19 @@
                     routes: RouteTable::open(&config),
                     limits: config.limits,
                     customers: CustomerTable::open(&config),
+                    route_count: config.routes.len(),
+                    text: digest,
                 };
                 if let Some(former) = former {
                     self.remove_customer_metrics(&former, &site);
                 }
                 *self.site.write() = Some(Arc::new(site));
             }
-            Err(code) => self.log.log_bad_document(document.version, code),
+            Err(code) => {
+                self.counters.documents_refused.inc();
+                let course = format!("{digest} {origin}");
+                self.log.log_bad_document(document.version, code, &course);
+            }
         }
     }
 
@@ -259,7 +301,8 @@
     }
 
     /// Logs that the link to control was gained or lost.
-    pub fn log_link(&self, address: std::net::SocketAddr, gained: bool) {
+    pub fn log_link(&self, address: SocketAddr, gained: bool) {
+        *self.followed.lock() = gained.then_some(address);
         self.log.log_link(address, gained);
     }
 
@@ -274,7 +317,7 @@
     }
 
     /// Logs that a link to an entry in another region was gained or lost.
-    pub(super) fn log_peer(&self, address: std::net::SocketAddr, gained: bool) {
+    pub(super) fn log_peer(&self, address: SocketAddr, gained: bool) {
         self.log.log_peer(address, gained);
     }
 
--- a/daisyhinge/src/shell/site.rs
+++ b/daisyhinge/src/shell/site.rs
@@ -7,15 +7,18 @@
 //!
 //! No lock of the registry is held across an await.
 
+pub mod ahead;
 mod answer;
 pub mod entry_states;
 pub mod follow;
 pub mod gossip;
+pub mod group_log;
 mod level;
 pub mod publish;
 mod reported_usage;
 pub mod rollouts;
 pub mod serve;
+pub mod state_log;
 mod store_request;
 pub mod stored;
 mod usage;
--- a/daisyhinge/src/shell/site/answer.rs
+++ b/daisyhinge/src/shell/site/answer.rs
@@ -64,6 +64,7 @@
             SyncCaller::Control | SyncCaller::Probe => None,
         };
         self.record_caller(request.caller);
+        self.record_revision(vm.as_ref(), received.revision);
         if let Some(report) = request.crashes {
             self.update(|now, registry| registry.record_crashes(now, report));
         }
--- a/daisyhinge/src/shell/site/follow.rs
+++ b/daisyhinge/src/shell/site/follow.rs
@@ -29,7 +29,7 @@
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Maximum age of the last quorum contact of a control process. An entry switches to another
 /// control process if the contact is older.
-const QUORUM_AGE_MAX: Duration = Duration::from_millis(1_500);
+pub const QUORUM_AGE_MAX: Duration = Duration::from_millis(1_500);
 /// Long-poll timeout at a control process that has not seen a quorum since it started. Builds that
 /// do not reply at the first contact to a quorum are asked again after it.
 const STARTUP_POLL_TIMEOUT: Duration = Duration::from_millis(40);
--- a/daisyhinge/src/shell/site/serve.rs
+++ b/daisyhinge/src/shell/site/serve.rs
@@ -12,6 +12,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 
+use super::ahead::AheadEntry;
 use super::entry_states::{EntryDeriver, EntryStates};
 use super::publish::{PUBLISH_INTERVAL, publish_states};
 use super::serve_site;
@@ -58,6 +59,8 @@
     pub(super) usage_mark: Arc<watch::Sender<u64>>,
     /// Site state with which long polls of entries are answered.
     pub(super) published: Arc<watch::Sender<Arc<SiteState>>>,
+    /// Latest entry that was found to have a newer state than this process.
+    pub(super) ahead: Arc<watch::Sender<Option<AheadEntry>>>,
     /// Requests to the task that stores the known replicas.
     pub(super) store_requests: Arc<OnceLock<mpsc::Sender<StoreRequest>>>,
 }
@@ -91,6 +94,7 @@
             report_mark: Arc::new(watch::Sender::new(0)),
             usage_mark: Arc::new(watch::Sender::new(0)),
             published: Arc::new(watch::Sender::new(Arc::default())),
+            ahead: Arc::default(),
             store_requests: Arc::default(),
         };
         let states = site_registry.shell.published_site().state.subscribe();
@@ -111,6 +115,31 @@
         &self.shell
     }
 
+    /// Returns the state with which long polls of entries are answered.
+    pub fn watch_published(&self) -> watch::Receiver<Arc<SiteState>> {
+        self.published.subscribe()
+    }
+
+    /// Returns the latest entry that was found to have a newer state than this process.
+    pub fn watch_ahead(&self) -> watch::Receiver<Option<AheadEntry>> {
+        self.ahead.subscribe()
+    }
+
+    /// Records that an entry has a newer state than this process, if it has. For logs only.
+    pub(super) fn record_revision(&self, vm: Option<&VmName>, entry_revision: u64) {
+        let applied = Arc::clone(&self.shell.published_site().state.borrow());
+        let Some(vm) = vm.filter(|_| entry_revision > applied.revision) else {
+            return;
+        };
+        let ahead = AheadEntry {
+            vm: vm.clone(),
+            entry_revision,
+            revision: applied.revision,
+            quorum_age: self.shell.quorum_age(),
+        };
+        self.ahead.send_replace(Some(ahead));
+    }
+
     /// Returns the address and the data centre of this process.
     pub(super) fn endpoint(&self) -> &SiteEndpoint {
         &self.endpoint
--- a/daisyhinge/src/vocabulary.rs
+++ b/daisyhinge/src/vocabulary.rs
@@ -25,5 +25,6 @@
 pub mod setting;
 pub mod site;
 pub mod subrequest;
+pub mod text_digest;
 pub mod version_one;
 pub mod view;
--- a/daisyhinge/src/vocabulary/document.rs
+++ b/daisyhinge/src/vocabulary/document.rs
@@ -13,6 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::prelude::*;
+use crate::vocabulary::text_digest::TextDigest;
 
 /// Maximum size of the uncompressed text in bytes.
 const TEXT_MAX_BYTES: u64 = 64 << 20;
@@ -69,6 +70,12 @@
         }
     }
 
+    /// Returns digest and size of the text; those of an empty text if it cannot be decompressed.
+    pub fn digest(&self) -> TextDigest {
+        self.unpack()
+            .map_or_else(|_error| TextDigest::default(), |text| TextDigest::of(&text))
+    }
+
     /// Returns the compressed size in bytes.
     pub fn compressed_len(&self) -> usize {
         self.packed.len()
