Remove silent members although others are silent too

Callers saw: after two control VMs had been replaced by new ones at other addresses, the second within 12 s of the first, both stayed members for good. Each further replacement raised the quorum, until it could not be reached and no change and no read was answered any more.

Cause: a silent member was removed only if all other voters had caught up, so each of two lost members kept the other one in the group. The first silent member also hid the others: if it was a voter that must stay, a silent learner stayed as well.

Only the voters that are not silent must have caught up, and they must form a quorum of the present members; a change of members is still refused unless a quorum of the new ones answers. Removing a silent member never raises the quorum, at least three voters remain, and one change runs at a time.

--- a/daisyhinge/src/control/voter/leader.rs
+++ b/daisyhinge/src/control/voter/leader.rs
@@ -356,20 +356,26 @@
         }
     }
 
-    /// Returns a member that has been silent for so long that it is considered lost, if all other
-    /// voters are reachable and have caught up. The member joins again when it returns.
+    /// Returns a member that has been silent for so long that it is considered lost, if the voters
+    /// that are not silent have caught up and form a quorum. The member joins again when it returns.
     fn find_silent_member(&self, now: MonotonicTime) -> Option<VoterId> {
         let timeout = self.limits.silent_timeout?;
         let set = self.voters();
-        let silent = set.members.iter().find(|member| {
-            let progress = self.peer_progress(&member.id);
+        let is_silent = |id: &VoterId| {
+            let progress = self.peer_progress(id);
             progress.is_some_and(|(_, contact)| now.since(contact) >= timeout)
-        })?;
-        let mut others = set.voters().filter(|member| member.id != silent.id);
-        let others_ready =
-            others.all(|member| member.id == self.id || self.has_caught_up(now, &member.id));
-        let removable = silent.learner || set.voters().count() > VOTERS_MIN;
-        (others_ready && removable).then(|| silent.id.clone())
+        };
+        let is_ready = |id: &VoterId| *id == self.id || self.has_caught_up(now, id);
+        let mut voters = set.voters();
+        if !voters.all(|member| is_silent(&member.id) || is_ready(&member.id))
+            || !set.has_quorum(is_ready)
+        {
+            return None;
+        }
+        let voter_removable = set.voters().count() > VOTERS_MIN;
+        let mut silent = set.members.iter().filter(|member| is_silent(&member.id));
+        let removed = silent.find(|member| member.learner || voter_removable);
+        removed.map(|member| member.id.clone())
     }
 
     fn has_caught_up(&self, now: MonotonicTime, id: &VoterId) -> bool {
--- a/daisyhinge/tests/control_voter.rs
+++ b/daisyhinge/tests/control_voter.rs
@@ -8,5 +8,7 @@
 mod membership;
 #[path = "control_voter/partitions.rs"]
 mod partitions;
+#[path = "control_voter/silent.rs"]
+mod silent;
 #[path = "control_voter/sync.rs"]
 mod sync;
