Let a control process that was removed join again

Callers saw: a control VM that had been stopped for 14 s answered each read of the configuration 503 for good. It went on acknowledging heartbeats, which no other process received, so replicas that used it stayed unknown to entries.

Cause: a member that is silent for 12 s is removed, and nobody sends it anything after that. Its own log still lists it as a voter, so it never requested membership again.

A process also requests membership while no quorum has confirmed its state for 2 s.

--- a/daisyhinge/src/shell/control/bootstrap.rs
+++ b/daisyhinge/src/shell/control/bootstrap.rs
@@ -21,6 +21,9 @@
 const SEEDED_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Interval between membership checks, and timeout of a join request.
 const JOIN_INTERVAL: Duration = Duration::from_millis(400);
+/// Time without a confirmed state after which a member requests membership too; longer than an
+/// election takes.
+const UNCONFIRMED_MAX: Duration = Duration::from_secs(2);
 
 /// Bootstraps the log if this VM has the lowest name among `peers`, as soon as all of them answer
 /// and none has stored state. A VM that lost its disk finds that the others are initialised, and
@@ -113,14 +116,18 @@
 }
 
 /// Requests membership while this VM is not a member, from the seeds and from the last known
-/// members.
+/// members. A member that was removed while it was silent does not have that change in its log, so a
+/// VM also requests it while no quorum confirms its state; the request has no effect on members.
 pub(super) async fn run_join(shell: ControlShell, seeds: Vec<SocketAddr>) {
+    let opened_at = shell.clock().now();
     loop {
         tokio::time::sleep(JOIN_INTERVAL).await;
         let Some(status) = shell.status().await else {
             return;
         };
-        if status.role != ControlRole::Outside {
+        let running_for = || shell.clock().now().since(opened_at);
+        let unconfirmed_for = shell.quorum_age().unwrap_or_else(running_for);
+        if status.role != ControlRole::Outside && unconfirmed_for < UNCONFIRMED_MAX {
             continue;
         }
         let known = shell.published_site().members.borrow().clone();
