Compare host names without case, port and final dot

A request with Host: H.EXAMPLE got 404 for a route of h.example, and so did every request for a route whose host has a port or a final dot.

Cause: routes were stored under the host as written, while only the port of a request's host was removed. Addresses of version 6 were cut at their first colon.

--- a/daisyhinge/src/routing.rs
+++ b/daisyhinge/src/routing.rs
@@ -1,5 +1,6 @@
 //! Matches requests to routes and splits traffic between services.
 
+use std::borrow::Cow;
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -16,7 +17,8 @@
     pub fn open(config: &SiteConfig) -> Self {
         let mut hosts: HashMap<Arc<str>, Vec<Arc<SiteRoute>>> = HashMap::new();
         for route in &config.routes {
-            let routes = hosts.entry(Arc::clone(&route.host)).or_default();
+            let host = normalize_host(&route.host);
+            let routes = hosts.entry(Arc::from(host)).or_default();
             routes.push(Arc::clone(route));
         }
         for routes in hosts.values_mut() {
@@ -27,7 +29,7 @@
 
     /// Returns the route of `host` with the longest prefix that matches `path`.
     pub fn find_route(&self, host: &str, path: &str) -> Option<&Arc<SiteRoute>> {
-        let routes = self.hosts.get(strip_port(host))?;
+        let routes = self.hosts.get(&*normalize_host(host))?;
         routes
             .iter()
             .find(|route| path.starts_with(&*route.path_prefix))
@@ -35,11 +37,26 @@
 
     /// Returns all routes of a host.
     pub fn routes_of(&self, host: &str) -> &[Arc<SiteRoute>] {
-        self.hosts.get(strip_port(host)).map_or(&[], Vec::as_slice)
+        let routes = self.hosts.get(&*normalize_host(host));
+        routes.map_or(&[], Vec::as_slice)
+    }
+}
+
+/// Returns the form in which hosts are compared: in lower case, without a port and final dots.
+pub fn normalize_host(host: &str) -> Cow<'_, str> {
+    let name = strip_port(host).trim_end_matches('.');
+    if name.bytes().any(|byte| byte.is_ascii_uppercase()) {
+        Cow::Owned(name.to_ascii_lowercase())
+    } else {
+        Cow::Borrowed(name)
     }
 }
 
 fn strip_port(host: &str) -> &str {
+    // The colons of an address of version 6 stand in brackets.
+    if host.starts_with('[') {
+        return host.find(']').map_or(host, |end| &host[..=end]);
+    }
     host.split_once(':').map_or(host, |(name, _)| name)
 }
 
