Put a first configuration of version 0 in force at entries

Operators got 200 for a first configuration of version 0 and read it back, but no entry adopted it: entries kept answering 503 as without any.

Cause: control stores any first configuration, while an entry without one compared the version with 0.

--- a/daisyhinge/src/shell/forward/state.rs
+++ b/daisyhinge/src/shell/forward/state.rs
@@ -218,7 +218,8 @@
 
     fn apply_document(&self, document: &SiteDocument) {
         let former = self.site();
-        if document.version <= former.as_ref().map_or(0, |site| site.version) {
+        let known = former.as_ref().map(|site| site.version);
+        if known.is_some_and(|version| document.version <= version) {
             return;
         }
         let config = document.unpack().and_then(|text| (self.decode)(&text));
