--- a/daisyhinge/src/shell/forward/state.rs
+++ b/daisyhinge/src/shell/forward/state.rs
@@ -250,7 +250,8 @@
 
     fn apply_document(&self, document: &SiteDocument, origin: &StateOrigin) {
         let former = self.site();
-        if document.version <= former.as_ref().map_or(0, |site| site.version) {
+        let known = former.as_ref().map(|site| site.version);
+        if known.is_some_and(|version| document.version <= version) {
             return;
         }
         let text = document.unpack();
