Reserve the loopback addresses of the library's tests

Seen: part_is_relayed_until_the_link_hangs failed once beside other runs ("the port accepts connections"). Reproduced: two runs of the relay test at the same time, one has 5 of 8 tests fail in this and other forms, since both use the same addresses. The tests over loopback now reserve their network and wait for another run to end, as the tests of processes do.

The same runs showed another failure of a busy machine: requests_over_a_link_keep_to_the_rate_that_the_replica_states counted 6 requests "in a second" that had taken longer. Its bound now follows from the time that passed; within a second it is 5 as before.

--- a/daisyhinge/tests/cut_answers.rs
+++ b/daisyhinge/tests/cut_answers.rs
@@ -7,6 +7,8 @@
 mod known_replica;
 #[path = "cut_answers/replica.rs"]
 mod replica;
+#[path = "support/reserved_network.rs"]
+mod reserved_network;
 
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
@@ -32,6 +34,7 @@
 use replica::{
     AnswerForm, BODY, ConnectionEnd, Cut, CuttingReplica, FORMS, head_length, list_cuts,
 };
+use reserved_network::reserved_host;
 use tarpc::serde_transport::Transport;
 use tarpc::tokio_serde::formats::Bincode;
 use tarpc::{client, context};
@@ -49,7 +52,7 @@
 /// Returns one of the addresses of these tests. A block is for one test.
 fn host(block: u8, number: usize) -> IpAddr {
     let number = u8::try_from(number).expect("a small number");
-    IpAddr::from([127, 105, block, number])
+    reserved_host(105, block, number)
 }
 
 async fn spawn_replica(block: u8) -> CuttingReplica {
--- a/daisyhinge/tests/follow.rs
+++ b/daisyhinge/tests/follow.rs
@@ -1,7 +1,10 @@
 //! Tests how an entry selects the control process from which it receives the deployment's state,
 //! over loopback connections.
 
-use std::net::{IpAddr, SocketAddr};
+#[path = "support/reserved_network.rs"]
+mod reserved_network;
+
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
@@ -17,6 +20,7 @@
 };
 use daisyhinge::vocabulary::rollout::RolloutReport;
 use futures::FutureExt;
+use reserved_network::reserved_host;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -24,7 +28,7 @@
 const PORT: u16 = 27_861;
 
 fn address(test_index: u8, number: u8) -> SocketAddr {
-    SocketAddr::new(IpAddr::from([127, 64, test_index, number]), PORT)
+    SocketAddr::new(reserved_host(64, test_index, number), PORT)
 }
 
 /// Fake control process.
--- a/daisyhinge/tests/forward.rs
+++ b/daisyhinge/tests/forward.rs
@@ -7,8 +7,10 @@
 mod known_replica;
 #[path = "forward/overload.rs"]
 mod overload;
+#[path = "support/reserved_network.rs"]
+mod reserved_network;
 
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -21,6 +23,7 @@
 };
 use http_body_util::Full;
 use hyper::Request;
+use reserved_network::reserved_host;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
@@ -248,7 +251,7 @@
 #[tokio::test]
 async fn early_answer_to_long_body_is_forwarded_and_connection_not_reused() {
     const LENGTH: usize = 200 << 10;
-    let host = IpAddr::from([127, 63, 0, 13]);
+    let host = reserved_host(63, 0, 13);
     let replica = SocketAddr::new(host, REPLICA_PORT);
     let listener = TcpListener::bind(replica).await.expect("bind the port");
     let replica_task = tokio::spawn(async move {
@@ -330,7 +333,7 @@
 /// A report that is sent again to another control process said that its crashes had just happened.
 #[tokio::test]
 async fn crash_report_states_the_current_ages_of_its_records() {
-    let host = IpAddr::from([127, 63, 0, 31]);
+    let host = reserved_host(63, 0, 31);
     let listener = TcpListener::bind(SocketAddr::new(host, REPLICA_PORT)).await;
     let script = |_: &str| ReplicaAnswer {
         bytes: String::new(),
--- a/daisyhinge/tests/forward/fixture.rs
+++ b/daisyhinge/tests/forward/fixture.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use crate::known_replica::{BUDGET, header_names, sync_reply_with};
+use crate::reserved_network::reserved_host;
 use bytes::Bytes;
 use daisyhinge::dispatch::fleet::FleetLocation;
 use daisyhinge::lease::LapsePolicy;
@@ -219,7 +220,7 @@
     script: AnswerScript,
     decode: ConfigDecoder,
 ) -> Fixture {
-    let host = IpAddr::from([127, 63, 0, number]);
+    let host = reserved_host(63, 0, number);
     let listener = TcpListener::bind(SocketAddr::new(host, REPLICA_PORT)).await;
     let seen = Arc::new(SeenConnections::default());
     let running = run_replica(listener.expect("bind the port"), script, Arc::clone(&seen));
--- a/daisyhinge/tests/keys/fixture.rs
+++ b/daisyhinge/tests/keys/fixture.rs
@@ -30,6 +30,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::known_replica::{BUDGET, header_names, sync_reply_with};
+use crate::reserved_network::reserved_host;
 
 pub const CALLER_PORT: u16 = 27_862;
 pub const RELAY_PORT: u16 = 27_861;
@@ -39,7 +40,7 @@
 pub const CUSTOMERS: &str = "acme - 3 key-1 key-2\nnorthern north 0 key-3\nsouthern south 0 key-4";
 
 pub fn host(number: u8) -> IpAddr {
-    IpAddr::from([127, 69, 0, number])
+    reserved_host(69, 0, number)
 }
 
 fn route(name: &str, regions: &[&str], target: RouteTarget) -> Arc<SiteRoute> {
--- a/daisyhinge/tests/out_of_touch.rs
+++ b/daisyhinge/tests/out_of_touch.rs
@@ -5,6 +5,8 @@
 mod fixture;
 #[path = "support/known_replica.rs"]
 mod known_replica;
+#[path = "support/reserved_network.rs"]
+mod reserved_network;
 
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
@@ -19,6 +21,7 @@
     open_entry_with, run_replica,
 };
 use known_replica::sync_reply_with;
+use reserved_network::reserved_host;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
@@ -26,7 +29,7 @@
 const LEASE_LEFT: Duration = Duration::from_millis(200);
 
 async fn open(number: u8, policy: LapsePolicy) -> (IpAddr, Arc<ForwardState>) {
-    let host = IpAddr::from([127, 65, 0, number]);
+    let host = reserved_host(65, 0, number);
     let listener = TcpListener::bind(SocketAddr::new(host, REPLICA_PORT)).await;
     let script = |id: &str| ReplicaAnswer {
         bytes: complete_answer(id, "label"),
--- a/daisyhinge/tests/reach/fixture.rs
+++ b/daisyhinge/tests/reach/fixture.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use crate::known_replica::{BUDGET, header_names, sync_reply_with};
+use crate::reserved_network::reserved_host;
 use bytes::Bytes;
 use daisyhinge::dispatch::fleet::{FleetLocation, ReplicaIndex};
 use daisyhinge::lease::LapsePolicy;
@@ -33,7 +34,7 @@
 pub const REPLICAS: u8 = 10;
 
 pub fn host(number: u8) -> IpAddr {
-    IpAddr::from([127, 66, 0, number])
+    reserved_host(66, 0, number)
 }
 
 pub fn card_route(name: &str, kind: RouteKind, target: RouteTarget) -> Arc<SiteRoute> {
--- a/daisyhinge/tests/relay.rs
+++ b/daisyhinge/tests/relay.rs
@@ -4,6 +4,8 @@
 mod fixture;
 #[path = "support/known_replica.rs"]
 mod known_replica;
+#[path = "support/reserved_network.rs"]
+mod reserved_network;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -274,13 +276,20 @@
             permit,
         )
     };
+    let started = Instant::now();
     for _ in 0..100 {
         let end = send().await.end;
         assert!(matches!(end, AttemptEnd::Answered | AttemptEnd::PeerBusy));
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
     let arrived = seen.lock().len();
-    assert!((2..=5).contains(&arrived), "{arrived} in a second");
+    let elapsed = started.elapsed();
+    // One at once, then four a second.
+    let arrived_max = 1 + usize::try_from(elapsed.as_millis() * 4 / 1_000).expect("a short time");
+    assert!(
+        (2..=arrived_max).contains(&arrived),
+        "{arrived} in {elapsed:?}"
+    );
     is_limited.store(false, Ordering::Relaxed);
     tokio::time::sleep(Duration::from_millis(500)).await;
     send().await;
--- a/daisyhinge/tests/relay/fixture.rs
+++ b/daisyhinge/tests/relay/fixture.rs
@@ -20,6 +20,7 @@
 use parking_lot::Mutex;
 
 use crate::known_replica::{BUDGET, header_names, sync_reply_with};
+use crate::reserved_network::reserved_host;
 
 pub const RELAY_PORT: u16 = 27_841;
 pub const CALLER_PORT: u16 = 27_842;
@@ -29,7 +30,7 @@
                        bbbbbbbbbbbbbbbb";
 
 pub fn host(number: u8) -> IpAddr {
-    IpAddr::from([127, 62, 0, number])
+    reserved_host(62, 0, number)
 }
 
 #[expect(
--- a/daisyhinge/tests/rollout_links.rs
+++ b/daisyhinge/tests/rollout_links.rs
@@ -5,6 +5,8 @@
 mod fixture;
 #[path = "support/known_replica.rs"]
 mod known_replica;
+#[path = "support/reserved_network.rs"]
+mod reserved_network;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
