Answer every request that an entry has read before it stops

In a planned stop, callers of slow routes lost requests: those that came late were taken and sent, and cut without an answer when the process exited, among them requests that may not be repeated. A request could be taken up to 2.75 s after SIGTERM with a timeout of 5 s, and nothing ended it before the process did, 5.65 s after the signal. Bodies that were still being received and requests that waited for a quota were cut in the same way.

Connections that carried no request were closed 2.75 s after the signal, when callers still use the address: 108 of 200 requests on kept connections found them closed, and one that crosses the close is lost.

Now a stop has a time for the last answers, 0.8 s before the kill. A request that neither its deadline nor the usual duration of its route lets end by then is refused as not run when it arrives. At that time the state machine of each other request ends it as at its deadline: 504 if it may have run, 503 if not. What has not been received or admitted is refused. Open connections are served until then.

None is cut, none refused after it ran, none that may not be repeated ran twice.

--- a/daisyhinge/src/dispatch.rs
+++ b/daisyhinge/src/dispatch.rs
@@ -11,6 +11,7 @@
 pub mod crash;
 pub mod fleet;
 pub mod merge;
+pub mod planned_stop;
 pub mod reach;
 pub mod request;
 pub mod rollout_counts;
@@ -34,6 +35,8 @@
 
 /// Upper bound of the hedging delay as a percentage of the objective, round trip excluded.
 const HEDGE_OBJECTIVE_PERCENT: u32 = 22;
+/// Quantile of the latencies of a route, in percent, that is taken for its usual duration.
+const USUAL_PERCENT: u32 = 99;
 /// Lower bound of the hedging delay, round trip excluded.
 const HEDGING_DELAY_MIN: Duration = Duration::from_millis(6);
 
@@ -147,6 +150,13 @@
         delay.clamp(HEDGING_DELAY_MIN, longest.max(HEDGING_DELAY_MIN)) + round_trip
     }
 
+    /// Returns how long requests of a route usually take; its objective if that is not known.
+    pub fn usual_duration(&self, route: &SiteRoute) -> Duration {
+        let known = self.latencies.get(&route.name);
+        let known = known.and_then(|known| known.quantile(USUAL_PERCENT));
+        known.unwrap_or(route.objective).min(route.timeout)
+    }
+
     /// Ends an attempt at a replica, whose capacity becomes free.
     pub fn finish_attempt(
         &mut self,
--- a/daisyhinge/src/dispatch/request.rs
+++ b/daisyhinge/src/dispatch/request.rs
@@ -136,6 +136,11 @@
         }
     }
 
+    /// Ends the request at `time` at the latest, as its deadline does.
+    pub fn end_by(&mut self, time: MonotonicTime) {
+        self.plan.deadline = self.plan.deadline.min(time);
+    }
+
     /// Iterates over the targets without an answer.
     pub fn missing(&self) -> impl Iterator<Item = &ServiceName> {
         let pairs = self.names.iter().zip(&self.targets);
--- a/daisyhinge/src/search/estimate.rs
+++ b/daisyhinge/src/search/estimate.rs
@@ -87,6 +87,11 @@
         Some(median + median / 10)
     }
 
+    /// Latency quantile in percent; `None` before enough latencies are recorded.
+    pub fn quantile(&self, percent: u32) -> Option<Duration> {
+        (self.total >= TOTAL_MIN).then(|| Duration::from_micros(self.quantile_us(percent).into()))
+    }
+
     fn quantile_us(&self, percent: u32) -> u32 {
         let rank = (self.total * percent).div_ceil(100).max(1);
         let mut seen = 0;
--- a/daisyhinge/src/shell/forward/answer.rs
+++ b/daisyhinge/src/shell/forward/answer.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, CONTENT_TYPE, HOST, HeaderValue, RETRY_AFTER, WWW_AUTHENTICATE};
 use hyper::http::request::Parts;
@@ -13,6 +13,7 @@
 use super::access::{RequestAccess, set_customer_headers};
 use super::outcome_log::log_outcome;
 use super::outgoing::OutgoingRequest;
+use super::request_body::receive_body;
 use super::run::{RequestOutcome, run_request};
 use super::state::{ActiveSite, ForwardState};
 use super::wire::{encode_number, encode_result_code, header_text, strip_connection_headers};
@@ -33,7 +34,7 @@
 /// Statuses that promise the caller that its request was not executed.
 const NOT_EXECUTED_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
-type AnswerBody = Full<Bytes>;
+pub(super) type AnswerBody = Full<Bytes>;
 
 /// Handles a request. `opened_connection` is set for the first request on its connection.
 pub async fn answer_request(
@@ -81,23 +82,19 @@
             return refuse_access(state, code);
         }
     };
-    let body = match read_body(body, site.limits.body_max_bytes).await {
+    let id = header_text(&head.headers, &state.names.request_id).unwrap_or("-");
+    let limit = site.limits.body_max_bytes;
+    let body = match receive_body(state, &route, id, body, limit).await {
         Ok(body) => body,
-        Err(code) => {
-            let id = header_text(&head.headers, &state.names.request_id).unwrap_or("-");
-            state.log.log_line(LineClass::Request, || {
-                format!(
-                    "event=body_refused request={id} route={} code={} body_max_bytes={}",
-                    route.name,
-                    code.number(),
-                    site.limits.body_max_bytes
-                )
-            });
-            return refuse(code, None);
-        }
+        Err(ResultCode::ShuttingDown) => return state.refuse_at_stop(&route.name, id),
+        Err(code) => return refuse(code, None),
     };
-    let id = header_text(&head.headers, &state.names.request_id).unwrap_or("-");
-    if let Some(retry_after) = state.check_quota(&route, id, access.as_ref()).await {
+    let over_quota = tokio::select! {
+        biased;
+        over_quota = state.check_quota(&route, id, access.as_ref()) => over_quota,
+        () = state.answers_due() => return state.refuse_at_stop(&route.name, id),
+    };
+    if let Some(retry_after) = over_quota {
         return refuse_quota(retry_after);
     }
     let requested_ms = header_text(&head.headers, &state.names.deadline);
@@ -121,6 +118,9 @@
         customer: access.as_ref().map(|access| access.customer.name.clone()),
     };
     record_caller_deadline(state, &mut plan, requested_ms, opened_connection);
+    if !state.accepts(&plan) {
+        return state.refuse_at_stop(&route.name, id);
+    }
     let outgoing = Arc::new(build_outgoing(state, site, &plan, head, body, access));
     let outcome = run_request(state, plan.clone(), Arc::clone(&outgoing)).await;
     log_outcome(state, site, &plan, &outgoing, &outcome);
@@ -174,19 +174,6 @@
     answer
 }
 
-/// Reads a caller's body to its end.
-///
-/// # Errors
-/// [`ResultCode::BodyTooLarge`] beyond `limit` bytes, [`ResultCode::MalformedRequest`] if it ends
-/// early or cannot be decoded.
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, ResultCode> {
-    match Limited::new(body, limit).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(ResultCode::BodyTooLarge),
-        Err(_error) => Err(ResultCode::MalformedRequest),
-    }
-}
-
 /// Records the caller's deadline, and sets the time that the caller has already spent and the
 /// margin for the answer's return trip in the plan.
 fn record_caller_deadline(
@@ -367,7 +354,7 @@
 }
 
 /// Builds a refusal. The request was not executed and will not be.
-fn refuse(code: ResultCode, retry_after: Option<Duration>) -> Response<AnswerBody> {
+pub(super) fn refuse(code: ResultCode, retry_after: Option<Duration>) -> Response<AnswerBody> {
     let status = StatusCode::from_u16(code.http_status());
     let mut answer = entry_answer(status.unwrap_or(StatusCode::SERVICE_UNAVAILABLE), code);
     if let Some(delay) = retry_after {
--- a/daisyhinge/src/shell/forward/listen.rs
+++ b/daisyhinge/src/shell/forward/listen.rs
@@ -16,7 +16,7 @@
 use super::answer::answer_request;
 use super::state::ForwardState;
 use crate::prelude::*;
-use crate::shell::port_drain::{accept_queued, finish_requests};
+use crate::shell::port_drain::{accept_queued, finish_requests, wait_for_connections};
 use crate::vocabulary::site::CallerLimits;
 
 /// Delay before the next accept after a failed one, for example when file descriptors run out.
@@ -25,7 +25,10 @@
 const HEAD_BUFFER_MIN_BYTES: usize = 8 << 10;
 
 /// Serves callers on `address` until `stop` is cancelled. Then accepts the connections that are
-/// still queued, closes idle ones and waits up to `grace` for running requests.
+/// still queued, and listens no more. During a planned stop, serves the connections that are left
+/// until the last answers are due: a request that comes on one of them would be lost if it were
+/// closed at that moment. At the end closes idle connections and waits up to `grace` for running
+/// requests.
 ///
 /// # Errors
 /// [`ResultCode::BindFailed`] if the address cannot be bound.
@@ -45,6 +48,7 @@
     }
     accept_queued(accept_callers(&state, &listener, &graceful)).await;
     drop(listener);
+    wait_for_connections(&graceful, state.time_to_answer()).await;
     finish_requests(graceful, grace).await;
     Ok(())
 }
--- a/daisyhinge/src/shell/forward/run.rs
+++ b/daisyhinge/src/shell/forward/run.rs
@@ -22,6 +22,10 @@
 /// Maximum time for which attempts continue in the background after their request was answered.
 const BACKGROUND_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(120);
 
+/// Time between two checks whether the entry has begun to stop. The last answers of a stop are due
+/// seconds later.
+const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
 /// `Retry-After` of a request whose entry lost contact with control while the request waited.
 const REFUSAL_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -117,6 +121,9 @@
             // Dropping the guard abandons the attempts that have not been written.
             return build_refusal(&guard.machine, code);
         }
+        if let Some(answer_by) = state.answer_by() {
+            guard.machine.end_by(answer_by);
+        }
         guard.step(event, &mut actions);
         for action in actions.drain(..) {
             match action {
@@ -148,7 +155,8 @@
                 }
             }
         }
-        let due = state.clock.instant(guard.machine.next_due());
+        let check_at = state.clock.now() + STOP_CHECK_INTERVAL;
+        let due = state.clock.instant(guard.machine.next_due().min(check_at));
         event = tokio::select! {
             Some(report) = running.next(), if !running.is_empty() => {
                 record_report(state, report, &mut answers)
--- a/daisyhinge/src/shell/forward/state.rs
+++ b/daisyhinge/src/shell/forward/state.rs
@@ -1,7 +1,7 @@
 //! State shared by all requests of an entry.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use parking_lot::{Mutex, RwLock};
@@ -19,6 +19,7 @@
 use crate::dispatch::answer_memory::AnswerMemory;
 use crate::dispatch::budget::BudgetLimits;
 use crate::dispatch::fleet::{FleetLocation, ReplicaIndex, ReplicaReach};
+use crate::dispatch::planned_stop::PlannedStop;
 use crate::lease::{FreshnessLease, LapsePolicy};
 use crate::metric::forward::ForwardCounters;
 use crate::prelude::*;
@@ -81,6 +82,8 @@
     /// Cancelled when the entry shuts down. Answers then carry `Connection: close`, so that callers
     /// connect to another entry.
     pub leaving: CancellationToken,
+    /// Times of the planned stop; unset unless the entry stops.
+    pub(super) planned_stop: OnceLock<PlannedStop>,
     pub(super) names: HeaderNames,
     pub(super) dispatcher: Mutex<Dispatcher>,
     pub(super) admission_waiters: AdmissionWaiters,
@@ -127,6 +130,7 @@
             admission_waiters: AdmissionWaiters::open(counters.admission_queued.clone()),
             counters,
             leaving: CancellationToken::new(),
+            planned_stop: OnceLock::new(),
             names: settings.names,
             dispatcher: Mutex::new(dispatcher),
             pool: ConnectionPool::default(),
--- a/daisyhinge/tests/dispatch.rs
+++ b/daisyhinge/tests/dispatch.rs
@@ -29,6 +29,8 @@
 mod notices;
 #[path = "dispatch/parts.rs"]
 mod parts;
+#[path = "dispatch/planned_stop.rs"]
+mod planned_stop;
 #[path = "dispatch/rates.rs"]
 mod rates;
 #[path = "dispatch/requests.rs"]
