Let the requests of other entries end before an entry stops

In a planned stop, a gather at another entry lost the parts that it had sent over its link to the stopping entry, and answered 502; a request that may not be repeated would have been lost in the same way. The stopping entry exited as soon as its own callers were served, with none of them 2.75 s after the signal, and the link ended with it.

The entry now counts what it runs for others and exits once that has ended and the replies are written, at the latest when its last answers are due. What runs then is reported as lost if it may have been written, else as not sent. A request that could not end by then is declined as one to a replica that cannot be reached, so that the calling entry replaces its link.

--- a/daisyhinge/src/shell/forward/planned_stop.rs
+++ b/daisyhinge/src/shell/forward/planned_stop.rs
@@ -1,5 +1,7 @@
 //! A planned stop of an entry: which requests it still accepts, and when it answers the last ones.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use hyper::Response;
@@ -14,6 +16,31 @@
 /// `Retry-After` of a request that is refused since the entry stops: another entry serves it.
 const RETRY_AFTER: Duration = Duration::from_millis(100);
 
+/// Assumed duration of a request of another entry, whose route is not known here.
+const RELAYED_USUAL: Duration = Duration::from_secs(1);
+/// Time between two checks whether requests of other entries are running.
+const RELAYED_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Time in which the last replies to other entries are written.
+const REPLY_WRITE_TIME: Duration = Duration::from_millis(50);
+
+/// A request of another entry that is running.
+#[derive(Debug)]
+pub(super) struct RelayedGuard(Arc<AtomicUsize>);
+
+impl RelayedGuard {
+    /// Counts a request in `running` until the guard is dropped.
+    pub(super) fn open(running: &Arc<AtomicUsize>) -> Self {
+        running.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(running))
+    }
+}
+
+impl Drop for RelayedGuard {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 impl ForwardState {
     /// Begins a planned stop. The process is killed after `grace`.
     pub fn begin_stop(&self, grace: Duration) {
@@ -51,6 +78,24 @@
         stop.accepts(self.clock.now(), usual, plan.deadline)
     }
 
+    /// Returns whether a request of another entry can be expected to end before the stop.
+    pub(super) fn accepts_relayed(&self, deadline: MonotonicTime) -> bool {
+        let stop = self.planned_stop.get();
+        stop.is_none_or(|stop| stop.accepts(self.clock.now(), RELAYED_USUAL, deadline))
+    }
+
+    /// Waits until the requests of other entries have ended, at most until the last answers of a
+    /// planned stop are due, and until the replies are written.
+    pub async fn finish_relayed(&self) {
+        let ended = async {
+            while self.relayed_running.load(Ordering::Relaxed) > 0 {
+                tokio::time::sleep(RELAYED_CHECK_INTERVAL).await;
+            }
+        };
+        drop(tokio::time::timeout(self.time_to_answer() + RELAYED_CHECK_INTERVAL, ended).await);
+        tokio::time::sleep(REPLY_WRITE_TIME).await;
+    }
+
     /// Refuses a request that has not been sent, since the entry stops.
     pub(super) fn refuse_at_stop(&self, route: &str, id: &str) -> Response<AnswerBody> {
         self.log.log_line(LineClass::Request, || {
--- a/daisyhinge/src/shell/forward/relay.rs
+++ b/daisyhinge/src/shell/forward/relay.rs
@@ -73,7 +73,8 @@
     /// Set if nothing was sent because the receiver no longer stores the head. The caller then
     /// sends the complete head.
     pub head_unknown: bool,
-    /// Set if nothing was sent because the receiver cannot connect to the replica itself.
+    /// Set if nothing was sent because the receiver cannot connect to the replica itself, or stops
+    /// before the request could end.
     pub cut_off: bool,
 }
 
--- a/daisyhinge/src/shell/forward/relay/serve.rs
+++ b/daisyhinge/src/shell/forward/relay/serve.rs
@@ -25,6 +25,7 @@
 use crate::shell::forward::connection::ReplicaAnswer;
 use crate::shell::forward::gate::WritePermit;
 use crate::shell::forward::outgoing::OutgoingRequest;
+use crate::shell::forward::planned_stop::RelayedGuard;
 use crate::shell::forward::state::ForwardState;
 
 /// Maximum number of open links.
@@ -65,10 +66,15 @@
     let transport = Transport::from((stream, Bincode::default()));
     let channel = BaseChannel::with_defaults(transport);
     let heads = Arc::default();
+    let relayed_running = Arc::clone(&state.relayed_running);
     let mut calls = std::pin::pin!(channel.execute(RelayServer { state, heads }.serve()));
     let mut running = JoinSet::new();
     while let Some(call) = calls.next().await {
-        running.spawn(call);
+        let guard = RelayedGuard::open(&relayed_running);
+        running.spawn(async move {
+            call.await;
+            drop(guard);
+        });
         while running.try_join_next().is_some() {}
     }
 }
@@ -97,6 +103,12 @@
         let Some(request) = read_request(&self.state, &text, &relay_request, deadline) else {
             return refuse_part(AttemptEnd::Withdrawn);
         };
+        if !self.state.accepts_relayed(deadline) {
+            return RelayReply {
+                cut_off: true,
+                ..refuse_part(AttemptEnd::Withdrawn)
+            };
+        }
         let mut attempt = match RelayAttempt::begin(&self.state, &relay_request.replica) {
             Ok(attempt) => attempt,
             Err(end) => {
@@ -106,14 +118,13 @@
                 };
             }
         };
-        let result = send_direct(
-            &self.state,
-            &request,
-            attempt.replica,
-            &WritePermit::default(),
-            AttemptOrigin::OtherEntry,
-        )
-        .await;
+        let permit = WritePermit::default();
+        let origin = AttemptOrigin::OtherEntry;
+        let result = tokio::select! {
+            biased;
+            result = send_direct(&self.state, &request, attempt.replica, &permit, origin) => result,
+            () = self.state.answers_due() => Err(end_at_stop(&permit)),
+        };
         let (end, answer) = match result {
             Ok((end, answer)) => (end, Some(answer)),
             Err(end) => (end, None),
@@ -146,6 +157,15 @@
     }
 }
 
+/// Returns how an attempt ends that runs when the last answers of a planned stop are due.
+fn end_at_stop(permit: &WritePermit) -> AttemptEnd {
+    if permit.is_acquired() {
+        AttemptEnd::Lost
+    } else {
+        AttemptEnd::Withdrawn
+    }
+}
+
 /// Builds the reply to a request that was not sent to the replica.
 fn refuse_part(end: AttemptEnd) -> RelayReply {
     RelayReply {
--- a/daisyhinge/src/shell/forward/state.rs
+++ b/daisyhinge/src/shell/forward/state.rs
@@ -1,6 +1,6 @@
 //! State shared by all requests of an entry.
 
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
@@ -84,6 +84,8 @@
     pub leaving: CancellationToken,
     /// Times of the planned stop; unset unless the entry stops.
     pub(super) planned_stop: OnceLock<PlannedStop>,
+    /// Number of requests of other entries that are running.
+    pub(super) relayed_running: Arc<AtomicUsize>,
     pub(super) names: HeaderNames,
     pub(super) dispatcher: Mutex<Dispatcher>,
     pub(super) admission_waiters: AdmissionWaiters,
@@ -131,6 +133,7 @@
             counters,
             leaving: CancellationToken::new(),
             planned_stop: OnceLock::new(),
+            relayed_running: Arc::default(),
             names: settings.names,
             dispatcher: Mutex::new(dispatcher),
             pool: ConnectionPool::default(),
--- a/daisyhinge/tests/planned_stop.rs
+++ b/daisyhinge/tests/planned_stop.rs
@@ -11,17 +11,26 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
+use daisyhinge::dispatch::request::AttemptEnd;
 use daisyhinge::prelude::*;
+use daisyhinge::shell::forward::relay::serve::bind_relay;
+use daisyhinge::shell::forward::relay::{HeadRef, RelayLinkClient, RelayReply, RelayRequest};
 use daisyhinge::vocabulary::site::{RouteKind, SiteConfig, SiteRoute};
 use fixture::{
     AfterAnswer, CALLER_PORT, Fixture, ReplicaAnswer, call_entry, call_entry_on, complete_answer,
     decode_site, open_fixture_decoding,
 };
+use tarpc::serde_transport::Transport;
+use tarpc::tokio_serde::formats::Bincode;
+use tarpc::{client, context};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
 /// Time after which the process would be killed; the last answers are due after half of it.
 const GRACE: Duration = Duration::from_secs(1);
+const RELAY_PORT: u16 = 27_854;
+
 fn silent(_: &str) -> ReplicaAnswer {
     ReplicaAnswer {
         bytes: String::new(),
@@ -114,3 +123,64 @@
     assert!(refusal.headers().contains_key("retry-after"));
     assert_eq!(fixture.seen.opened.load(Ordering::Relaxed), 1);
 }
+
+async fn open_relay(fixture: &Fixture) -> RelayLinkClient {
+    let address = SocketAddr::new(fixture.host, RELAY_PORT);
+    let bound = bind_relay(Arc::clone(&fixture.state), address).await;
+    bound.expect("bind the port");
+    let stream = TcpStream::connect(address).await.expect("a link");
+    let transport = Transport::from((stream, Bincode::default()));
+    RelayLinkClient::new(client::Config::default(), transport).spawn()
+}
+
+async fn relay(client: &RelayLinkClient) -> RelayReply {
+    let text = Bytes::from_static(b"GET\n/card/1\nhost:labels.example\nx-id:id-1");
+    let request = RelayRequest {
+        replica: "replica-1".into(),
+        left_ms: 5_000,
+        top_records: None,
+        kind: RouteKind::Unsafe,
+        body: Bytes::new(),
+        head: HeadRef::Whole { number: 1, text },
+    };
+    let reply = client.relay(context::current(), request).await;
+    reply.expect("a reply")
+}
+
+/// The process exited as soon as its own callers were served, and cut the link.
+#[tokio::test]
+async fn stop_waits_for_requests_of_other_entries() {
+    let late = |id: &str| ReplicaAnswer {
+        bytes: String::new(),
+        then: AfterAnswer::Late(complete_answer(id, "label")),
+    };
+    let fixture = open_fixture_decoding(104, late, decode_once).await;
+    let client = open_relay(&fixture).await;
+    let pending = tokio::spawn(async move { relay(&client).await });
+    wait_for_arrival(&fixture).await;
+    fixture.state.begin_stop(GRACE);
+    fixture.state.finish_relayed().await;
+    assert!(pending.is_finished(), "the reply was written");
+    let reply = pending.await.expect("the task finishes");
+    assert_eq!(reply.end, AttemptEnd::Answered);
+    assert!(reply.answer.is_some());
+}
+
+#[tokio::test]
+async fn request_of_another_entry_that_cannot_end_is_not_sent_or_counts_as_lost() {
+    let fixture = open_fixture_decoding(105, silent, decode_once).await;
+    let client = open_relay(&fixture).await;
+    let running = client.clone();
+    let pending = tokio::spawn(async move { relay(&running).await });
+    wait_for_arrival(&fixture).await;
+    let begun = Instant::now();
+    fixture.state.begin_stop(GRACE);
+    let refused = relay(&client).await;
+    assert_eq!(refused.end, AttemptEnd::Withdrawn);
+    assert!(refused.cut_off, "the calling entry uses another link");
+    fixture.state.finish_relayed().await;
+    let reply = pending.await.expect("the task finishes");
+    assert_eq!(reply.end, AttemptEnd::Lost);
+    assert!(begun.elapsed() < GRACE, "{:?}", begun.elapsed());
+    assert_eq!(fixture.seen.opened.load(Ordering::Relaxed), 1);
+}
