--- a/daisyhinge/src/shell/forward/state.rs
+++ b/daisyhinge/src/shell/forward/state.rs
@@ -1,8 +1,8 @@
 //! State shared by all requests of an entry.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use parking_lot::{Mutex, RwLock};
@@ -21,6 +21,7 @@
 use crate::dispatch::answer_memory::AnswerMemory;
 use crate::dispatch::budget::BudgetLimits;
 use crate::dispatch::fleet::{FleetLocation, ReplicaIndex, ReplicaReach};
+use crate::dispatch::planned_stop::PlannedStop;
 use crate::lease::{FreshnessLease, LapsePolicy};
 use crate::metric::forward::ForwardCounters;
 use crate::prelude::*;
@@ -88,6 +89,10 @@
     /// Cancelled when the entry shuts down. Answers then carry `Connection: close`, so that callers
     /// connect to another entry.
     pub leaving: CancellationToken,
+    /// Times of the planned stop; unset unless the entry stops.
+    pub(super) planned_stop: OnceLock<PlannedStop>,
+    /// Number of requests of other entries that are running.
+    pub(super) relayed_running: Arc<AtomicUsize>,
     pub(super) names: HeaderNames,
     pub(super) dispatcher: Mutex<Dispatcher>,
     pub(super) admission_waiters: AdmissionWaiters,
@@ -136,6 +141,8 @@
             admission_waiters: AdmissionWaiters::open(counters.admission_queued.clone()),
             counters,
             leaving: CancellationToken::new(),
+            planned_stop: OnceLock::new(),
+            relayed_running: Arc::default(),
             names: settings.names,
             dispatcher: Mutex::new(dispatcher),
             pool: ConnectionPool::default(),
--- a/daisyhinge/tests/notice.rs
+++ b/daisyhinge/tests/notice.rs
@@ -6,6 +6,8 @@
 mod fixture;
 #[path = "support/known_replica.rs"]
 mod known_replica;
+#[path = "support/reserved_network.rs"]
+mod reserved_network;
 
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
--- a/daisyhinge/tests/relay.rs
+++ b/daisyhinge/tests/relay.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use daisyhinge::dispatch::fleet::ReplicaIndex;
