--- a/daisyhinge-cli/src/arguments.rs
+++ b/daisyhinge-cli/src/arguments.rs
@@ -77,7 +77,8 @@
     Entries(EntryFilter),
     /// Merge the events of several processes into one timeline.
     Timeline(TimelineQuery),
-    /// Explain how a request ended, from the collected logs of processes on the platform.
+    /// Explain how a request ended, or the course of a configuration, from the collected logs of
+    /// processes on the platform.
     Explain(ExplainQuery),
     /// Run a complete system with simulated backend servers in one process and demonstrate it.
     Demo,
--- a/daisyhinge-cli/src/explain.rs
+++ b/daisyhinge-cli/src/explain.rs
@@ -1,4 +1,5 @@
-//! The `daisyhinge explain` command: what the logs of several processes say about one request.
+//! The `daisyhinge explain` command: what the logs of several processes say about one request, or about
+//! one version of the configuration.
 
 use std::fmt::Write;
 use std::process::ExitCode;
@@ -6,13 +7,16 @@
 use crate::arguments::ExplainQuery;
 use crate::exit::{CommandError, EXIT_DIFFERENT};
 use crate::output::Output;
-use finding::{Explanation, explain_request};
+use course::{Course, explain_version};
+use finding::{Explanation, FoundLine, explain_request};
 use log::read_log;
 
+mod course;
 mod finding;
 mod log;
 
-/// Reads the logs, and prints what belongs to the request. Exits with 1 if no line names it.
+/// Reads the logs, and prints what belongs to the request or the version. Exits with 1 if no line names
+/// it.
 pub fn run(query: &ExplainQuery, output: Output) -> Result<ExitCode, CommandError> {
     let mut logs = Vec::new();
     let mut errors = Vec::new();
@@ -25,12 +29,36 @@
     if !errors.is_empty() {
         return Err(CommandError::BadInput(errors));
     }
-    let explanation = explain_request(&logs, &query.request);
-    output.show(&explanation, |text| write_explanation(text, &explanation));
-    if explanation.request.is_empty() {
-        return Ok(ExitCode::from(EXIT_DIFFERENT));
+    let is_known = match (&query.request, query.version) {
+        (Some(request), _) => {
+            let explanation = explain_request(&logs, request);
+            output.show(&explanation, |text| write_explanation(text, &explanation));
+            !explanation.request.is_empty()
+        }
+        (None, version) => {
+            let course = explain_version(&logs, version.unwrap_or_default());
+            output.show(&course, |text| write_course(text, &course));
+            course.has_lines()
+        }
+    };
+    if is_known {
+        Ok(ExitCode::SUCCESS)
+    } else {
+        Ok(ExitCode::from(EXIT_DIFFERENT))
     }
-    Ok(ExitCode::SUCCESS)
+}
+
+fn write_course(text: &mut String, course: &Course) {
+    let sections = [
+        ("Acknowledged", &course.confirmed),
+        ("Applied by control processes", &course.applied),
+        ("Published to entries", &course.published),
+        ("Adopted by entries", &course.adopted),
+        ("Refused", &course.refused),
+        ("Older versions afterwards", &course.older),
+        ("State of the processes around it", &course.state),
+    ];
+    write_sections(text, &sections, &course.notes);
 }
 
 fn write_explanation(text: &mut String, explanation: &Explanation) {
@@ -40,9 +68,13 @@
         ("Its replicas", &explanation.replicas),
         ("What its process knew", &explanation.state),
     ];
+    write_sections(text, &sections, &explanation.notes);
+}
+
+fn write_sections(text: &mut String, sections: &[(&str, &Vec<FoundLine>)], notes: &[String]) {
     for (title, lines) in sections {
         let _ = writeln!(text, "{title}:");
-        for line in lines {
+        for line in *lines {
             let _ = writeln!(
                 text,
                 "  {:>12} us {} {}",
@@ -50,7 +82,7 @@
             );
         }
     }
-    for note in &explanation.notes {
+    for note in notes {
         let _ = writeln!(text, "Note: {note}");
     }
 }
--- a/daisyhinge-cli/src/explain/finding.rs
+++ b/daisyhinge-cli/src/explain/finding.rs
@@ -25,17 +25,31 @@
     "view_adopted",
 ];
 
-/// A log line, with its time relative to the end of the request.
+/// A log line, with its time relative to the end of the request, or to the confirmation of a version.
 #[derive(Clone, Debug, Serialize)]
 pub struct FoundLine {
     /// Name of the process that wrote the line.
     pub process: String,
-    /// Time after the request ended, in microseconds; negative before.
+    /// Time after that, in microseconds; negative before.
     pub offset_us: i64,
     /// The line without its time.
     pub text: String,
 }
 
+impl FoundLine {
+    /// Describes `line`, with its time relative to `origin_us`.
+    pub fn of(line: &LogLine, origin_us: u64) -> Self {
+        Self {
+            process: line.process.to_string(),
+            offset_us: line
+                .time_us
+                .cast_signed()
+                .saturating_sub(origin_us.cast_signed()),
+            text: line.text.clone(),
+        }
+    }
+}
+
 /// Lines that explain a request.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Explanation {
@@ -98,15 +112,8 @@
     lines.truncate(LINES_MAX);
     // A stable sort, so that lines of one process with one time keep their order.
     lines.sort_by_key(|line| line.time_us);
-    let related = lines.into_iter().map(|line| FoundLine {
-        process: line.process.to_string(),
-        offset_us: line
-            .time_us
-            .cast_signed()
-            .saturating_sub(end_us.cast_signed()),
-        text: line.text.clone(),
-    });
-    related.collect()
+    let related = lines.into_iter();
+    related.map(|line| FoundLine::of(line, end_us)).collect()
 }
 
 /// Returns the replicas whose attempts for the request were not answered.
