State the age of the published state in replies to entries

Callers saw: an entry took a state for confirmed a few milliseconds ago, and extended its lease, although a later state had been accepted up to 250 ms before. With the lease of 4 s and its grace that is late by as much.

Cause: a control process publishes states to entries at most every 250 ms, but a reply stated the age of the newest confirmation, which may belong to a state that is applied and not yet published.

A process now keeps the last confirmation of each of the latest states by revision, and a reply states that of the published one, or of an earlier one, which it contains. When the first confirmation after a start ends a poll, the reply waits until that state is published, since an earlier one would have no age and the entry would ask again.

--- a/daisyhinge/src/shell/control.rs
+++ b/daisyhinge/src/shell/control.rs
@@ -36,6 +36,7 @@
 
 mod bootstrap;
 pub mod codec;
+mod confirmations;
 mod disk;
 mod driver;
 pub mod folder;
@@ -207,7 +208,7 @@
         Ok(shell)
     }
 
-    /// Monotonic clock of this process, which [`PublishedSiteState::quorum_us`] refers to.
+    /// Monotonic clock of this process, which [`PublishedSiteState::confirmations`] refers to.
     pub fn clock(&self) -> ProcessClock {
         self.clock
     }
@@ -218,15 +219,6 @@
         &self.published_site
     }
 
-    /// Time since a quorum last confirmed the published state; `None` if it never did.
-    pub fn quorum_age(&self) -> Option<Duration> {
-        let confirmed_us = self
-            .published_site
-            .quorum_us
-            .load(std::sync::atomic::Ordering::Relaxed);
-        (confirmed_us > 0).then(|| self.clock.now().since(MonotonicTime(confirmed_us)))
-    }
-
     /// Identity of this voter.
     pub fn id(&self) -> &VoterId {
         &self.id
--- a/daisyhinge/src/shell/control/driver.rs
+++ b/daisyhinge/src/shell/control/driver.rs
@@ -6,11 +6,13 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use parking_lot::Mutex;
 use rand_chacha::ChaCha8Rng;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::MissedTickBehavior;
 
 use super::codec::STATE_CODEC;
+use super::confirmations::StateConfirmations;
 use super::disk::{DiskJob, DiskThread, spawn_disk};
 use super::folder::DataFolder;
 use super::input::DriverInput;
@@ -42,9 +44,8 @@
     pub state: watch::Sender<Arc<SiteState>>,
     /// Addresses of the members.
     pub members: watch::Sender<Vec<SocketAddr>>,
-    /// Time at which a quorum last confirmed the state, in microseconds of the process's clock; 0
-    /// if it never did.
-    pub quorum_us: AtomicU64,
+    /// When a quorum last confirmed the latest states.
+    pub confirmations: Mutex<StateConfirmations>,
     /// Whether a quorum has confirmed the state since the process started.
     pub has_quorum: watch::Sender<bool>,
     /// Time of the log clock in milliseconds; advances only while this VM leads.
@@ -165,12 +166,13 @@
             newer
         });
         let voter = self.core.voter();
-        let confirmed_us = voter.last_quorum_contact().map_or(0, |contact| contact.0);
-        self.published_site
-            .quorum_us
-            .store(confirmed_us, Ordering::Relaxed);
+        let confirmed = voter.last_quorum_contact();
+        if let Some(at) = confirmed {
+            let mut confirmations = self.published_site.confirmations.lock();
+            confirmations.record(site.revision, at);
+        }
         self.published_site.has_quorum.send_if_modified(|known| {
-            let is_first = !*known && confirmed_us > 0;
+            let is_first = !*known && confirmed.is_some();
             *known |= is_first;
             is_first
         });
--- a/daisyhinge/src/shell/site/answer.rs
+++ b/daisyhinge/src/shell/site/answer.rs
@@ -100,6 +100,15 @@
         let mut states = self.published.subscribe();
         let mut quorum = self.shell.published_site().has_quorum.subscribe();
         let lacks_quorum = !*quorum.borrow_and_update();
+        let mut confirmed_states = self.published.subscribe();
+        // A state that was not the newest one when the quorum confirmed it would have no age.
+        let gain_quorum = async {
+            if quorum.changed().await.is_ok() {
+                let newest = self.shell.published_site().state.borrow().revision;
+                let published = confirmed_states.wait_for(|state| state.revision >= newest);
+                drop(published.await);
+            }
+        };
         let has_news = |vm: VmName, incarnation: u64| {
             let now = self.now();
             self.with_registry(|registry| {
@@ -109,7 +118,7 @@
         tokio::select! {
             changed = marks.wait_for(|newest| *newest > mark) => drop(changed),
             changed = states.wait_for(|state| received.lacks(state)) => drop(changed),
-            changed = quorum.changed(), if is_entry && lacks_quorum => drop(changed),
+            () = gain_quorum, if is_entry && lacks_quorum => {}
             changed = report_marks.wait_for(|newest| !is_entry && *newest > report_mark) => {
                 drop(changed);
             }
@@ -124,6 +133,7 @@
         usage: UsageRequest,
     ) -> SyncReply {
         let site = Arc::clone(&self.published.borrow());
+        let age = self.shell.state_age(site.revision);
         let now = self.now();
         let control = self.list_control();
         let mut registry = self.registry.lock();
@@ -151,7 +161,7 @@
             report_mark: registry.report_mark(),
             complete: received.mark == 0,
             site: received.lacks(&site).then_some(site),
-            quorum_age_ms: self.shell.quorum_age().map(duration_to_millis),
+            quorum_age_ms: age.map(duration_to_millis),
             data_centre: self.endpoint.data_centre.clone(),
             control,
             feature_level: FeatureLevel::SUPPORTED,
@@ -166,6 +176,7 @@
 
     /// Builds a reply that describes only this process.
     fn answer_probe(&self) -> SyncReply {
+        let age = self.shell.state_age(self.published.borrow().revision);
         SyncReply {
             epoch: self.with_registry(ServerRegistry::epoch),
             mark: 0,
@@ -176,7 +187,7 @@
             report_mark: 0,
             complete: false,
             site: None,
-            quorum_age_ms: self.shell.quorum_age().map(duration_to_millis),
+            quorum_age_ms: age.map(duration_to_millis),
             data_centre: self.endpoint.data_centre.clone(),
             control: Vec::new(),
             feature_level: FeatureLevel::SUPPORTED,
