Keep the state of routes by host and prefix instead of name

Names of routes need not be unique. Two routes of the same name took turns in one round robin: with alternate requests, one sent all of its requests to the first service of its split and the other all to the second. They also shared estimates of latency and of callers' deadlines.

Cause: the dispatcher kept this state under the name of the route.

It is now kept under the host and the path prefix, which no two routes of a configuration share.

Before: parts::routes_of_the_same_name_keep_their_own_proportions left: [100, 0] right: [50, 50] After: dispatch 149 passed; forward 15, site 13, keys 12, rollout_control 23, layering 2, import_cycles 2 passed; accepted_config, adopted_config, refused_config, decode, customers, isolation, no_configuration and end_to_end pass.

--- a/daisyhinge/src/dispatch.rs
+++ b/daisyhinge/src/dispatch.rs
@@ -16,14 +16,14 @@
 pub mod rollout_counts;
 pub mod share;
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use crate::prelude::*;
 use crate::routing::WeightedRoundRobin;
 use crate::search::estimate::LatencyEstimate;
-use crate::vocabulary::site::{RouteTarget, SiteConfig, SiteRoute};
+use crate::vocabulary::site::{RoutePlace, RouteTarget, SiteConfig, SiteRoute};
 use admission::AdmissionQueue;
 use budget::{BudgetLimits, RetryBudget};
 use caller::CallerEstimate;
@@ -55,9 +55,9 @@
     pub rollouts: RolloutCounts,
     limits: BudgetLimits,
     budgets: HashMap<ServiceName, RetryBudget>,
-    round_robins: HashMap<Arc<str>, WeightedRoundRobin>,
+    round_robins: HashMap<RoutePlace, WeightedRoundRobin>,
     /// Latencies of single attempts by route, without the round trip to the replica.
-    latencies: HashMap<Arc<str>, LatencyEstimate>,
+    latencies: HashMap<RoutePlace, LatencyEstimate>,
     attempts: u64,
 }
 
@@ -82,10 +82,10 @@
     /// Applies a new configuration and drops the state of routes that it no longer has.
     pub fn apply_config(&mut self, config: &SiteConfig) {
         self.fleet.update_services(config);
-        let known = |name: &Arc<str>| config.routes.iter().any(|route| route.name == *name);
-        self.round_robins.retain(|name, _| known(name));
-        self.latencies.retain(|name, _| known(name));
-        self.callers.retain(known);
+        let places: HashSet<RoutePlace> = config.routes.iter().map(|route| route.place()).collect();
+        self.round_robins.retain(|place, _| places.contains(place));
+        self.latencies.retain(|place, _| places.contains(place));
+        self.callers.retain(|place| places.contains(place));
     }
 
     /// Picks the target services of a request: one of a split, or every shard of a gather.
@@ -93,10 +93,7 @@
         match &route.target {
             RouteTarget::Gather(plan) => Arc::clone(&plan.shards),
             RouteTarget::Split(parts) => {
-                let round_robin = self
-                    .round_robins
-                    .entry(Arc::clone(&route.name))
-                    .or_default();
+                let round_robin = self.round_robins.entry(route.place()).or_default();
                 let part = round_robin.next_part(parts);
                 parts
                     .get(part)
@@ -124,7 +121,7 @@
     /// Records the latency of an attempt.
     fn record_latency(&mut self, route: &SiteRoute, replica: ReplicaIndex, took: Duration) {
         let round_trip = self.assumed_round_trip(replica);
-        let estimate = self.latencies.entry(Arc::clone(&route.name)).or_default();
+        let estimate = self.latencies.entry(route.place()).or_default();
         estimate.record(took.saturating_sub(round_trip));
     }
 
@@ -136,7 +133,7 @@
         replica: ReplicaIndex,
     ) -> Duration {
         let longest = route.objective * HEDGE_OBJECTIVE_PERCENT / 100;
-        let known = self.latencies.get(&route.name);
+        let known = self.latencies.get(&route.place());
         let known = known.and_then(LatencyEstimate::hedge_delay);
         let round_trip = self.assumed_round_trip(replica);
         let delay = known.unwrap_or_else(|| {
--- a/daisyhinge/src/dispatch/caller.rs
+++ b/daisyhinge/src/dispatch/caller.rs
@@ -6,10 +6,9 @@
 //! the deadline of a caller that had not spent any time yet.
 
 use std::collections::HashMap;
-use std::sync::Arc;
 use std::time::Duration;
 
-use crate::vocabulary::site::SiteRoute;
+use crate::vocabulary::site::{RoutePlace, SiteRoute};
 
 /// Round trip to callers that is assumed before any of them has opened a connection.
 const ROUND_TRIP_DEFAULT: Duration = Duration::from_millis(6);
@@ -43,7 +42,7 @@
 /// Estimates of the callers' round trip and of the time they spend before a request arrives.
 #[derive(Clone, Debug)]
 pub struct CallerEstimate {
-    deadlines: HashMap<Arc<str>, RouteDeadlines>,
+    deadlines: HashMap<RoutePlace, RouteDeadlines>,
     round_trip: Duration,
     /// Mean lag; unset before the first sample.
     lag: Option<Duration>,
@@ -64,8 +63,8 @@
 
 impl CallerEstimate {
     /// Drops the routes for which `known` returns `false`.
-    pub(super) fn retain(&mut self, known: impl Fn(&Arc<str>) -> bool) {
-        self.deadlines.retain(|name, _| known(name));
+    pub(super) fn retain(&mut self, known: impl Fn(&RoutePlace) -> bool) {
+        self.deadlines.retain(|place, _| known(place));
     }
 
     /// Records the deadline of a request and returns the time that its caller had already spent,
@@ -77,7 +76,7 @@
         deadline: Duration,
         is_new_connection: bool,
     ) -> Duration {
-        let observed = self.deadlines.entry(Arc::clone(&route.name)).or_default();
+        let observed = self.deadlines.entry(route.place()).or_default();
         if !is_new_connection && observed.longest.is_none_or(|longest| deadline > longest) {
             observed.longest = Some(deadline);
         }
--- a/daisyhinge/src/vocabulary/site.rs
+++ b/daisyhinge/src/vocabulary/site.rs
@@ -175,6 +175,23 @@
     pub target: RouteTarget,
 }
 
+/// Host and path prefix of a route, which no other route of a configuration has. Names may be the same.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct RoutePlace {
+    host: Arc<str>,
+    path_prefix: Arc<str>,
+}
+
+impl SiteRoute {
+    /// Returns what the route matches.
+    pub fn place(&self) -> RoutePlace {
+        RoutePlace {
+            host: Arc::clone(&self.host),
+            path_prefix: Arc::clone(&self.path_prefix),
+        }
+    }
+}
+
 /// A service as described by the configuration.
 #[derive(Clone, Debug, PartialEq)]
 pub struct SiteService {
--- a/daisyhinge/tests/dispatch/parts.rs
+++ b/daisyhinge/tests/dispatch/parts.rs
@@ -1,13 +1,15 @@
 //! Routes, splits, shares, retry budgets and the merge.
 
+use std::sync::Arc;
+
 use daisyhinge::dispatch::budget::{BudgetLimits, RetryBudget, SlackShare};
 use daisyhinge::dispatch::merge::{RECORD_BYTES, merge_parts};
 use daisyhinge::dispatch::share::{EntryCount, connection_share};
 use daisyhinge::routing::{RouteTable, WeightedRoundRobin};
-use daisyhinge::vocabulary::site::{GatherPlan, RouteKind, SplitPart};
+use daisyhinge::vocabulary::site::{GatherPlan, RouteKind, RouteTarget, SplitPart};
 use proptest::prelude::*;
 
-use crate::support::{LIMITS, at, config, route, shard_name, single};
+use crate::support::{LIMITS, at, config, dispatcher, route, shard_name, single};
 
 fn prefixed(name: &str, prefix: &str) -> daisyhinge::vocabulary::site::SiteRoute {
     let mut route = route(name, RouteKind::Safe, single("s"));
@@ -203,3 +205,27 @@
         prop_assert_eq!(merge_parts(parts.iter().map(Vec::as_slice), top), all.concat());
     }
 }
+
+/// Guards against routes of the same name that take turns in one split.
+#[test]
+fn routes_of_the_same_name_keep_their_own_proportions() {
+    let parts = ["a", "b"].map(|service| SplitPart {
+        service: service.into(),
+        weight: 1,
+    });
+    let split = || RouteTarget::Split(Arc::from(parts.clone()));
+    let routes = ["/a/", "/b/"].map(|prefix| {
+        let mut route = route("same", RouteKind::Safe, split());
+        route.path_prefix = prefix.into();
+        route
+    });
+    let mut dispatcher = dispatcher(1);
+    let mut counts = [0; 2];
+    for _ in 0..100 {
+        for (route, count) in routes.iter().zip(&mut counts) {
+            let targets = dispatcher.pick_targets(route);
+            *count += u32::from(targets[0].as_str() == "a");
+        }
+    }
+    assert_eq!(counts, [50, 50]);
+}
