Refuse a read whose answer an outdated process would cut

Cause, of the same class as the contact of followers: a process that does not lead passes a read to the leader, and selects the call by the feature level in its own state. The call for the base level carries no rollouts.

Such a process now answers NoQuorum (503) unless a quorum has confirmed its state within 1.5 s. A confirmed state contains the level.

--- a/daisyhinge/src/shell/control/site.rs
+++ b/daisyhinge/src/shell/control/site.rs
@@ -9,6 +9,7 @@
 use crate::prelude::*;
 use crate::shell::link_version::{decode_named, encode_named};
 use crate::vocabulary::feature::FeatureLevel;
+use crate::vocabulary::freshness::QUORUM_AGE_MAX;
 use crate::vocabulary::site::{CommittedSiteChange, SiteChange, SiteState};
 
 /// Timeout of a change or a read of the deployment; callers give up after one second.
@@ -107,6 +108,10 @@
             reply => return reply,
         }
         let leader = self.find_leader().await.ok_or(ResultCode::NotLeader)?;
+        // The applied level selects the call, and an outdated one would leave out parts of the state.
+        if self.quorum_age().is_none_or(|age| age >= QUORUM_AGE_MAX) {
+            return Err(ResultCode::NoQuorum);
+        }
         let client = peer::connect_voter(leader).await;
         let client = client.ok_or(ResultCode::NotLeader)?;
         let context = peer::call_context(SITE_TIMEOUT);
--- a/daisyhinge/src/shell/site/follow.rs
+++ b/daisyhinge/src/shell/site/follow.rs
@@ -15,6 +15,7 @@
 use crate::shell::clock::ProcessClock;
 use crate::upstream::ControlList;
 use crate::vocabulary::feature::FeatureLevel;
+use crate::vocabulary::freshness::QUORUM_AGE_MAX;
 use crate::vocabulary::quota::{UsageReport, UsageRequest};
 use crate::vocabulary::registration::{
     CrashReport, EntryPhase, SyncCaller, SyncReply, SyncRequest,
@@ -27,9 +28,6 @@
 const REPLY_TIMEOUT: Duration = Duration::from_millis(500);
 /// Delay before the control processes are tried again after all of them have failed.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
-/// Maximum age of the last quorum contact of a control process. An entry switches to another
-/// control process if the contact is older.
-pub const QUORUM_AGE_MAX: Duration = Duration::from_millis(1_500);
 /// Long-poll timeout at a control process that has not seen a quorum since it started. Builds that
 /// do not reply at the first contact to a quorum are asked again after it.
 const STARTUP_POLL_TIMEOUT: Duration = Duration::from_millis(40);
--- a/daisyhinge/src/shell/site/group_log.rs
+++ b/daisyhinge/src/shell/site/group_log.rs
@@ -10,8 +10,8 @@
 use crate::shell::control::ControlShell;
 use crate::shell::decision::DecisionLog;
 use crate::shell::line_budget::LineClass;
-use crate::shell::site::follow::QUORUM_AGE_MAX;
 use crate::vocabulary::control::{ControlRole, ControlStatus, VoterStatus};
+use crate::vocabulary::freshness::QUORUM_AGE_MAX;
 
 /// Time between two readings of the status.
 const READING_INTERVAL: Duration = Duration::from_millis(100);
--- a/daisyhinge/src/vocabulary/freshness.rs
+++ b/daisyhinge/src/vocabulary/freshness.rs
@@ -8,6 +8,10 @@
 use crate::prelude::*;
 use crate::vocabulary::view::{ControlView, EntryRecord};
 
+/// Maximum age of the confirmation by a quorum up to which the state of a control process counts as
+/// current. An entry switches to another control process if the confirmation is older.
+pub const QUORUM_AGE_MAX: Duration = Duration::from_millis(1_500);
+
 /// Time for which an entry may act on a version after a quorum confirmed it.
 pub const LEASE_DURATION: Duration = Duration::from_secs(4);
 
