Escape control characters in log lines

A route named "r\nevent=forged" was confirmed, and each of its requests then wrote a line that began with "event=forged" to the entry's log.

Cause: names of a configuration went into log lines as they were.

The log escapes control characters of a line before it writes it; lines without any are not copied.

--- a/daisyhinge/src/shell/decision.rs
+++ b/daisyhinge/src/shell/decision.rs
@@ -4,6 +4,7 @@
 //! Logging never blocks a request: a thread writes the lines from a bounded queue, and lines that
 //! do not fit are dropped, counted and reported. The lines of each class are limited per second.
 
+use std::borrow::Cow;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
@@ -134,13 +135,29 @@
     }
 
     fn send(&self, text: &str) {
-        let line = format!("time_us={} {text}\n", wall_micros());
+        let line = format!("time_us={} {}\n", wall_micros(), escape_controls(text));
         if self.lines.try_send(line).is_err() {
             self.budget.lock().count_queued();
         }
     }
 }
 
+/// Escapes control characters: names from outside must not end a line.
+fn escape_controls(text: &str) -> Cow<'_, str> {
+    if !text.contains(char::is_control) {
+        return Cow::Borrowed(text);
+    }
+    let mut escaped = String::with_capacity(text.len());
+    for letter in text.chars() {
+        if letter.is_control() {
+            escaped.extend(letter.escape_default());
+        } else {
+            escaped.push(letter);
+        }
+    }
+    Cow::Owned(escaped)
+}
+
 fn write_lines(queue: &Receiver<String>) {
     let mut output = std::io::stdout();
     while let Ok(first) = queue.recv() {
