Take only the holder's word on silent replicas and lost entries

Callers saw: when a control VM that had been stopped for some seconds returned, entries were told that replicas were silent although these sent heartbeats all the time. This lasted until the replica changed or used another control VM, and a control process drops such a record after 90 s. Entries were taken off the directory of all control VMs until their next poll.

Cause: a control process takes what another one holds for lost when it has had no contact with that one for 4 s. A process that was stopped, or cut off from one other only, told this verdict to all others, which took it although they were in touch with the holder. The holder itself had nothing new to send, since confirming heartbeats go no further, so nobody corrected it.

Silence and loss are merged only from the holder of the record; any other process decides by its own contact with the holder, as before. The holder's record replaces such a verdict even with the same sequence number. A process that had no reply for 3 s requests all records again, and its own pause does not count as silence of the others.

--- a/daisyhinge/src/registry.rs
+++ b/daisyhinge/src/registry.rs
@@ -28,6 +28,7 @@
 mod entries;
 mod incarnations;
 mod level;
+mod merge;
 mod order;
 mod restored;
 mod rollouts;
--- a/daisyhinge/src/shell/site/gossip.rs
+++ b/daisyhinge/src/shell/site/gossip.rs
@@ -2,14 +2,14 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::task::JoinHandle;
 
 use super::serve::SiteRegistry;
 use super::{SiteClient, call_context, connect_site};
 use crate::vocabulary::quota::UsageRequest;
-use crate::vocabulary::registration::{SyncCaller, SyncRequest};
+use crate::vocabulary::registration::{SyncCaller, SyncReply, SyncRequest};
 
 /// Long-poll timeout: how long the peer waits for a change before it replies.
 const LONG_POLL_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -23,6 +23,9 @@
 /// The same during the first attempts, since the members may be starting as well.
 const FIRST_RETRY_DELAY: Duration = Duration::from_millis(25);
 const FIRST_RETRIES: u32 = 20;
+/// Time without a reply after which all records are requested again: those of the member expire here
+/// soon after, and it sends only what changed.
+const RESYNC_AFTER: Duration = Duration::from_secs(3);
 
 /// What has been received from another member.
 #[derive(Debug, Default)]
@@ -35,6 +38,30 @@
     report_mark: u64,
     /// Mark of the latest report on the use of quotas.
     usage_mark: u64,
+    /// Time of the latest reply.
+    replied_at: Option<Instant>,
+}
+
+impl FollowMarks {
+    /// Returns the marks of `reply`; only its epoch if the former one came too long ago.
+    fn advance(&self, reply: &SyncReply) -> Self {
+        let former = self.replied_at;
+        let is_late = former.is_some_and(|at| at.elapsed() >= RESYNC_AFTER);
+        let started = Self {
+            epoch: reply.epoch,
+            replied_at: Some(Instant::now()),
+            ..Self::default()
+        };
+        if is_late {
+            return started;
+        }
+        Self {
+            mark: reply.mark,
+            report_mark: reply.report_mark,
+            usage_mark: reply.usage.mark,
+            ..started
+        }
+    }
 }
 
 /// Receives registry changes from every other member of control, and adjusts to membership changes.
@@ -111,26 +138,15 @@
         let Ok(reply) = call.await else {
             return;
         };
-        *marks = FollowMarks {
-            epoch: reply.epoch,
-            mark: reply.mark,
-            report_mark: reply.report_mark,
-            usage_mark: reply.usage.mark,
-        };
+        *marks = marks.advance(&reply);
         let has_reports = !reply.usage.reports.is_empty();
         site_registry.record_centre(address, reply.data_centre);
         site_registry.record_level(address, Some(reply.feature_level));
         site_registry.update(|now, registry| {
-            registry.record_contact(now, reply.epoch);
             if let Some(records) = reply.restored {
                 registry.record_restored(address, records);
             }
-            for record in reply.replicas {
-                registry.merge_replica(now, &record);
-            }
-            for presence in reply.entries {
-                registry.merge_entry(now, presence);
-            }
+            registry.merge_sent(now, reply.epoch, reply.replicas, reply.entries);
             for report in reply.crashes {
                 registry.record_crashes(now, report);
             }
--- a/daisyhinge/src/shell/site/serve.rs
+++ b/daisyhinge/src/shell/site/serve.rs
@@ -26,6 +26,8 @@
 
 /// Time between two checks for expired registrations.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(250);
+/// Time between two checks after which this process was stopped.
+const PAUSE_MIN: Duration = Duration::from_secs(1);
 /// Maximum number of open connections.
 const CONNECTIONS_MAX: usize = 1_024;
 /// Delay before the next accept after a failed one, for example when file descriptors run out.
@@ -259,9 +261,17 @@
 }
 
 async fn run_expiry(site_registry: SiteRegistry) {
+    let mut checked_at = site_registry.now();
     loop {
         tokio::time::sleep(EXPIRY_INTERVAL).await;
-        site_registry.update(|now, registry| registry.expire(now));
+        site_registry.update(|now, registry| {
+            let pause = now.since(checked_at);
+            if pause >= PAUSE_MIN {
+                registry.skip_pause(now, pause);
+            }
+            registry.expire(now);
+            checked_at = now;
+        });
     }
 }
 
