Try the handshake twice before falling back to link version 1

Callers would see: an entry or control process whose connection ended during the handshake followed over link version 1, which carries no rollouts, quotas and feature levels, for as long as the connection lasted. Found by reading; not seen with processes.

Cause: any end of the connection counted as that of a build without the handshake. A process that is killed, or has too many connections, ends it too.

Evidence, on the former code: test handshake::connection_that_ends_during_the_handshake_is_no_previous_build ... FAILED left: Ordered right: Named With the fix: test handshake::connection_that_ends_during_the_handshake_is_no_previous_build ... ok test handshake::entry_stays_with_a_control_process_of_the_previous_build ... ok

A build without the handshake ends each such connection, so two in a row are required. It costs one more connection to such a build.

--- a/daisyhinge/src/shell/link_version.rs
+++ b/daisyhinge/src/shell/link_version.rs
@@ -37,6 +37,9 @@
 /// Timeout for the answer to a handshake, the same as for a short call: a process that needs longer
 /// could not serve the caller either.
 const HELLO_TIMEOUT: Duration = Duration::from_millis(500);
+/// Handshakes that end with the connection before the server counts as one without it. A single one
+/// may have been ended by a process that stopped or had too many connections.
+const HELLO_ATTEMPTS: u32 = 2;
 /// Timeout for the first bytes of an accepted connection.
 const ACCEPT_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -101,13 +104,15 @@
 ///
 /// Every new connection starts with the handshake again, since the process may have been upgraded.
 pub async fn open_link(address: SocketAddr) -> Option<(TcpStream, LinkVersion)> {
-    let mut stream = connect(address).await?;
-    match timeout(HELLO_TIMEOUT, exchange_hello(&mut stream)).await {
-        Ok(Ok(range)) => Some((stream, range?.select()?)),
-        // A server without the handshake closes the connection.
-        Ok(Err(_closed)) => Some((connect(address).await?, LinkVersion::Ordered)),
-        Err(_elapsed) => None,
+    for _ in 0..HELLO_ATTEMPTS {
+        let mut stream = connect(address).await?;
+        let hello = timeout(HELLO_TIMEOUT, exchange_hello(&mut stream)).await;
+        if let Ok(range) = hello.ok()? {
+            return Some((stream, range?.select()?));
+        }
     }
+    // A server without the handshake closes the connection.
+    Some((connect(address).await?, LinkVersion::Ordered))
 }
 
 /// Selects the link version of an accepted connection; `None` if it is closed, sends neither a
--- a/daisyhinge/tests/versions/handshake.rs
+++ b/daisyhinge/tests/versions/handshake.rs
@@ -116,6 +116,21 @@
     assert_eq!(range(3, 7), None);
 }
 
+/// Guards against a link without rollouts and quotas after the end of one connection.
+#[tokio::test]
+async fn connection_that_ends_during_the_handshake_is_no_previous_build() {
+    let (listener, address) = listen().await;
+    tokio::spawn(async move {
+        drop(listener.accept().await.expect("a connection"));
+        while let Ok((stream, _)) = listener.accept().await {
+            let handler = |request: SyncRequest| async move { make_reply(&request) }.boxed();
+            tokio::spawn(serve_site(handler, stream, LinkVersion::Ordered));
+        }
+    });
+    let link = open_link(address).await;
+    assert_eq!(link.expect("a link").1, LinkVersion::Named);
+}
+
 /// Guards against a control process that a previous build's entry can't follow.
 #[tokio::test]
 async fn client_without_a_handshake_is_served_in_version_one() {
