Publish the members before the first confirmation by a quorum

Found by reading: the task that uses the stored replicas waits for the first confirmation, so that the members are those of the newest log. The window is a few microseconds between two sends of the driver, which no test can hit, so there is none; the order is now the one that the reader relies on.

--- a/daisyhinge/src/shell/control/driver.rs
+++ b/daisyhinge/src/shell/control/driver.rs
@@ -171,11 +171,6 @@
             let mut confirmations = self.published_site.confirmations.lock();
             confirmations.record(site.revision, at);
         }
-        self.published_site.has_quorum.send_if_modified(|known| {
-            let is_first = !*known && confirmed.is_some();
-            *known |= is_first;
-            is_first
-        });
         let log_clock_ms = self.core.log_clock_ms(self.now());
         self.published_site
             .log_clock_ms
@@ -192,6 +187,12 @@
             }
             !same
         });
+        // Last: the stored replicas are used as soon as the members of the newest log are known.
+        self.published_site.has_quorum.send_if_modified(|known| {
+            let is_first = !*known && confirmed.is_some();
+            *known |= is_first;
+            is_first
+        });
     }
 
     /// Handles `first` and other queued inputs. Returns `false` if the driver must stop.
