Leave late messages to running VMs out of the schedules' check of contact

The simulator keeps a message for a frozen VM until the end of the freeze, also if the VM is thawed earlier, as at the end of each schedule. The message is still delivered, but the contact by it is not checked, like that of one that waited for a crashed process.

--- a/daisyhinge/tests/control_schedules/cluster.rs
+++ b/daisyhinge/tests/control_schedules/cluster.rs
@@ -55,10 +55,10 @@
     /// Offset of the VM's clock from simulated time, in microseconds.
     offset: u64,
     pub frozen_until: u64,
-    /// Number of starts of the process.
-    starts: u64,
-    /// Contact by a message that waited for a process that has crashed since. On real VMs it is lost
-    /// with the connection.
+    /// Time at which the process last ran.
+    ran_at: u64,
+    /// Contact by a message that waited on although the process ran again, or crashed. On real VMs it
+    /// is read at once, or lost with the connection.
     unreal_contact: Option<MonotonicTime>,
     checked_index: u64,
 }
@@ -69,8 +69,8 @@
     from: usize,
     to: usize,
     message: VoterMessage,
-    /// Start of the frozen process for which the message waits.
-    waits_for: Option<u64>,
+    /// Time since which the message waits for a frozen process.
+    waits_since: Option<u64>,
 }
 
 /// A request that waits for its reply, and the time at which it was sent.
@@ -129,7 +129,7 @@
                 plan_sequence: 0,
                 offset: rng.random_range(0..10_000_000_000),
                 frozen_until: 0,
-                starts: 0,
+                ran_at: 0,
                 unreal_contact: None,
                 checked_index: 0,
             })
@@ -204,7 +204,7 @@
             vm.disk.run(op);
         }
         vm.number = opened.id.number;
-        vm.starts += 1;
+        vm.ran_at = self.now;
         vm.checked_index = 0;
         let mut opening_actions = Vec::new();
         let operator_address = address_of(node + 100);
@@ -450,7 +450,7 @@
                 from,
                 to,
                 message: message.clone(),
-                waits_for: None,
+                waits_since: None,
             });
         }
     }
@@ -470,6 +470,7 @@
             if self.vms[node].frozen_until > self.now || self.vms[node].core.is_none() {
                 continue;
             }
+            self.vms[node].ran_at = self.now;
             self.run_disk(node);
             self.step(node, CoreEvent::Tick);
             self.step(node, CoreEvent::Flush);
@@ -501,7 +502,7 @@
             from,
             to,
             message,
-            waits_for,
+            waits_since,
             ..
         } = sent;
         if self.partitioned_links.contains(&(from, to)) || self.vms[to].core.is_none() {
@@ -514,7 +515,7 @@
                 from,
                 to,
                 message,
-                waits_for: waits_for.or(Some(self.vms[to].starts)),
+                waits_since: waits_since.or(Some(self.now)),
             });
             return;
         }
@@ -524,7 +525,7 @@
             self.step(from, CoreEvent::IdentityChanged { id, address });
         }
         self.step(to, CoreEvent::Received(message));
-        if waits_for.is_some_and(|start| start != self.vms[to].starts) {
+        if waits_since.is_some_and(|since| self.vms[to].ran_at >= since) {
             self.vms[to].unreal_contact = self.last_contact(to);
         }
         if self.rng.random_bool(0.5) {
