Date confirmations after pauses back instead of dropping them

Callers would see: on a machine where control processes get no processor for 250 ms again and again, no follower counts as confirmed any more, and all entries move to the leader. And after a partition, which a process does not notice by its ticks, a message from before it counted as contact of now.

Cause: messages within 200 ms after a pause confirmed nothing, and a gap in the contact with the leader was not taken for a pause.

Such a message now confirms the state as of the start of the pause, before which it was not sent. A gap of an election timeout in the leader's messages counts as a pause.

--- a/daisyhinge/src/control/voter/contact.rs
+++ b/daisyhinge/src/control/voter/contact.rs
@@ -1,13 +1,14 @@
 //! When a quorum last confirmed the applied state.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
-use super::VoterMachine;
+use super::{ELECTION_TIMEOUT, VoterMachine};
 use crate::prelude::*;
 
 /// Time without an event after which the process was stopped. Ticks come every 20 ms.
 const PAUSE_MIN: Duration = Duration::from_millis(250);
-/// Time after a pause in which messages may still arrive that waited in sockets meanwhile.
+/// Running time after a pause in which messages may still arrive that waited in sockets meanwhile.
 const PAUSE_SETTLE: Duration = Duration::from_millis(200);
 
 /// Confirmations of the applied state. The state only grows, so a confirmation stays valid across
@@ -18,8 +19,8 @@
     confirmed: Option<MonotonicTime>,
     /// Time of the last event.
     last_step: MonotonicTime,
-    /// End of the time after a pause in which messages confirm nothing.
-    settled_at: MonotonicTime,
+    /// Starts of recent pauses, oldest first, and the running time since the end of each.
+    pauses: VecDeque<(MonotonicTime, Duration)>,
 }
 
 impl QuorumContact {
@@ -27,18 +28,44 @@
         Self {
             confirmed: None,
             last_step: now,
-            settled_at: now,
+            pauses: VecDeque::new(),
         }
     }
 
     /// Records that an event is handled, and whether the process was stopped before.
     pub(super) fn record_step(&mut self, now: MonotonicTime) {
-        if now.since(self.last_step) >= PAUSE_MIN {
-            self.settled_at = now + PAUSE_SETTLE;
+        let elapsed = now.since(self.last_step);
+        if elapsed >= PAUSE_MIN {
+            self.pauses.push_back((self.last_step, Duration::ZERO));
+        } else {
+            for (_, running) in &mut self.pauses {
+                *running += elapsed;
+            }
+            self.pauses.retain(|(_, running)| *running < PAUSE_SETTLE);
         }
         self.last_step = now;
     }
 
+    /// Records that a leader's message arrives at `now`, the one before it at `last`. After a gap it may
+    /// have been sent before a partition, so the gap counts as a pause.
+    pub(super) fn record_leader_message(
+        &mut self,
+        now: MonotonicTime,
+        last: Option<MonotonicTime>,
+    ) {
+        if let Some(last) = last
+            && now.since(last) >= ELECTION_TIMEOUT
+            && self.pauses.front().is_none_or(|(start, _)| last < *start)
+        {
+            self.pauses.push_front((last, Duration::ZERO));
+        }
+    }
+
+    /// Returns the earliest time at which a message that arrives at `now` may have been sent.
+    fn sent_after(&self, now: MonotonicTime) -> MonotonicTime {
+        self.pauses.front().map_or(now, |(start, _)| *start)
+    }
+
     /// Records that a quorum confirmed the applied state at `at`.
     pub(super) fn record_confirmed(&mut self, at: Option<MonotonicTime>) {
         self.confirmed = self.confirmed.max(at);
@@ -59,8 +86,9 @@
     pub(super) fn confirm_applied(&mut self, now: MonotonicTime, leader_commit: u64) {
         let is_complete = self.commit >= leader_commit;
         let is_current = self.log.term_at(self.commit) == Some(self.hard.term);
-        if is_complete && is_current && now >= self.contact.settled_at {
-            self.contact.record_confirmed(Some(now));
+        if is_complete && is_current {
+            self.contact
+                .record_confirmed(Some(self.contact.sent_after(now)));
         }
     }
 }
--- a/daisyhinge/src/control/voter/follower.rs
+++ b/daisyhinge/src/control/voter/follower.rs
@@ -29,6 +29,8 @@
             !known || self.leader.as_ref() == Some(from),
             "two leaders in term {term}"
         );
+        self.contact
+            .record_leader_message(now, self.last_leader_contact);
         self.become_follower(now, term, Some(from.clone()), actions);
         self.last_leader_contact = Some(now);
         self.startup_until = None;
--- a/daisyhinge/tests/control_voter/contact.rs
+++ b/daisyhinge/tests/control_voter/contact.rs
@@ -141,3 +141,31 @@
     }
     assert_ne!(cluster.leader(), None);
 }
+
+/// A process that gets no processor for 250 ms again and again was never confirmed, although it
+/// received each heartbeat and had everything that was committed.
+#[test]
+fn repeated_short_pauses_do_not_end_the_confirmation() {
+    let mut voter = open_confirmed(START);
+    let mut now = START;
+    for _ in 0..20 {
+        // 250 ms without the processor, then 150 ms with it.
+        now = now + Duration::from_millis(250);
+        for _ in 0..3 {
+            step_one(&mut voter, now, append((4, TERM), 4, Vec::new()), true);
+            now = run_ticks(&mut voter, now, Duration::from_millis(50));
+        }
+    }
+    let age = now.since(voter.last_quorum_contact().unwrap());
+    assert!(age < Duration::from_millis(1_500), "{age:?}");
+}
+
+/// After a partition, the network delivered a heartbeat that the leader had sent before it.
+#[test]
+fn a_message_from_before_a_partition_does_not_confirm_the_state() {
+    let mut voter = open_confirmed(START);
+    // Partitioned: ticks, but no message for 5 s.
+    let healed = run_ticks(&mut voter, START, Duration::from_secs(5));
+    step_one(&mut voter, healed, append((4, TERM), 4, Vec::new()), true);
+    assert_eq!(voter.last_quorum_contact(), Some(START));
+}
