Keep four voters at early removals

Operators would see: two of five control VMs are stopped for 4 s, then two others, and no leader is elected although three of five run: the first two had been removed after 3 s, so that three voters were left.

Early removals, meant for VMs that were replaced and still count, leave at least four voters; below that the 12 s apply. The test of eight voters that are lost one by one therefore waits for them before it counts the voters left.

--- a/daisyhinge/src/control/voter/removal.rs
+++ b/daisyhinge/src/control/voter/removal.rs
@@ -12,8 +12,12 @@
 
 /// Minimum number of voters that remain when silent voters are removed.
 const VOTERS_MIN: usize = 3;
-/// Silence after which a voter is removed early, if the group can bear few further losses.
+/// Silence after which a voter is removed early, if the group can bear few further losses; longer than
+/// the restart of a process.
 const EARLY_TIMEOUT: Duration = Duration::from_secs(3);
+/// Minimum number of voters that remain after early removals: VMs that are stopped for a while have to
+/// stay voters, since they may be needed when others are stopped.
+const EARLY_VOTERS_MIN: usize = 4;
 /// Further losses that the group must be able to bear while silent voters wait for their return.
 const LOSSES_MIN: usize = 2;
 
@@ -54,9 +58,10 @@
     silent: &[&'set VoterMember],
     ready: usize,
 ) -> Option<&'set VoterMember> {
+    // Of six voters with a silent one, five remain: the quorum falls from four to three.
     let left = set.voters().count() - silent.len();
     let quorum_left = left / 2 + 1;
     let bears_few = ready < set.quorum() + LOSSES_MIN;
-    let helps = left >= VOTERS_MIN && quorum_left < set.quorum();
+    let helps = left >= EARLY_VOTERS_MIN && quorum_left < set.quorum();
     silent.first().copied().filter(|_| bears_few && helps)
 }
--- a/daisyhinge/tests/control_voter/silent.rs
+++ b/daisyhinge/tests/control_voter/silent.rs
@@ -68,6 +68,7 @@
         cluster.run(Duration::from_secs(1));
         assert_eq!(cluster.applied[leader], number);
     }
+    cluster.run(SILENT_TIMEOUT);
     assert_eq!(list_voters(&cluster, leader).len(), 3);
 }
 
@@ -120,3 +121,18 @@
     assert_eq!(cluster.voters[leader].voters().members.len(), 3);
     assert_eq!(list_voters(&cluster, leader).len(), 3);
 }
+
+/// Two VMs that were stopped for 4 s were no longer voters when two others were stopped.
+#[test]
+fn three_of_five_vms_serve_while_two_others_are_stopped_in_turn() {
+    let (mut cluster, leader) = open_cluster(5);
+    let at = |number: usize| (leader + number) % 5;
+    cluster.lost = vec![at(1), at(2)];
+    cluster.run(Duration::from_secs(4));
+    cluster.lost = vec![at(3), at(4)];
+    cluster.run(Duration::from_secs(3));
+    assert!(
+        cluster.leader().is_some(),
+        "no leader among three of five VMs"
+    );
+}
