Request membership from all known control VMs at once

A stopped process accepts the connection and answers nothing for 0.4 s, so a VM that returns among several stopped ones joined again seconds later.

--- a/daisyhinge/src/shell/control/bootstrap.rs
+++ b/daisyhinge/src/shell/control/bootstrap.rs
@@ -134,14 +134,15 @@
         let mut candidates: Vec<SocketAddr> = seeds.iter().chain(&known).copied().collect();
         candidates.sort_unstable();
         candidates.dedup();
-        for address in candidates
-            .into_iter()
-            .filter(|address| *address != shell.address())
-        {
-            if let Some(leader) = request_join(&shell, address).await {
-                request_join(&shell, leader).await;
-            }
-        }
+        candidates.retain(|address| *address != shell.address());
+        // At once: a stopped process accepts the connection and answers nothing.
+        let requests = candidates
+            .iter()
+            .map(|address| request_join(&shell, *address));
+        let mut leaders: Vec<SocketAddr> = join_all(requests).await.into_iter().flatten().collect();
+        leaders.sort_unstable();
+        leaders.dedup();
+        join_all(leaders.iter().map(|leader| request_join(&shell, *leader))).await;
     }
 }
 
