Adopt a document that the control process followed before lacked

Callers would see 404 on an added route at some entries until the next version, while these hold a valid lease: a control process that cannot derive the document for entries, such as one of a former build during an upgrade, sends the state without it. The entry counted the revision as received, and never asked another one.

An entry that received a state without a document requests it again at the next control process that it follows, and applies a newer document that comes with a revision that it has. While it stays with the first process it still lacks the document.

--- a/daisyhinge/src/shell/forward/state.rs
+++ b/daisyhinge/src/shell/forward/state.rs
@@ -242,6 +242,10 @@
                 let changed = dispatcher.fleet.set_rollouts(&site.rollouts);
                 drop(dispatcher);
                 self.log_rollouts(&changed);
+            } else if let Some(document) = &site.document {
+                // The control process that sent this revision before could not derive the document.
+                drop(revision);
+                self.apply_document(document, origin);
             }
         }
         self.apply_crashes(now, reply.complete, &reply.crashes);
--- a/daisyhinge/src/shell/site/follow.rs
+++ b/daisyhinge/src/shell/site/follow.rs
@@ -126,6 +126,8 @@
     mark: u64,
     /// Latest revision of the site state that was received.
     revision: u64,
+    /// Whether that state had no document, which another control process may be able to derive.
+    lacks_document: bool,
     /// Reports that the followed process has.
     reported: ReportedRevisions,
     reported_usage: ReportedUsage,
@@ -154,6 +156,7 @@
         epoch: 0,
         mark: 0,
         revision: 0,
+        lacks_document: false,
         reported: ReportedRevisions::default(),
         reported_usage: ReportedUsage::default(),
         sink,
@@ -271,6 +274,9 @@
         (self.link)(current.address, true);
         self.reported = ReportedRevisions::default();
         self.reported_usage.clear();
+        if self.lacks_document {
+            self.revision = 0;
+        }
         self.list.set_followed(current.address);
     }
 
@@ -363,8 +369,11 @@
         self.epoch = reply.epoch;
         self.mark = reply.mark;
         self.reported_usage.note_reply(&reply.usage);
-        if let Some(site) = &reply.site {
-            self.revision = self.revision.max(site.revision);
+        if let Some(site) = &reply.site
+            && site.revision >= self.revision
+        {
+            self.revision = site.revision;
+            self.lacks_document = site.document.is_none();
         }
         self.list.update_known(&reply.control);
         if proof.fresh {
--- a/daisyhinge/tests/adoption.rs
+++ b/daisyhinge/tests/adoption.rs
@@ -75,3 +75,22 @@
     assert_eq!(adopt(&entry, 2, 2, "damaged"), Some(1));
     assert_eq!(adopt(&entry, 3, 3, "3"), Some(3));
 }
+
+/// Guards against an entry that passes over a configuration for good, since the control process that it
+/// followed first could not derive its document. During an upgrade that may be one of the former build.
+#[test]
+fn document_that_another_control_process_lacked_is_adopted() {
+    let entry = open_entry();
+    assert_eq!(adopt(&entry, 1, 1, "1"), Some(1));
+    let site = SiteState {
+        revision: 2,
+        ..SiteState::default()
+    };
+    let address = SocketAddr::from(([127, 0, 0, 1], 9));
+    let reply = SyncReply {
+        site: Some(Arc::new(site)),
+        ..sync_reply_with(address, "s", "a", Vec::new())
+    };
+    entry.apply_reply(reply, true);
+    assert_eq!(adopt(&entry, 2, 2, "2"), Some(2));
+}
