--- a/daisyhinge/src/check.rs
+++ b/daisyhinge/src/check.rs
@@ -4,6 +4,7 @@
 //! errors; if there are none, the second deserializes the typed value with serde.
 
 pub mod fault_list;
+pub mod json_value;
 pub mod reader;
 pub mod tree;
 
--- a/platform/src/config/fields.rs
+++ b/daisyhinge/src/check/json_value.rs
@@ -13,7 +13,10 @@
 /// A whole number from 0, written with or without a fraction of 0.
 #[derive(Clone, Copy, Debug, Serialize)]
 #[serde(transparent)]
-pub(super) struct WholeNumber(pub u64);
+pub struct WholeNumber(
+    /// The number.
+    pub u64,
+);
 
 impl WholeNumber {
     /// Returns the number, or the greatest one that the type has.
@@ -62,7 +65,10 @@
 
 /// A value that must be a JSON object; a derived decoder takes an array as well.
 #[derive(Debug)]
-pub(super) struct JsonObject<T>(pub T);
+pub struct JsonObject<T>(
+    /// Value that was decoded from the object.
+    pub T,
+);
 
 impl<'de, T: Deserialize<'de>> Deserialize<'de> for JsonObject<T> {
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
