--- a/daisyhinge/src/shell/decision.rs
+++ b/daisyhinge/src/shell/decision.rs
@@ -65,11 +65,11 @@
         }
     }
 
-    /// Logs the adoption of a state of the deployment. `course` has further fields: what was in force
+    /// Logs the adoption of a state of the deployment. `details` are further fields: what was in force
     /// before, what is now, and where the state came from.
-    pub fn log_view(&self, state: &SiteState, course: &str) {
+    pub fn log_view(&self, state: &SiteState, details: &str) {
         self.send(&format!(
-            "event=view_adopted revision={} version={} evacuated={} feature_level={} {course}",
+            "event=view_adopted revision={} version={} evacuated={} feature_level={} {details}",
             state.revision,
             state.version(),
             state.evacuated.len(),
@@ -122,11 +122,11 @@
         });
     }
 
-    /// Logs that a configuration could not be decoded. `course` has further fields: digest and size
+    /// Logs that a configuration could not be decoded. `details` are further fields: digest and size
     /// of the text, and where it came from.
-    pub fn log_bad_document(&self, version: u64, code: ResultCode, course: &str) {
+    pub fn log_bad_document(&self, version: u64, code: ResultCode, details: &str) {
         self.send(&format!(
-            "event=view_refused version={version} code={} name={} {course}",
+            "event=view_refused version={version} code={} name={} {details}",
             code.number(),
             code.name()
         ));
--- a/daisyhinge/src/shell/forward/adoption.rs
+++ b/daisyhinge/src/shell/forward/adoption.rs
@@ -29,14 +29,14 @@
 
 /// Revision and version that were in force before a state.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct FormerForce {
+pub(super) struct FormerSite {
     pub revision: u64,
     pub version: u64,
 }
 
 /// The configuration that is in force after a state.
 #[derive(Clone, Copy, Debug, Default)]
-pub(super) struct ForceSummary {
+pub(super) struct SiteSummary {
     pub version: u64,
     pub route_count: usize,
     pub text: TextDigest,
@@ -44,8 +44,8 @@
 
 /// Describes what was in force before a state and what is after it, and where the state came from.
 pub(super) fn describe_adoption(
-    former: FormerForce,
-    in_force: &ForceSummary,
+    former: FormerSite,
+    in_force: &SiteSummary,
     origin: &StateOrigin,
 ) -> String {
     format!(
--- a/daisyhinge/src/shell/forward/freshness.rs
+++ b/daisyhinge/src/shell/forward/freshness.rs
@@ -29,7 +29,7 @@
         let lease = *self.lease.lock();
         ForceReport {
             revision: self.revision(),
-            version: self.summarise_force().version,
+            version: self.summarise_site().version,
             lease_held: lease.holds(now),
             confirmed_age: lease.confirmed_at().map(|at| now.since(at)),
         }
--- a/daisyhinge/src/shell/forward/state.rs
+++ b/daisyhinge/src/shell/forward/state.rs
@@ -10,7 +10,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::admission::AdmissionWaiters;
-use super::adoption::{ForceSummary, FormerForce, StateOrigin, describe_adoption};
+use super::adoption::{FormerSite, SiteSummary, StateOrigin, describe_adoption};
 use super::pool::ConnectionPool;
 use super::quota_state::QuotaState;
 use super::relay::table::PeerLinks;
@@ -174,9 +174,9 @@
     }
 
     /// Returns version, number of routes and digest of the configuration in force.
-    pub(super) fn summarise_force(&self) -> ForceSummary {
+    pub(super) fn summarise_site(&self) -> SiteSummary {
         let site = self.site();
-        site.map_or_else(ForceSummary::default, |site| ForceSummary {
+        site.map_or_else(SiteSummary::default, |site| SiteSummary {
             version: site.version,
             route_count: site.route_count,
             text: site.text,
@@ -213,7 +213,7 @@
             self.write_line(&format!(
                 "event=state_confirmed revision={} version={} {origin}",
                 self.revision(),
-                self.summarise_force().version
+                self.summarise_site().version
             ));
         }
         self.updated.notify_waiters();
@@ -224,9 +224,9 @@
         if let Some(site) = &reply.site {
             let mut revision = self.revision.lock();
             if site.revision > *revision {
-                let former = FormerForce {
+                let former = FormerSite {
                     revision: *revision,
-                    version: self.summarise_force().version,
+                    version: self.summarise_site().version,
                 };
                 *revision = site.revision;
                 drop(revision);
@@ -234,7 +234,7 @@
                     self.apply_document(document, origin);
                 }
                 let evacuated = site.evacuated.clone();
-                let in_force = self.summarise_force();
+                let in_force = self.summarise_site();
                 self.log
                     .log_view(site, &describe_adoption(former, &in_force, origin));
                 let mut dispatcher = self.dispatcher.lock();
@@ -288,8 +288,8 @@
             }
             Err(code) => {
                 self.counters.documents_refused.inc();
-                let course = format!("{digest} {origin}");
-                self.log.log_bad_document(document.version, code, &course);
+                let details = format!("{digest} {origin}");
+                self.log.log_bad_document(document.version, code, &details);
             }
         }
     }
--- a/daisyhinge/src/shell/site/state_log.rs
+++ b/daisyhinge/src/shell/site/state_log.rs
@@ -81,8 +81,8 @@
                 let state = Arc::clone(&published.borrow_and_update());
                 if state.revision > 0 {
                     let text = entry_digest.of(state.document.as_ref());
-                    let course = format!("{text} {}", describe_position(shell));
-                    log.write_line(&describe_published(&state, &mut applied, &course));
+                    let details = format!("{text} {}", describe_position(shell));
+                    log.write_line(&describe_published(&state, &mut applied, &details));
                 }
             }
             else => return,
@@ -105,7 +105,7 @@
 fn describe_published(
     state: &SiteState,
     applied: &mut VecDeque<AppliedState>,
-    course: &str,
+    details: &str,
 ) -> String {
     while applied
         .front()
@@ -117,7 +117,7 @@
     let version = known.map_or_else(|| state.version(), |known| known.version);
     let delay = known.map_or(Duration::ZERO, |known| known.at.elapsed());
     format!(
-        "event=state_published revision={} version={version} document={} delay_ms={} {course}",
+        "event=state_published revision={} version={version} document={} delay_ms={} {details}",
         state.revision,
         state.document.is_some(),
         delay.as_millis()
