--- a/daisyhinge/src/control/voter/contact.rs
+++ b/daisyhinge/src/control/voter/contact.rs
@@ -75,7 +75,8 @@
 impl VoterMachine {
     /// Returns the time at which a quorum last confirmed that the state of this voter is the newest:
     /// for a leader, the start of a round that a quorum answered; for a follower, the arrival of a
-    /// message that shows that it has applied everything that the leader has committed.
+    /// message that shows that it has applied everything that the leader has committed, or the start
+    /// of a pause if the message may have been sent before.
     pub fn last_quorum_contact(&self) -> Option<MonotonicTime> {
         self.contact.confirmed.max(self.confirmed_at())
     }
