--- a/review/kit-2/src/client.rs
+++ b/review/kit-2/src/client.rs
@@ -41,6 +41,8 @@
     /// Whether each request has a path of its own.
     pub distinct: bool,
     pub deadline_ms: u64,
+    /// Time after which the client leaves without an answer, if that is before its deadline.
+    pub leave_after_ms: Option<u64>,
     /// Header `Authorization`, if the requests carry one.
     pub key: Option<&'static str>,
     /// Header `Daisyhinge-Tenant`, which only the system may set.
@@ -64,7 +66,7 @@
 ) -> Attempt {
     let id = format!("{:016x}", world.random());
     let sent = Instant::now();
-    let limit = Duration::from_millis(kind.deadline_ms);
+    let limit = Duration::from_millis(kind.leave_after_ms.unwrap_or(kind.deadline_ms));
     let deadline = kind.deadline_ms.to_string();
     let path = if kind.distinct {
         format!("{}{id}", kind.path)
--- a/review/kit-2/src/cold.rs
+++ b/review/kit-2/src/cold.rs
@@ -45,6 +45,7 @@
         path: "/card/".to_owned(),
         distinct: true,
         deadline_ms: 5_000,
+        leave_after_ms: None,
         key: None,
         tenant: None,
         job: None,
--- a/review/kit-2/src/keys.rs
+++ b/review/kit-2/src/keys.rs
@@ -29,6 +29,7 @@
         path: "/card/".to_owned(),
         distinct: true,
         deadline_ms: 3_000,
+        leave_after_ms: None,
         key,
         tenant: None,
         job: None,
--- a/review/kit-2/src/main.rs
+++ b/review/kit-2/src/main.rs
@@ -6,7 +6,7 @@
 mod extra;
 mod http;
 mod keys;
-mod poison;
+mod left;
 mod replica;
 mod shared;
 mod world;
@@ -55,7 +55,7 @@
     };
     let run: fn(&Setup) -> Outcome<bool> = match case.as_str() {
         "keys" => keys::run,
-        "poison" => poison::run,
+        "left" => left::run,
         "extra" => extra::run,
         "cold" => cold::run,
         "writer" => writer::run,
--- a/review/kit-2/src/replica.rs
+++ b/review/kit-2/src/replica.rs
@@ -38,16 +38,8 @@
 /// Path whose requests crash each replica that runs them.
 pub const CRASHING_PATH: &str = "/card/crashes";
 
-/// When a request to [`CRASHING_PATH`] crashes its replica.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Crash {
-    /// Never.
-    No,
-    /// Before any byte of the answer.
-    Before,
-    /// After the head and a part of the body.
-    Midway,
-}
+/// Time for which a replica works on such a request until it crashes.
+const CRASH_AFTER: Duration = Duration::from_millis(200);
 
 /// One incarnation.
 #[derive(Clone, Debug)]
@@ -70,8 +62,8 @@
     answers: AtomicU64,
     cold_until: Mutex<Option<Instant>>,
     down: AtomicBool,
+    crashes: AtomicU64,
     streams: Mutex<Vec<TcpStream>>,
-    pub crash: Mutex<Crash>,
     runs: Arc<Runs>,
     record: Arc<Record>,
 }
@@ -103,8 +95,8 @@
             answers: AtomicU64::new(0),
             cold_until: Mutex::default(),
             down: AtomicBool::new(false),
+            crashes: AtomicU64::new(0),
             streams: Mutex::default(),
-            crash: Mutex::new(Crash::No),
             runs: Arc::clone(runs),
             record: Arc::clone(&world.record),
         });
@@ -119,6 +111,16 @@
         self.identity.lock().unwrap().id.clone()
     }
 
+    /// How often the replica has crashed.
+    pub fn crash_count(&self) -> u64 {
+        self.crashes.load(Ordering::Relaxed)
+    }
+
+    /// Time from the start of a run that crashes a replica to the crash.
+    pub fn crash_after() -> Duration {
+        CRASH_AFTER
+    }
+
     fn is_down(&self) -> bool {
         self.down.load(Ordering::Relaxed)
     }
@@ -161,6 +163,7 @@
         if self.down.swap(true, Ordering::Relaxed) {
             return;
         }
+        self.crashes.fetch_add(1, Ordering::Relaxed);
         self.record.line(&format!("{} crashes", self.id()));
         for stream in self.streams.lock().unwrap().drain(..) {
             drop(stream.shutdown(Shutdown::Both));
@@ -247,7 +250,7 @@
     fn next_extra(&self, request: &Message) -> Option<String> {
         let every = self.extra_every.load(Ordering::Relaxed);
         let number = self.answers.fetch_add(1, Ordering::Relaxed);
-        if every == 0 || number % every != 0 {
+        if every == 0 || !number.is_multiple_of(every) {
             return None;
         }
         if request.start.starts_with("POST") {
@@ -307,17 +310,9 @@
             run.has_key
         ));
         self.runs.0.lock().unwrap().push(run);
-        let crash = *self.crash.lock().unwrap();
-        if request.word() == CRASHING_PATH && crash != Crash::No {
-            if crash == Crash::Midway {
-                let seal = self.seal(id);
-                let text = format!(
-                    "HTTP/1.1 200 -\r\nDaisyhinge-Request-Id: {id}\r\nDaisyhinge-Response-Seal: \
-                     {seal}\r\nContent-Length: 3000\r\n\r\nthe first bytes of the answer"
-                );
-                drop(stream.write_all(text.as_bytes()));
-            }
-            thread::sleep(self.work);
+        if request.word() == CRASHING_PATH {
+            // It works on when its caller has left.
+            thread::sleep(CRASH_AFTER);
             self.crash_now();
             return None;
         }
