Clients that hold memory and descriptors: one intake for all ports

What callers saw: clients that sent large bodies or chunked bodies and stopped just short of their end ended a process, which ran out of memory; nobody was answered by it any more.

Cause: nothing counted what clients hold. The callers' port had no maximum of connections, and collected each body in the pieces in which it came; a piece of 1 KiB keeps the buffer of 8 KiB into which it was read. The operator port allowed 1,500 connections with 4 MiB each. Answers and configurations stayed in memory for as long as nobody read them, bytes beyond a running request piled up in receive buffers of up to 32 MiB, and 64 clients that did not read kept all others from the metrics, readiness and directory ports.

Fix: `intake` derives from the memory and the descriptors in the settings how many connections a process has and how much bodies and answers hold; all ports and the answers of replicas take from it. A body is copied out of its pieces and has to arrive before the deadline of its request. When there is no room, the connection gives way that has waited longest for its client; one whose request runs never does. What finds no room is refused with 503 (2018), a body that does not arrive with 408 (1016); neither has run. Configurations are unpacked once for all who read them, and checked one at a time.

Also tried: waiting for the release of each connection that was cut off before the next accept (with a crowd that pipelines, an ordinary client waited over 10 s), and refusing at once when all connections run requests (ordinary clients were refused).

--- a/daisyhinge/benches/gather.rs
+++ b/daisyhinge/benches/gather.rs
@@ -12,6 +12,7 @@
 use std::time::{Duration, Instant};
 
 use daisyhinge::dispatch::fleet::FleetLocation;
+use daisyhinge::intake::process_limits::derive_limits;
 use daisyhinge::lease::LapsePolicy;
 use daisyhinge::prelude::*;
 use daisyhinge::shell::forward::listen::serve_callers;
@@ -109,7 +110,7 @@
         policy: LapsePolicy::default(),
         revocation_delay: None,
         quota_slack: 0.0,
-        answer_memory_max: 32 << 20,
+        limits: derive_limits(160 << 20, 4_096),
         rollouts: false,
     });
     let mut reply = sync_reply_with(replica_address(index, 0), "shard-0", "a", Vec::new());
--- a/daisyhinge/src/dispatch.rs
+++ b/daisyhinge/src/dispatch.rs
@@ -5,7 +5,6 @@
 //! these limits from the number of entries, so that entries need not coordinate.
 
 pub mod admission;
-pub mod answer_memory;
 pub mod budget;
 pub mod caller;
 pub mod crash;
--- a/daisyhinge/src/lib.rs
+++ b/daisyhinge/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod directory;
 pub mod dispatch;
 pub mod environment;
+pub mod intake;
 pub mod keeper;
 pub mod lease;
 pub mod metric;
--- a/daisyhinge/src/metric.rs
+++ b/daisyhinge/src/metric.rs
@@ -8,6 +8,7 @@
 pub mod control;
 pub mod entry;
 pub mod forward;
+pub mod intake;
 pub mod label;
 pub mod replica;
 pub mod service;
--- a/daisyhinge/src/shell.rs
+++ b/daisyhinge/src/shell.rs
@@ -12,6 +12,7 @@
 pub mod forward;
 pub mod header;
 pub mod http_port;
+pub mod intake;
 pub mod line_budget;
 pub mod link;
 pub mod link_version;
--- a/daisyhinge/src/shell/forward/answer.rs
+++ b/daisyhinge/src/shell/forward/answer.rs
@@ -11,9 +11,10 @@
 use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
 
 use super::access::{RequestAccess, set_customer_headers};
+use super::answer_body::lease_bytes;
 use super::outcome_log::log_outcome;
 use super::outgoing::OutgoingRequest;
-use super::request_body::receive_body;
+use super::request_body::receive_caller_body;
 use super::run::{RequestOutcome, run_request};
 use super::state::{ActiveSite, ForwardState};
 use super::wire::{encode_number, encode_result_code, header_text, strip_connection_headers};
@@ -22,6 +23,8 @@
 use crate::dispatch::merge::merge_parts;
 use crate::dispatch::request::{Decision, RequestPlan};
 use crate::prelude::*;
+use crate::shell::intake::connection::ClientConnection;
+use crate::shell::intake::reply::tie_answer;
 use crate::shell::line_budget::LineClass;
 use crate::vocabulary::site::{RouteKind, RouteTarget, SiteRoute};
 
@@ -31,6 +34,8 @@
 const LAPSED_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// `Retry-After` of a request that is refused by its key or its customer with status 503.
 const ACCESS_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// `Retry-After` of a request for whose body there is no memory.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Statuses that promise the caller that its request was not executed.
 const NOT_EXECUTED_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
@@ -39,25 +44,30 @@
 /// Handles a request. `opened_connection` is set for the first request on its connection.
 pub async fn answer_request(
     state: Arc<ForwardState>,
+    client: Arc<ClientConnection>,
     request: Request<Incoming>,
     opened_connection: bool,
 ) -> Response<AnswerBody> {
+    let _running = client.begin_request();
     let started = state.clock.now();
     let mut answer = match state.site() {
         Some(_) if !state.may_serve() => refuse(ResultCode::NoLease, Some(LAPSED_RETRY_AFTER)),
-        Some(site) => answer_with_site(&state, &site, started, opened_connection, request).await,
+        Some(site) => {
+            answer_with_site(&state, &site, &client, started, opened_connection, request).await
+        }
         None => refuse(ResultCode::NoLease, Some(STARTUP_RETRY_AFTER)),
     };
-    if state.leaving.is_cancelled() {
+    if state.leaving.is_cancelled() || client.is_port_full() {
         let close = HeaderValue::from_static("close");
         answer.headers_mut().insert(CONNECTION, close);
     }
-    answer
+    tie_answer(&client, answer).await
 }
 
 async fn answer_with_site(
     state: &Arc<ForwardState>,
     site: &ActiveSite,
+    client: &Arc<ClientConnection>,
     started: MonotonicTime,
     opened_connection: bool,
     request: Request<Incoming>,
@@ -83,11 +93,14 @@
         }
     };
     let id = header_text(&head.headers, &state.names.request_id).unwrap_or("-");
-    let limit = site.limits.body_max_bytes;
-    let body = match receive_body(state, &route, id, body, limit).await {
+    let requested_ms = header_text(&head.headers, &state.names.deadline);
+    let requested_ms = requested_ms.and_then(|text| text.trim().parse::<u64>().ok());
+    let requested = requested_ms.map_or(route.timeout, Duration::from_millis);
+    let time_left = requested.min(route.timeout);
+    let body = match receive_caller_body(state, site, &route, id, client, body, time_left).await {
         Ok(body) => body,
         Err(ResultCode::ShuttingDown) => return state.refuse_at_stop(&route.name, id),
-        Err(code) => return refuse(code, None),
+        Err(code) => return refuse_body(code),
     };
     let over_quota = tokio::select! {
         biased;
@@ -97,9 +110,6 @@
     if let Some(retry_after) = over_quota {
         return refuse_quota(retry_after);
     }
-    let requested_ms = header_text(&head.headers, &state.names.deadline);
-    let requested_ms = requested_ms.and_then(|text| text.trim().parse::<u64>().ok());
-    let requested = requested_ms.map_or(route.timeout, Duration::from_millis);
     let mut plan = RequestPlan {
         digest: digest_request(
             &[&route.host, head.method.as_str(), path_and_query(&head.uri)],
@@ -107,7 +117,7 @@
         ),
         route: Arc::clone(&route),
         started,
-        deadline: started + requested.min(route.timeout),
+        deadline: started + time_left,
         spent: Duration::ZERO,
         margin: Duration::ZERO,
         allowed_regions,
@@ -133,6 +143,15 @@
     answer
 }
 
+/// Refuses a request by its body. What is left of the body is not read.
+fn refuse_body(code: ResultCode) -> Response<AnswerBody> {
+    let retry_after = (code == ResultCode::MemoryShort).then_some(MEMORY_RETRY_AFTER);
+    let mut answer = refuse(code, retry_after);
+    let close = HeaderValue::from_static("close");
+    answer.headers_mut().insert(CONNECTION, close);
+    answer
+}
+
 /// Identifies the customer of a request, and counts it.
 fn identify(
     state: &ForwardState,
@@ -332,7 +351,7 @@
     headers.insert(state.names.missing_shards.clone(), missing);
     let kind = HeaderValue::from_static("application/octet-stream");
     headers.insert(CONTENT_TYPE, kind);
-    let mut answer = Response::new(Full::new(Bytes::from(body)));
+    let mut answer = Response::new(Full::new(lease_bytes(&state.intake, body)));
     *answer.headers_mut() = headers;
     answer
 }
--- a/daisyhinge/src/shell/forward/answer_body.rs
+++ b/daisyhinge/src/shell/forward/answer_body.rs
@@ -1,18 +1,20 @@
 //! The body of a replica's answer as it arrives.
 
-use std::sync::Arc;
-
 use bytes::Bytes;
 
 use super::drop_reason::DropReason;
-use crate::dispatch::answer_memory::{AnswerLease, AnswerMemory};
 use crate::dispatch::merge::RecordMerge;
+use crate::intake::held_memory::{MemoryLease, grow_capacity};
+use crate::shell::intake::ClientIntake;
 
 /// Maximum size of an answer that is returned to a caller, headers included, in bytes.
 const WHOLE_MAX_BYTES: usize = 8 << 20;
 /// Maximum size of a part of a gather, headers included, in bytes.
 const PART_MAX_BYTES: usize = 256 << 10;
 
+/// Bytes of an answer that are not taken from the memory that bodies and large answers share.
+const OWN_BYTES: usize = 64 << 10;
+
 /// Number of pieces of a body that may be of any size.
 const PIECES_MAX: usize = 1_024;
 /// Minimum average size of further pieces, in bytes. Each piece costs processor time, however small.
@@ -21,8 +23,11 @@
 /// Collects a body within the entry's limit on memory.
 #[derive(Debug)]
 pub(super) struct AnswerCollector {
-    lease: AnswerLease,
+    intake: ClientIntake,
+    lease: MemoryLease,
     content: CollectedContent,
+    /// Maximum size of the body, in bytes.
+    bytes_max: usize,
     pieces: usize,
     received: usize,
 }
@@ -37,13 +42,15 @@
 
 impl AnswerCollector {
     /// Creates the collector of a whole body, or of the greatest `top_records` of a part.
-    pub(super) fn open(memory: &Arc<AnswerMemory>, top_records: Option<usize>) -> Self {
+    pub(super) fn open(intake: &ClientIntake, top_records: Option<usize>) -> Self {
         Self {
-            lease: AnswerLease::open(memory),
+            intake: intake.clone(),
+            lease: MemoryLease::open(intake.memory(), OWN_BYTES),
             content: match top_records {
                 Some(top) => CollectedContent::Part(RecordMerge::open(top)),
                 None => CollectedContent::Whole(Vec::new()),
             },
+            bytes_max: WHOLE_MAX_BYTES,
             pieces: 0,
             received: 0,
         }
@@ -57,12 +64,18 @@
         }
     }
 
+    /// Sets the size of the body, if the replica has stated it.
+    pub(super) fn set_size(&mut self, bytes: Option<u64>) {
+        let bytes = bytes.and_then(|bytes| usize::try_from(bytes).ok());
+        self.bytes_max = bytes.unwrap_or(WHOLE_MAX_BYTES).min(WHOLE_MAX_BYTES);
+    }
+
     /// Adds the next piece of the body.
     ///
     /// # Errors
     /// [`DropReason::Fragmented`] if the pieces are too small, [`DropReason::NoMemory`] if there is no
     /// memory for the piece.
-    pub(super) fn add_piece(&mut self, bytes: &[u8]) -> Result<(), DropReason> {
+    pub(super) async fn add_piece(&mut self, bytes: &[u8]) -> Result<(), DropReason> {
         self.pieces += 1;
         self.received += bytes.len();
         if self.pieces > PIECES_MAX + self.received / PIECE_MIN_BYTES {
@@ -70,15 +83,20 @@
         }
         let fits = match &mut self.content {
             CollectedContent::Whole(body) => {
-                let fits = self.lease.extend_to(body.len() + bytes.len());
+                let needed = body.len() + bytes.len();
+                let capacity = grow_capacity(body.capacity(), needed, self.bytes_max);
+                let fits = self.intake.extend(&mut self.lease, capacity).await;
                 if fits {
+                    body.reserve_exact(capacity - body.len());
                     body.extend_from_slice(bytes);
                 }
                 fits
             }
             CollectedContent::Part(merge) => {
                 merge.add_bytes(bytes);
-                self.lease.extend_to(merge.held_bytes())
+                self.intake
+                    .extend(&mut self.lease, merge.held_bytes())
+                    .await
             }
         };
         fits.then_some(()).ok_or(DropReason::NoMemory)
@@ -97,9 +115,19 @@
     }
 }
 
+/// Attributes `content`, which exists already, to the memory for answers until it is dropped.
+pub(super) fn lease_bytes(intake: &ClientIntake, content: Vec<u8>) -> Bytes {
+    let mut lease = MemoryLease::open(intake.memory(), OWN_BYTES);
+    lease.charge(content.len());
+    Bytes::from_owner(LeasedBytes {
+        content,
+        _lease: lease,
+    })
+}
+
 struct LeasedBytes {
     content: Vec<u8>,
-    _lease: AnswerLease,
+    _lease: MemoryLease,
 }
 
 impl AsRef<[u8]> for LeasedBytes {
--- a/daisyhinge/src/shell/forward/attempt.rs
+++ b/daisyhinge/src/shell/forward/attempt.rs
@@ -179,7 +179,7 @@
         return Err(AttemptEnd::Withdrawn);
     }
     let outgoing = build_request(state, request, &endpoint).ok_or(AttemptEnd::Withdrawn)?;
-    let collector = AnswerCollector::open(&state.answer_memory, request.top_records);
+    let collector = AnswerCollector::open(&state.intake, request.top_records);
     let answer = match connection.exchange(outgoing, collector).await {
         Ok(answer) => answer,
         Err(ExchangeError::NotSent) => return Err(AttemptEnd::NotSent),
--- a/daisyhinge/src/shell/forward/connection.rs
+++ b/daisyhinge/src/shell/forward/connection.rs
@@ -12,7 +12,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{Builder, Connection, SendRequest};
 use hyper::{HeaderMap, Request, Response};
 use hyper_util::rt::TokioIo;
@@ -149,6 +149,7 @@
         mut collector: AnswerCollector,
     ) -> Result<ReplicaAnswer, DropReason> {
         let (head, mut body) = reply.into_parts();
+        collector.set_size(body.size_hint().exact());
         loop {
             let mut frame = std::pin::pin!(body.frame());
             let frame = poll_fn(|context| {
@@ -159,7 +160,7 @@
                 None => break,
                 Some(Ok(frame)) => {
                     if let Some(data) = frame.data_ref() {
-                        collector.add_piece(data)?;
+                        collector.add_piece(data).await?;
                     }
                 }
                 Some(Err(_)) if self.limit.is_exceeded() => return Err(DropReason::Oversized),
--- a/daisyhinge/src/shell/forward/listen.rs
+++ b/daisyhinge/src/shell/forward/listen.rs
@@ -10,19 +10,21 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
 use super::answer::answer_request;
 use super::state::ForwardState;
 use crate::prelude::*;
+use crate::shell::intake::ClientPort;
+use crate::shell::intake::accept::{accept_client, bind_clients};
+use crate::shell::intake::connection::ClientConnection;
+use crate::shell::intake::stream::ClientStream;
 use crate::shell::port_drain::{accept_queued, finish_requests, wait_for_connections};
 use crate::vocabulary::site::CallerLimits;
 
-/// Delay before the next accept after a failed one, for example when file descriptors run out.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-/// Minimum size of the buffer for request headers that `hyper` accepts, in bytes.
-const HEAD_BUFFER_MIN_BYTES: usize = 8 << 10;
+/// Size of the buffer for request headers beyond their maximum size, in bytes: what else has arrived.
+const HEAD_BUFFER_MARGIN_BYTES: usize = 8 << 10;
 
 /// Serves callers on `address` until `stop` is cancelled. Then accepts the connections that are
 /// still queued, and listens no more. During a planned stop, serves the connections that are left
@@ -38,15 +40,14 @@
     stop: CancellationToken,
     grace: Duration,
 ) -> Result<(), ResultCode> {
-    let listener = TcpListener::bind(address)
-        .await
-        .map_err(|_error| ResultCode::BindFailed)?;
+    let listener = bind_clients(address)?;
+    let port = state.open_caller_port();
     let graceful = GracefulShutdown::new();
     tokio::select! {
         () = stop.cancelled() => {}
-        () = accept_callers(&state, &listener, &graceful) => {}
+        () = accept_callers(&state, &port, &listener, &graceful) => {}
     }
-    accept_queued(accept_callers(&state, &listener, &graceful)).await;
+    accept_queued(accept_callers(&state, &port, &listener, &graceful)).await;
     drop(listener);
     wait_for_connections(&graceful, state.time_to_answer()).await;
     finish_requests(graceful, grace).await;
@@ -56,41 +57,40 @@
 /// Accepts connections and serves each in its own task. Never returns.
 async fn accept_callers(
     state: &Arc<ForwardState>,
+    port: &ClientPort,
     listener: &TcpListener,
     graceful: &GracefulShutdown,
 ) {
+    let unread_timeout = || read_limits(state).idle_timeout;
     loop {
-        let Ok((stream, _peer)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            continue;
-        };
-        // The caller reconnects if its connection cannot be set up.
-        drop(stream.set_nodelay(true));
-        let connection = graceful.watch(open_connection(state, stream));
-        tokio::spawn(async move {
-            // An error on a connection affects only its caller.
-            drop(connection.await);
-        });
+        let (stream, guard) = accept_client(listener, port, unread_timeout).await;
+        let served = open_connection(state, Arc::clone(guard.connection()), stream);
+        tokio::spawn(guard.run(graceful.watch(served)));
     }
 }
 
+fn read_limits(state: &ForwardState) -> CallerLimits {
+    state
+        .site()
+        .map_or_else(CallerLimits::default, |site| site.limits)
+}
+
 fn open_connection(
     state: &Arc<ForwardState>,
-    stream: TcpStream,
+    client: Arc<ClientConnection>,
+    stream: ClientStream,
 ) -> impl hyper_util::server::graceful::GracefulConnection<Error = hyper::Error> + use<> {
-    let limits = state
-        .site()
-        .map_or_else(CallerLimits::default, |site| site.limits);
+    let limits = read_limits(state);
     let state = Arc::clone(state);
     let answered = AtomicBool::new(false);
     let service = service_fn(move |request| {
         let first = !answered.swap(true, Ordering::Relaxed);
-        let answer = answer_request(Arc::clone(&state), request, first);
+        let answer = answer_request(Arc::clone(&state), Arc::clone(&client), request, first);
         async move { Ok::<_, Infallible>(answer.await) }
     });
     http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout.max(limits.head_timeout))
-        .max_buf_size(limits.head_max_bytes.max(HEAD_BUFFER_MIN_BYTES) * 2)
+        .max_buf_size(limits.head_max_bytes + HEAD_BUFFER_MARGIN_BYTES)
         .serve_connection(TokioIo::new(stream), service)
 }
--- a/daisyhinge/src/shell/forward/state.rs
+++ b/daisyhinge/src/shell/forward/state.rs
@@ -18,20 +18,25 @@
 use super::wire::HeaderNames;
 use crate::customer::CustomerTable;
 use crate::dispatch::Dispatcher;
-use crate::dispatch::answer_memory::AnswerMemory;
 use crate::dispatch::budget::BudgetLimits;
 use crate::dispatch::fleet::{FleetLocation, ReplicaIndex, ReplicaReach};
 use crate::dispatch::planned_stop::PlannedStop;
+use crate::intake::process_limits::ProcessLimits;
 use crate::lease::{FreshnessLease, LapsePolicy};
 use crate::metric::forward::ForwardCounters;
+use crate::metric::intake::IntakeCounters;
 use crate::prelude::*;
 use crate::routing::RouteTable;
 use crate::shell::clock::ProcessClock;
 use crate::shell::decision::DecisionLog;
+use crate::shell::intake::{ClientIntake, ClientPort};
 use crate::vocabulary::registration::SyncReply;
 use crate::vocabulary::site::{CallerLimits, SiteConfig, SiteDocument};
 use crate::vocabulary::text_digest::TextDigest;
 
+/// Number of ports of an entry that only monitoring needs: readiness and metrics.
+const MONITORING_PORTS: usize = 2;
+
 /// Decoder for configuration documents in the format that operators submit.
 pub type ConfigDecoder = fn(&[u8]) -> Result<SiteConfig, ResultCode>;
 
@@ -70,8 +75,8 @@
     pub revocation_delay: Option<Duration>,
     /// Requests beyond a customer's burst that may be admitted.
     pub quota_slack: f64,
-    /// Memory that large answers share, in bytes.
-    pub answer_memory_max: usize,
+    /// What clients may make the process hold.
+    pub limits: ProcessLimits,
     /// Whether the deployment has rollouts. If not, requests go to replicas of any version.
     pub rollouts: bool,
 }
@@ -98,14 +103,14 @@
     pub(super) admission_waiters: AdmissionWaiters,
     pub(super) pool: ConnectionPool,
     pub(super) links: PeerLinks,
-    pub(super) log: DecisionLog,
+    pub(super) log: Arc<DecisionLog>,
     pub(super) reporter: CrashReporter,
     pub(super) quotas: QuotaState,
     pub(super) rollout_reporter: RolloutReporter,
     /// How this entry reaches replicas.
     pub(super) reach: watch::Sender<ReplicaReach>,
-    /// Limit on the memory for answers in flight.
-    pub answer_memory: Arc<AnswerMemory>,
+    /// Connections of clients, and the memory for bodies and answers.
+    pub intake: ClientIntake,
     /// Control process that is followed now.
     pub(super) followed: Mutex<Option<SocketAddr>>,
     site: RwLock<Option<Arc<ActiveSite>>>,
@@ -132,6 +137,7 @@
         let quotas = QuotaState::open(settings.location.vm.clone(), settings.quota_slack);
         let rollout_reporter = RolloutReporter::open(settings.location.vm.clone());
         let counters = ForwardCounters::default();
+        let log = Arc::new(DecisionLog::open());
         let mut dispatcher = Dispatcher::open(settings.location, settings.budget);
         if settings.rollouts {
             dispatcher.fleet.enable_rollouts();
@@ -147,12 +153,16 @@
             dispatcher: Mutex::new(dispatcher),
             pool: ConnectionPool::default(),
             links: PeerLinks::default(),
-            log: DecisionLog::open(),
+            intake: ClientIntake::open(
+                settings.limits,
+                IntakeCounters::default(),
+                Some(Arc::clone(&log)),
+            ),
+            log,
             reporter,
             quotas,
             rollout_reporter,
             reach: watch::Sender::default(),
-            answer_memory: AnswerMemory::open(settings.answer_memory_max),
             followed: Mutex::default(),
             site: RwLock::new(None),
             revision: Mutex::new(0),
@@ -294,6 +304,13 @@
         }
     }
 
+    /// Adds the port for callers.
+    pub(super) fn open_caller_port(&self) -> ClientPort {
+        let limits = self.intake.limits();
+        let connections_max = limits.client_connections(1, MONITORING_PORTS);
+        self.intake.open_port("callers", connections_max)
+    }
+
     /// Returns a number for a request that is unique in this process.
     pub(super) fn next_number(&self) -> u64 {
         self.number.fetch_add(1, Ordering::Relaxed)
--- a/daisyhinge/src/shell/forward/warm.rs
+++ b/daisyhinge/src/shell/forward/warm.rs
@@ -42,7 +42,7 @@
         .fleet
         .count_notices(state.clock.now());
     state.counters.set_notices(counts);
-    let held = state.answer_memory.held_bytes();
+    let held = state.intake.memory().held_bytes();
     let held = i64::try_from(held).unwrap_or(i64::MAX);
     state.counters.answer_bytes.set(held);
 }
--- a/daisyhinge/src/shell/http_port/reply.rs
+++ b/daisyhinge/src/shell/http_port/reply.rs
@@ -51,9 +51,15 @@
     build_reply(200, content_type, Bytes::from(text))
 }
 
-/// Builds a reply with status 200 whose body is `bytes` unchanged.
-pub fn reply_bytes(content_type: &'static str, bytes: Vec<u8>) -> Response<ReplyBody> {
-    build_reply(200, content_type, Bytes::from(bytes))
+/// Marks a reply whose body the process keeps anyway, however many clients read it.
+#[derive(Clone, Copy, Debug)]
+pub struct SharedContent;
+
+/// Builds a reply with status 200 whose body is `bytes` unchanged. The process keeps `bytes` anyway.
+pub fn reply_shared(content_type: &'static str, bytes: Bytes) -> Response<ReplyBody> {
+    let mut reply = build_reply(200, content_type, bytes);
+    reply.extensions_mut().insert(SharedContent);
+    reply
 }
 
 /// Builds a refusal with a numeric result code.
--- a/daisyhinge/src/shell/http_port/request.rs
+++ b/daisyhinge/src/shell/http_port/request.rs
@@ -1,29 +1,39 @@
 //! Reads request bodies.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::Request;
 use hyper::body::Incoming;
+use tokio::time::Instant;
 
 use crate::prelude::*;
+use crate::shell::intake::body::{BodyLimits, receive_body};
+use crate::shell::intake::connection::ClientConnection;
 
 /// Timeout for receiving the body of a request.
 pub const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Timeout for a body that does not move.
+const STALL_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Reads a body of at most `max_bytes`.
+/// Reads the body, of at most `max_bytes`, of a request to an [`HttpPort`](super::HttpPort).
 ///
 /// # Errors
 ///
-/// [`ResultCode::BodyTooLarge`], or [`ResultCode::MalformedRequest`] if the body ends early or
-/// takes longer than [`BODY_TIMEOUT`].
-pub async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, ResultCode> {
-    let collected = tokio::time::timeout(BODY_TIMEOUT, Limited::new(body, max_bytes).collect())
-        .await
-        .map_err(|_elapsed| ResultCode::MalformedRequest)?;
-    match collected {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(ResultCode::BodyTooLarge),
-        Err(_error) => Err(ResultCode::MalformedRequest),
-    }
+/// [`ResultCode::BodyTooLarge`], [`ResultCode::MalformedRequest`] if the body ends early,
+/// [`ResultCode::BodyTimeout`] if it takes longer than [`BODY_TIMEOUT`] or does not move,
+/// [`ResultCode::MemoryShort`] if there is no memory for it.
+pub async fn read_body(
+    mut request: Request<Incoming>,
+    max_bytes: usize,
+) -> Result<Bytes, ResultCode> {
+    let client = request.extensions_mut().remove::<Arc<ClientConnection>>();
+    let client = client.ok_or(ResultCode::MalformedRequest)?;
+    let limits = BodyLimits {
+        max_bytes,
+        deadline: Instant::now() + BODY_TIMEOUT,
+        stall_timeout: STALL_TIMEOUT,
+    };
+    receive_body(&client, request.into_body(), limits).await
 }
--- a/daisyhinge/src/shell/operator.rs
+++ b/daisyhinge/src/shell/operator.rs
@@ -106,7 +106,7 @@
 }
 
 async fn answer_change(request: Request<Incoming>, calls: &OperatorCalls) -> Response<ReplyBody> {
-    let body = match read_body(request.into_body(), CHANGE_MAX_BYTES).await {
+    let body = match read_body(request, CHANGE_MAX_BYTES).await {
         Ok(body) => body,
         Err(code) => return refuse(OperatorRefusal::new(code)),
     };
--- a/daisyhinge/src/vocabulary/code.rs
+++ b/daisyhinge/src/vocabulary/code.rs
@@ -76,6 +76,8 @@
     BadName = 1014, 400;
     /// the API key is missing, malformed or unknown
     KeyRefused = 1015, 401;
+    /// the body did not arrive in time
+    BodyTimeout = 1016, 408;
 
     // 2xxx: refusals by an entry.
     /// overloaded; retry later
@@ -112,6 +114,8 @@
     KeysUnconfirmed = 2016, 503;
     /// the customer has used up its quota
     QuotaExceeded = 2017, 429;
+    /// other clients hold the memory that the body needs; retry later
+    MemoryShort = 2018, 503;
 
     // 3xxx: reasons why a sub-request was not answered.
     /// the replica has no free slot and its queue is full
--- a/daisyhinge/tests/adoption.rs
+++ b/daisyhinge/tests/adoption.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 use daisyhinge::dispatch::fleet::FleetLocation;
+use daisyhinge::intake::process_limits::derive_limits;
 use daisyhinge::lease::LapsePolicy;
 use daisyhinge::prelude::*;
 use daisyhinge::shell::forward::state::{ForwardSettings, ForwardState};
@@ -37,7 +38,7 @@
         policy: LapsePolicy::default(),
         revocation_delay: None,
         quota_slack: 0.0,
-        answer_memory_max: 32 << 20,
+        limits: derive_limits(160 << 20, 4_096),
         rollouts: false,
     })
 }
--- a/daisyhinge/tests/cut_answers/entry.rs
+++ b/daisyhinge/tests/cut_answers/entry.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use daisyhinge::dispatch::fleet::FleetLocation;
+use daisyhinge::intake::process_limits::derive_limits;
 use daisyhinge::lease::LapsePolicy;
 use daisyhinge::prelude::*;
 use daisyhinge::shell::forward::outgoing::OutgoingRequest;
@@ -101,7 +102,7 @@
         policy: LapsePolicy::default(),
         revocation_delay: None,
         quota_slack: 0.0,
-        answer_memory_max: 32 << 20,
+        limits: derive_limits(160 << 20, 4_096),
         rollouts: false,
     });
     let peer = peer.map(|ip| EntryPresence {
--- a/daisyhinge/tests/dispatch/answers.rs
+++ b/daisyhinge/tests/dispatch/answers.rs
@@ -1,15 +1,21 @@
 //! Memory of answers in flight, and parts that arrive in pieces.
 
-use daisyhinge::dispatch::answer_memory::{AnswerLease, AnswerMemory};
 use daisyhinge::dispatch::merge::{RECORD_BYTES, RecordMerge, merge_parts};
+use daisyhinge::intake::held_memory::{HeldMemory, MemoryLease, MemoryLimits};
 
 const KIB: usize = 1 << 10;
+/// Bytes that each answer may hold without a part of the shared memory.
+const OWN_BYTES: usize = 64 * KIB;
 
 /// Many large answers, each within its own limit, must not exceed the memory together.
 #[test]
 fn large_answers_share_one_limit_and_small_ones_always_fit() {
-    let memory = AnswerMemory::open(1_024 * KIB);
-    let mut large: Vec<AnswerLease> = (0..30).map(|_| AnswerLease::open(&memory)).collect();
+    let memory = HeldMemory::open(MemoryLimits {
+        shared_max: 1_024 * KIB,
+        own_max: 31 * OWN_BYTES,
+    });
+    let open = || MemoryLease::open(&memory, OWN_BYTES);
+    let mut large: Vec<MemoryLease> = (0..30).map(|_| open()).collect();
     for size in (0..=8_192).step_by(16) {
         for lease in &mut large {
             lease.extend_to(size * KIB);
@@ -17,7 +23,7 @@
     }
     let held = memory.held_bytes();
     assert!(held <= (1_024 + 30 * 64) * KIB, "{held} bytes");
-    let mut small = AnswerLease::open(&memory);
+    let mut small = open();
     assert!(small.extend_to(64 * KIB), "a small answer fits");
     assert!(!small.extend_to(2_048 * KIB));
     assert_eq!(
@@ -28,7 +34,7 @@
     drop(large);
     drop(small);
     assert_eq!(memory.held_bytes(), 0);
-    let mut next = AnswerLease::open(&memory);
+    let mut next = open();
     assert!(next.extend_to(1_024 * KIB), "what was held is free again");
 }
 
--- a/daisyhinge/tests/forward/fixture.rs
+++ b/daisyhinge/tests/forward/fixture.rs
@@ -9,6 +9,7 @@
 use crate::reserved_network::reserved_host;
 use bytes::Bytes;
 use daisyhinge::dispatch::fleet::FleetLocation;
+use daisyhinge::intake::process_limits::derive_limits;
 use daisyhinge::lease::LapsePolicy;
 use daisyhinge::prelude::*;
 use daisyhinge::shell::forward::listen::serve_callers;
@@ -166,7 +167,7 @@
         policy,
         revocation_delay: None,
         quota_slack: 0.0,
-        answer_memory_max: 32 << 20,
+        limits: derive_limits(160 << 20, 4_096),
         rollouts: false,
     });
     let replica = SocketAddr::new(host, REPLICA_PORT);
--- a/daisyhinge/tests/keys/fixture.rs
+++ b/daisyhinge/tests/keys/fixture.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use daisyhinge::customer::digest_key;
 use daisyhinge::dispatch::fleet::FleetLocation;
+use daisyhinge::intake::process_limits::derive_limits;
 use daisyhinge::lease::LapsePolicy;
 use daisyhinge::prelude::*;
 use daisyhinge::shell::forward::listen::serve_callers;
@@ -210,7 +211,7 @@
         revocation_delay,
         rollouts: false,
         quota_slack: 0.0,
-        answer_memory_max: 32 << 20,
+        limits: derive_limits(160 << 20, 4_096),
     })
 }
 
--- a/daisyhinge/tests/reach/fixture.rs
+++ b/daisyhinge/tests/reach/fixture.rs
@@ -9,6 +9,7 @@
 use crate::reserved_network::reserved_host;
 use bytes::Bytes;
 use daisyhinge::dispatch::fleet::{FleetLocation, ReplicaIndex};
+use daisyhinge::intake::process_limits::derive_limits;
 use daisyhinge::lease::LapsePolicy;
 use daisyhinge::prelude::*;
 use daisyhinge::shell::forward::attempt::{AttemptReport, run_attempt};
@@ -122,7 +123,7 @@
         policy: LapsePolicy::default(),
         revocation_delay: None,
         quota_slack: 0.0,
-        answer_memory_max: 32 << 20,
+        limits: derive_limits(160 << 20, 4_096),
         rollouts: false,
     });
     let address = SocketAddr::new(replicas, REPLICA_PORT);
--- a/daisyhinge/tests/relay/fixture.rs
+++ b/daisyhinge/tests/relay/fixture.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use daisyhinge::dispatch::fleet::FleetLocation;
+use daisyhinge::intake::process_limits::derive_limits;
 use daisyhinge::lease::LapsePolicy;
 use daisyhinge::prelude::*;
 use daisyhinge::shell::forward::state::{ForwardSettings, ForwardState};
@@ -113,7 +114,7 @@
         policy: LapsePolicy::default(),
         revocation_delay: None,
         quota_slack: 0.0,
-        answer_memory_max: 32 << 20,
+        limits: derive_limits(160 << 20, 4_096),
         rollouts,
     });
     let entries = vec![presence(1, "a"), presence(2, "b")];
