--- a/daisyhinge/src/shell/site.rs
+++ b/daisyhinge/src/shell/site.rs
@@ -9,6 +9,7 @@
 
 pub mod ahead;
 mod answer;
+pub mod config_text;
 pub mod entry_states;
 pub mod follow;
 pub mod gossip;
