Own interface: callers that hold memory and descriptors of an entry

Cause: connections beyond the maximum waited in the accept queue, bodies were collected without a limit of the process and without a time, and an HTTP/2 connection could have 200 requests with windows of 1 MiB.

Fix: the entry admits callers and receives bodies by the same intake as the other ports, with `limits.memory_mb` (default 1024) and the descriptors of the process. HTTP/2 connections have 64 requests and the protocol's default windows.

--- a/daisyhinge/src/metric/entry.rs
+++ b/daisyhinge/src/metric/entry.rs
@@ -9,6 +9,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 
+use crate::metric::intake::IntakeCounters;
 use crate::metric::label::{CodeLabel, ReplicaLabel};
 use crate::metric::replica::{ReplicaFamilies, ReplicaMetrics};
 use crate::metric::service::{ServiceFamilies, ServiceMetrics};
@@ -20,6 +21,8 @@
 /// Metrics of an entry process; clones share them.
 #[derive(Clone, Debug)]
 pub struct EntryMetrics {
+    /// Connections of callers and backend servers, and the memory that they hold.
+    pub intake: IntakeCounters,
     /// Number of replicas whose keeper this entry is.
     pub kept_replicas: Gauge,
     /// Number of open connections to backend servers.
@@ -38,8 +41,11 @@
 impl EntryMetrics {
     /// Registers every family of an entry under [`METRIC_PREFIX`].
     pub fn register(registry: &mut Registry) -> Self {
+        let intake = IntakeCounters::default();
+        intake.register(registry);
         let registry = registry.sub_registry_with_prefix(METRIC_PREFIX);
         let metrics = Self {
+            intake,
             kept_replicas: Gauge::default(),
             server_connections: Gauge::default(),
             poisoned_requests: Counter::default(),
--- a/daisyhinge/src/setting/entry.rs
+++ b/daisyhinge/src/setting/entry.rs
@@ -15,6 +15,7 @@
 const BODY_BYTES_RANGE: RangeInclusive<u64> = 1_024..=64 << 20;
 const DEADLINE_MS_RANGE: RangeInclusive<u64> = 1..=600_000;
 const CONNECTIONS_RANGE: RangeInclusive<u64> = 1..=1_000_000;
+const MEMORY_MB_RANGE: RangeInclusive<u64> = 64..=1 << 20;
 const REPLICAS_RANGE: RangeInclusive<u64> = 1..=100_000;
 const RUNNING_RANGE: RangeInclusive<u64> = 1..=1_000_000;
 const SHUTDOWN_MS_RANGE: RangeInclusive<u64> = 0..=3_600_000;
@@ -107,6 +108,7 @@
         "body_max_bytes",
         "deadline_max_ms",
         "connections_max",
+        "memory_mb",
         "replicas_max",
         "running_max",
         "shutdown_max_ms",
@@ -118,6 +120,7 @@
     limits.read_number("body_max_bytes", BODY_BYTES_RANGE, errors);
     limits.read_number("deadline_max_ms", DEADLINE_MS_RANGE, errors);
     limits.read_number("connections_max", CONNECTIONS_RANGE, errors);
+    limits.read_number("memory_mb", MEMORY_MB_RANGE, errors);
     limits.read_number("replicas_max", REPLICAS_RANGE, errors);
     limits.read_number("running_max", RUNNING_RANGE, errors);
     limits.read_number("shutdown_max_ms", SHUTDOWN_MS_RANGE, errors);
--- a/daisyhinge/src/shell/entry.rs
+++ b/daisyhinge/src/shell/entry.rs
@@ -26,6 +26,7 @@
 
 use crate::metric::EntryMetrics;
 use crate::prelude::*;
+use crate::shell::intake::accept::bind_clients;
 use crate::vocabulary::event::{EventDraft, EventKind};
 use crate::vocabulary::freshness::LEASE_DURATION;
 use crate::vocabulary::setting::EntrySettings;
@@ -48,13 +49,14 @@
     /// # Errors
     ///
     /// [`ResultCode::BindFailed`] if an address cannot be bound.
+    #[expect(clippy::unused_async, reason = "callers await the start of an entry")]
     pub async fn spawn(
         mut settings: EntrySettings,
         metrics: EntryMetrics,
         event_sink: EventSink,
     ) -> Result<Self, ResultCode> {
-        let callers = bind_listener(&mut settings.caller_address).await?;
-        let peers = bind_listener(&mut settings.peer_address).await?;
+        let callers = bind_listener(&mut settings.caller_address)?;
+        let peers = bind_listener(&mut settings.peer_address)?;
         let state = Arc::new(EntryState::new(settings, metrics, event_sink));
         let tasks = vec![
             tokio::spawn(http_server::serve_callers(Arc::clone(&state), callers)),
@@ -122,10 +124,8 @@
     }
 }
 
-async fn bind_listener(address: &mut SocketAddr) -> Result<TcpListener, ResultCode> {
-    let listener = TcpListener::bind(*address)
-        .await
-        .map_err(|_err| ResultCode::BindFailed)?;
+fn bind_listener(address: &mut SocketAddr) -> Result<TcpListener, ResultCode> {
+    let listener = bind_clients(*address)?;
     *address = listener
         .local_addr()
         .map_err(|_err| ResultCode::BindFailed)?;
--- a/daisyhinge/src/shell/entry/entry_metrics.rs
+++ b/daisyhinge/src/shell/entry/entry_metrics.rs
@@ -144,6 +144,7 @@
     metrics.set_lease(lease.holds(now), age, lease.version());
     let connections = state.keepers.lock().connection_count();
     metrics.server_connections.set(connections.into());
+    state.callers.intake().update_gauges();
 }
 
 fn refresh_replica_gauges(
--- a/daisyhinge/src/shell/entry/http_server.rs
+++ b/daisyhinge/src/shell/entry/http_server.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use foldhash::quality::FixedState;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::service::service_fn;
@@ -16,7 +16,8 @@
 use hyper_util::server::conn::auto;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
+use tokio::time::Instant;
 
 use crate::address::{AddressRequest, choose_addresses};
 use crate::prelude::*;
@@ -26,11 +27,27 @@
 use crate::shell::entry::response::{write_answer, write_refusal};
 use crate::shell::entry::search_driver::{QueryResult, refuse_query};
 use crate::shell::entry::state::{EntryPhase, EntryState};
+use crate::shell::intake::accept::accept_client;
+use crate::shell::intake::body::{BodyLimits, receive_body};
+use crate::shell::intake::connection::ClientConnection;
+use crate::shell::intake::reply::charge_answer;
+use crate::shell::intake::stream::ClientStream;
 use crate::vocabulary::announcement::AnnounceReply;
 use crate::vocabulary::answer::QueryRefusal;
 
-/// Timeout for receiving the headers of a request.
+/// Timeout for receiving the headers of a request, for a body that does not move, and for callers that do
+/// not read an answer.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+/// Maximum size of the headers of an HTTP/1 request, and of the buffer for received bytes.
+const HEAD_MAX_BYTES: usize = 24 << 10;
+/// Maximum number of concurrent requests on an HTTP/2 connection.
+const STREAMS_MAX: u32 = 64;
+/// Bytes that a caller may send on an HTTP/2 connection before they are read; the default of HTTP/2.
+const WINDOW_BYTES: u32 = (64 << 10) - 1;
+/// Maximum size of the headers of an HTTP/2 request, in bytes.
+const HEADER_LIST_MAX_BYTES: u32 = 16 << 10;
+/// Buffer for the answer of an HTTP/2 request, in bytes.
+const SEND_BUFFER_BYTES: usize = 16 << 10;
 
 type HttpReply = Response<Full<Bytes>>;
 
@@ -39,46 +56,53 @@
     // Aborts the connections when this task ends.
     let mut connections = tokio::task::JoinSet::new();
     loop {
-        let Ok(permit) = Arc::clone(&state.connections).acquire_owned().await else {
-            return;
-        };
         tokio::select! {
-            accepted = listener.accept() => {
-                if let Ok((stream, _)) = accepted {
-                    let state = Arc::clone(&state);
-                    connections.spawn(async move {
-                        serve_connection(state, stream).await;
-                        drop(permit);
-                    });
-                }
+            (stream, guard) = accept_client(&listener, &state.callers, || HEADER_TIMEOUT) => {
+                let client = Arc::clone(guard.connection());
+                let served = serve_connection(Arc::clone(&state), client, stream);
+                connections.spawn(guard.run(served));
             }
             Some(_) = connections.join_next() => {}
         }
     }
 }
 
-async fn serve_connection(state: Arc<EntryState>, stream: TcpStream) {
-    let _nodelay_is_optional = stream.set_nodelay(true);
+async fn serve_connection(
+    state: Arc<EntryState>,
+    client: Arc<ClientConnection>,
+    stream: ClientStream,
+) {
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
         .http1()
         .timer(TokioTimer::new())
-        .header_read_timeout(HEADER_TIMEOUT);
-    builder.http2().timer(TokioTimer::new());
+        .header_read_timeout(HEADER_TIMEOUT)
+        .max_buf_size(HEAD_MAX_BYTES);
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_concurrent_streams(STREAMS_MAX)
+        .initial_stream_window_size(WINDOW_BYTES)
+        .initial_connection_window_size(WINDOW_BYTES)
+        .max_header_list_size(HEADER_LIST_MAX_BYTES)
+        .max_send_buf_size(SEND_BUFFER_BYTES);
     let mut phases = state.watch_phase();
     // Derived from the remote address and port, so that connections of the same caller may also be
     // spread over several entries.
     let caller_key = stream
-        .peer_addr()
+        .peer_address()
         .map_or(0, |peer| FixedState::default().hash_one(peer));
     let service = service_fn(move |request| {
-        let state = Arc::clone(&state);
+        let (state, client) = (Arc::clone(&state), Arc::clone(&client));
         async move {
+            let _running = client.begin_request();
             let version = request.version();
-            let mut reply = answer_request(&state, request, caller_key).await;
+            let reply = answer_request(&state, &client, request, caller_key).await;
+            let mut reply = charge_answer(&client, reply).await;
             // While the entry shuts down, connections are closed together with an answer, so that
             // none is closed while its next request is being sent.
-            if state.phase() != EntryPhase::Serving && version == Version::HTTP_11 {
+            let closes = state.phase() != EntryPhase::Serving || client.is_port_full();
+            if closes && version == Version::HTTP_11 {
                 reply
                     .headers_mut()
                     .insert(CONNECTION, HeaderValue::from_static("close"));
@@ -98,6 +122,7 @@
 
 async fn answer_request(
     state: &Arc<EntryState>,
+    client: &Arc<ClientConnection>,
     request: Request<Incoming>,
     caller_key: u64,
 ) -> HttpReply {
@@ -115,28 +140,29 @@
     }
     match (path.as_str(), service) {
         ("/v1/addresses", _) => answer_addresses(state, &request, caller_key),
-        ("/v1/announce", _) => match read_json(state, request).await {
+        ("/v1/announce", _) => match read_json(state, client, request).await {
             Ok(announcement) => {
                 announce_reply(&handle_announcement(state, announcement, true).await)
             }
             Err(code) => refusal_reply(state, code),
         },
-        ("/v1/leave", _) => match read_json(state, request).await {
+        ("/v1/leave", _) => match read_json(state, client, request).await {
             Ok(departure) => announce_reply(&handle_departure(state, departure, true).await),
             Err(code) => refusal_reply(state, code),
         },
-        (_, Some(service)) => answer_query(state, service, request).await,
+        (_, Some(service)) => answer_query(state, client, service, request).await,
         _ => refusal_reply(state, ResultCode::UnknownPath),
     }
 }
 
 async fn answer_query(
     state: &Arc<EntryState>,
+    client: &Arc<ClientConnection>,
     service: &str,
     request: Request<Incoming>,
 ) -> HttpReply {
     let (parts, body) = request.into_parts();
-    let body = match read_body(state, body).await {
+    let body = match read_body(state, client, body).await {
         Ok(body) => body,
         Err(code) => return refusal_reply(state, code),
     };
@@ -203,19 +229,25 @@
 
 async fn read_json<T: DeserializeOwned>(
     state: &EntryState,
+    client: &Arc<ClientConnection>,
     request: Request<Incoming>,
 ) -> Result<T, ResultCode> {
-    let body = read_body(state, request.into_body()).await?;
+    let body = read_body(state, client, request.into_body()).await?;
     serde_json::from_slice(&body).map_err(|_err| ResultCode::MalformedJson)
 }
 
-async fn read_body(state: &EntryState, body: Incoming) -> Result<Bytes, ResultCode> {
-    let max_bytes = usize::try_from(state.settings.limits.body_max_bytes).unwrap_or(usize::MAX);
-    match Limited::new(body, max_bytes).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(err) if err.is::<http_body_util::LengthLimitError>() => Err(ResultCode::BodyTooLarge),
-        Err(_) => Err(ResultCode::MalformedRequest),
-    }
+async fn read_body(
+    state: &EntryState,
+    client: &Arc<ClientConnection>,
+    body: Incoming,
+) -> Result<Bytes, ResultCode> {
+    let limits = &state.settings.limits;
+    let body_limits = BodyLimits {
+        max_bytes: usize::try_from(limits.body_max_bytes).unwrap_or(usize::MAX),
+        deadline: Instant::now() + Duration::from_millis(limits.deadline_max_ms),
+        stall_timeout: HEADER_TIMEOUT,
+    };
+    receive_body(client, body, body_limits).await
 }
 
 fn status_of(code: ResultCode) -> StatusCode {
--- a/daisyhinge/src/shell/entry/state.rs
+++ b/daisyhinge/src/shell/entry/state.rs
@@ -11,8 +11,10 @@
 use std::time::Duration;
 
 use parking_lot::{Mutex, RwLock};
-use tokio::sync::{Semaphore, watch};
+use rustix::process::{Resource, getrlimit};
+use tokio::sync::watch;
 
+use crate::intake::process_limits::derive_limits;
 use crate::lease::FreshnessLease;
 use crate::metric::EntryMetrics;
 use crate::prelude::*;
@@ -23,6 +25,7 @@
 use crate::shell::entry::control_pool::ControlPool;
 use crate::shell::entry::keeper_table::KeeperTable;
 use crate::shell::entry::peer_pool::PeerPool;
+use crate::shell::intake::{ClientIntake, ClientPort};
 use crate::vocabulary::environment::{EnvironmentDocument, ServiceEntry};
 use crate::vocabulary::event::EventDraft;
 use crate::vocabulary::setting::EntrySettings;
@@ -55,8 +58,8 @@
     /// Random number drawn at start. It distinguishes the attempts of this entry from those of
     /// others.
     pub origin: u64,
-    /// Permits for connections from callers and backend servers.
-    pub connections: Arc<Semaphore>,
+    /// Connections from callers and backend servers.
+    pub(super) callers: ClientPort,
     /// Prometheus metrics of this entry.
     pub metrics: EntryMetrics,
     /// Set by [`EntryShell::stop`](super::EntryShell::stop) before it aborts the tasks.
@@ -94,7 +97,7 @@
         let origin = rand::random();
         let incarnation = IncarnationNumber(wall_micros());
         Self {
-            connections: Arc::new(Semaphore::new(settings.limits.connections_max as usize)),
+            callers: open_caller_port(&settings, &metrics),
             clock: ProcessClock::open(),
             origin,
             stopped: AtomicBool::new(false),
@@ -293,12 +296,27 @@
 
     /// Waits until all connections of callers have ended, at most for `max_wait`.
     pub(super) async fn wait_connections(&self, max_wait: Duration) {
-        let connection_count = self.settings.limits.connections_max;
-        let _closed_or_late =
-            tokio::time::timeout(max_wait, self.connections.acquire_many(connection_count)).await;
+        let _closed_or_late = tokio::time::timeout(max_wait, self.callers.closed()).await;
     }
 }
 
+/// Opens the port for callers and backend servers.
+fn open_caller_port(settings: &EntrySettings, metrics: &EntryMetrics) -> ClientPort {
+    let memory_bytes = settings.limits.memory_mb as usize * (1 << 20);
+    let limits = derive_limits(memory_bytes, descriptors_max());
+    let connections_max = settings.limits.connections_max as usize;
+    let intake = ClientIntake::open(limits, metrics.intake.clone(), None);
+    intake.open_port("callers", connections_max.min(limits.connections_max))
+}
+
+/// Returns the number of descriptors that this process may open.
+fn descriptors_max() -> usize {
+    let limit = getrlimit(Resource::Nofile).current;
+    limit.map_or(usize::MAX, |limit| {
+        usize::try_from(limit).unwrap_or(usize::MAX)
+    })
+}
+
 /// Ends the accounting of a running request when dropped.
 #[derive(Debug)]
 pub struct RunningGuard {
--- a/daisyhinge/src/vocabulary/setting.rs
+++ b/daisyhinge/src/vocabulary/setting.rs
@@ -38,8 +38,11 @@
     pub body_max_bytes: u64,
     /// Longest deadline that a caller may set, in milliseconds.
     pub deadline_max_ms: u64,
-    /// Maximum number of open connections from callers and backend servers.
+    /// Maximum number of open connections from callers and backend servers. Memory and descriptors of
+    /// the process may allow fewer.
     pub connections_max: u32,
+    /// Memory of the process in MiB, from which the limits on what clients may hold follow.
+    pub memory_mb: u32,
     /// Maximum number of replicas that the entry keeps.
     pub replicas_max: u32,
     /// Maximum number of concurrent requests over all services.
@@ -56,6 +59,7 @@
             body_max_bytes: 1 << 20,
             deadline_max_ms: 60_000,
             connections_max: 4_096,
+            memory_mb: 1_024,
             replicas_max: 4_096,
             running_max: 4_096,
             shutdown_max_ms: 90_000,
