Statuses that HTTP does not have: not an answer

What callers saw: an answer of a replica with status 101, or 600 to 999, reached its caller as it was; with 101 the body was missing. Status 000 and others below 100 did not: hyper refuses them as malformed.

Cause: hyper takes any status from 100 to 999, and ends an exchange with 101. The entry sorted such answers by "2xx or not".

Fix: only statuses from 200 to 599 end an exchange. Others drop the answer as malformed on each way of sending: to a replica, over a link (also from an entry of a former build), and to a backend server of our own interface, whose connection is not used again. The request counts as possibly run.

--- a/daisyhinge/src/shell/backend.rs
+++ b/daisyhinge/src/shell/backend.rs
@@ -137,6 +137,9 @@
     max_bytes: usize,
 ) -> BackendReply {
     let (parts, body) = response.into_parts();
+    if !header::is_final_status(parts.status.as_u16()) {
+        return DispatchOutcome::BadAnswer(ResultCode::AnswerDamaged).into();
+    }
     let body = match Limited::new(body, max_bytes).collect().await {
         Ok(collected) => collected.to_bytes(),
         Err(_) if parts.status == StatusCode::OK => {
--- a/daisyhinge/src/shell/forward/connection.rs
+++ b/daisyhinge/src/shell/forward/connection.rs
@@ -21,6 +21,7 @@
 use super::answer_body::AnswerCollector;
 use super::drop_reason::DropReason;
 use super::limited_stream::{LimitedStream, ReceiveLimit};
+use crate::shell::header::is_final_status;
 
 type Driver = Connection<TokioIo<LimitedStream>, Full<Bytes>>;
 
@@ -137,6 +138,9 @@
                 ExchangeError::Reset
             }
         })?;
+        if !is_final_status(reply.status().as_u16()) {
+            return Err(ExchangeError::Dropped(DropReason::Malformed));
+        }
         limit.reset(collector.wire_max_bytes());
         self.read_answer(reply, collector)
             .await
--- a/daisyhinge/src/shell/forward/relay/link.rs
+++ b/daisyhinge/src/shell/forward/relay/link.rs
@@ -25,6 +25,7 @@
 use crate::shell::forward::connection::ReplicaAnswer;
 use crate::shell::forward::outgoing::OutgoingRequest;
 use crate::shell::forward::state::ForwardState;
+use crate::shell::header::is_final_status;
 use crate::vocabulary::clock::duration_to_micros;
 
 /// Time between two updates of the set of links.
@@ -157,6 +158,10 @@
             headers,
             body,
         } => {
+            // The other entry may run a former build, which forwards any status.
+            if !is_final_status(status) {
+                return None;
+            }
             return Some(ReplicaAnswer {
                 status,
                 headers: read_headers(&headers)?,
--- a/daisyhinge/src/shell/header.rs
+++ b/daisyhinge/src/shell/header.rs
@@ -45,3 +45,9 @@
 pub fn parse_number(headers: &HeaderMap, name: &str) -> Option<u64> {
     headers.get(name)?.to_str().ok()?.parse().ok()
 }
+
+/// Whether a status ends an exchange. HTTP has no status above 599, and those below 200 announce another
+/// one or another protocol, for which nobody has asked.
+pub fn is_final_status(status: u16) -> bool {
+    (200..600).contains(&status)
+}
