--- a/daisyhinge/src/shell/intake.rs
+++ b/daisyhinge/src/shell/intake.rs
@@ -2,7 +2,7 @@
 //!
 //! Each port has a maximum number of connections, and all bodies and answers share one memory. When
 //! there is no room, the connection that has waited longest for its client gives way; if none waits,
-//! the new client is refused. Nobody holds a lock across an await, and no two of the locks at a time
+//! the new client waits for a moment and is then refused. Nobody holds a lock across an await, and no two of the locks at a time
 //! but that of the ports with that of one port's connections.
 
 pub mod accept;
@@ -20,6 +20,7 @@
 use crate::intake::held_memory::{HeldMemory, MemoryLease};
 use crate::intake::process_limits::ProcessLimits;
 use crate::metric::intake::{CutLabels, IntakeCounters, PortLabel};
+use crate::prelude::*;
 use crate::shell::clock::ProcessClock;
 use crate::shell::decision::DecisionLog;
 use crate::shell::line_budget::LineClass;
@@ -110,7 +111,7 @@
         }
     }
 
-    fn now(&self) -> crate::prelude::MonotonicTime {
+    fn now(&self) -> MonotonicTime {
         self.state.clock.now()
     }
 
@@ -235,7 +236,8 @@
     /// Called at intervals of `interval`.
     pub(super) fn cut_unread(&self, timeout: Duration, interval: Duration) {
         for connection in self.table.list() {
-            if connection.record_check() * interval > timeout {
+            let is_overdue = connection.record_check() * interval > timeout;
+            if is_overdue && connection.activity().waits {
                 self.intake.cut(&connection, "unread");
             }
         }
