Heads of requests: fewer connections where the configuration allows large ones

Cause: a connection is counted at 64 KiB, which has room for a head of 16 KiB. An operator may allow larger ones, and then every caller could hold one.

Fix: the callers' port has as many connections as its memory has room for at the size of heads that the configuration in force allows.

Evidence: found in the read-through; `connections_with_large_heads_exceed_the_memory` checks the number. Not played with processes.

--- a/daisyhinge/src/intake/process_limits.rs
+++ b/daisyhinge/src/intake/process_limits.rs
@@ -8,6 +8,10 @@
 /// Size of the receive buffer of a connection, in bytes. Linux reserves twice as much.
 pub const RECEIVE_BUFFER_BYTES: u32 = 16 << 10;
 
+/// Size of the head of a request for which [`CONNECTION_BYTES`] has room, in bytes.
+const HEAD_BYTES: usize = 16 << 10;
+/// Factor by which the buffer of a head may exceed the head, since it grows by doubling.
+const HEAD_BUFFER_FACTOR: usize = 2;
 /// Descriptors for files, which no socket may use.
 const FILE_DESCRIPTORS: usize = 200;
 /// Divisor of the sockets that gives the part for clients. The others are for links to other
@@ -52,6 +56,13 @@
 }
 
 impl ProcessLimits {
+    /// Returns how many of `connections` have room if a head may have `head_max_bytes`.
+    pub fn connections_with_heads(&self, connections: usize, head_max_bytes: usize) -> usize {
+        let excess = head_max_bytes.saturating_sub(HEAD_BYTES);
+        let bytes = CONNECTION_BYTES.saturating_add(excess.saturating_mul(HEAD_BUFFER_FACTOR));
+        (connections * CONNECTION_BYTES / bytes).max(1)
+    }
+
     /// Returns the maximum number of connections to a port that only monitoring needs.
     pub fn monitoring_connections(&self) -> usize {
         MONITORING_MAX.min(self.connections_max / MONITORING_DIVISOR)
--- a/daisyhinge/src/shell/forward/listen.rs
+++ b/daisyhinge/src/shell/forward/listen.rs
@@ -63,6 +63,7 @@
 ) {
     let unread_timeout = || read_limits(state).idle_timeout;
     loop {
+        port.set_connections_max(state.caller_connections_max());
         let (stream, guard) = accept_client(listener, port, unread_timeout).await;
         let served = open_connection(state, Arc::clone(guard.connection()), stream);
         tokio::spawn(guard.run(graceful.watch(served)));
--- a/daisyhinge/src/shell/forward/state.rs
+++ b/daisyhinge/src/shell/forward/state.rs
@@ -306,9 +306,17 @@
 
     /// Adds the port for callers.
     pub(super) fn open_caller_port(&self) -> ClientPort {
+        self.intake
+            .open_port("callers", self.caller_connections_max())
+    }
+
+    /// Returns the maximum number of callers' connections, which follows from the size of heads.
+    pub(super) fn caller_connections_max(&self) -> usize {
         let limits = self.intake.limits();
         let connections_max = limits.client_connections(1, MONITORING_PORTS);
-        self.intake.open_port("callers", connections_max)
+        let site = self.site();
+        let callers = site.map_or_else(CallerLimits::default, |site| site.limits);
+        limits.connections_with_heads(connections_max, callers.head_max_bytes)
     }
 
     /// Returns a number for a request that is unique in this process.
--- a/daisyhinge/src/shell/intake.rs
+++ b/daisyhinge/src/shell/intake.rs
@@ -193,6 +193,11 @@
         &self.intake
     }
 
+    /// Sets the maximum number of connections.
+    pub fn set_connections_max(&self, connections_max: usize) {
+        self.table.set_connections_max(connections_max);
+    }
+
     /// Admits a connection. If the port has its maximum, the one that has waited longest for its client
     /// gives way; if none waits, the new client waits until a request has been answered. Returns `None`
     /// if that takes too long.
--- a/daisyhinge/src/shell/intake/connection.rs
+++ b/daisyhinge/src/shell/intake/connection.rs
@@ -31,7 +31,7 @@
 #[derive(Debug)]
 pub(super) struct ConnectionTable {
     pub(super) name: &'static str,
-    connections_max: usize,
+    connections_max: AtomicUsize,
     connections: Mutex<TableContent>,
     released: Notify,
 }
@@ -48,12 +48,21 @@
     pub(super) fn open(name: &'static str, connections_max: usize) -> Self {
         Self {
             name,
-            connections_max,
+            connections_max: AtomicUsize::new(connections_max),
             connections: Mutex::default(),
             released: Notify::new(),
         }
     }
 
+    fn connections_max(&self) -> usize {
+        self.connections_max.load(Ordering::Relaxed)
+    }
+
+    pub(super) fn set_connections_max(&self, connections_max: usize) {
+        self.connections_max
+            .store(connections_max, Ordering::Relaxed);
+    }
+
     pub(super) fn count(&self) -> usize {
         self.connections.lock().open.len()
     }
@@ -65,7 +74,7 @@
     /// Adds a connection, unless the port has its maximum.
     pub(super) fn add(self: &Arc<Self>, intake: &ClientIntake) -> Option<ClientGuard> {
         let mut content = self.connections.lock();
-        if content.open.len() >= self.connections_max {
+        if content.open.len() >= self.connections_max() {
             return None;
         }
         let number = content.next_number;
@@ -77,7 +86,7 @@
 
     /// Whether few enough connections are closing for another one to be opened.
     pub(super) fn may_open(&self) -> bool {
-        let closing_max = (self.connections_max / CLOSING_DIVISOR).max(1);
+        let closing_max = (self.connections_max() / CLOSING_DIVISOR).max(1);
         self.connections.lock().closing < closing_max
     }
 
@@ -191,7 +200,7 @@
     /// Whether the port has its maximum of connections. Each answer then closes its connection, so that
     /// others have their turn.
     pub fn is_port_full(&self) -> bool {
-        self.table.count() >= self.table.connections_max
+        self.table.count() >= self.table.connections_max()
     }
 
     /// Ends the connection. Returns `false` if it is ending already.
--- a/daisyhinge/tests/intake.rs
+++ b/daisyhinge/tests/intake.rs
@@ -47,6 +47,26 @@
     assert!(entry.memory.shared_max >= 100 * 256 * KIB);
 }
 
+#[test]
+fn connections_with_large_heads_exceed_the_memory() {
+    let limits = derive_limits(160 * MIB, 4_100);
+    let connections = limits.client_connections(1, 2);
+    assert_eq!(limits.connections_with_heads(connections, 0), connections);
+    assert_eq!(
+        limits.connections_with_heads(connections, 16 * KIB),
+        connections
+    );
+    for head_kib in [64, 256, 1_024] {
+        let fewer = limits.connections_with_heads(connections, head_kib * KIB);
+        assert!(
+            fewer * 2 * head_kib * KIB <= 80 * MIB,
+            "{fewer} connections"
+        );
+        assert!(fewer >= 1);
+    }
+    assert_eq!(limits.connections_with_heads(connections, usize::MAX), 1);
+}
+
 #[test]
 fn connection_with_a_running_request_gives_way() {
     let running = activity(false, 0, 64 * KIB);
