Unread answers: the check also runs while others connect

What callers saw: nothing yet. A client that does not read an answer kept its connection and the memory of the answer for as long as others connected to the port at least once a second; only a shortage ended it.

Cause: the timer of the check began anew with each accept.

Evidence: found in the read-through. client_that_does_not_read_is_kept_while_others_connect failed before ("the client is still kept" after 30 s), and passes now.

Fix: the time of the last check is kept with the port, and looked at after each accept too.

--- a/daisyhinge/src/shell/intake.rs
+++ b/daisyhinge/src/shell/intake.rs
@@ -28,6 +28,8 @@
 
 /// Maximum number of connections that give way to one need of memory.
 const CUTS_MAX: usize = 32;
+/// Time between two checks for clients that do not read their answers.
+pub(super) const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum time that a new connection waits for another one to end.
 const ADMISSION_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -237,11 +239,14 @@
         }
     }
 
-    /// Cuts off the connections whose clients have not read anything of an answer for `timeout`.
-    /// Called at intervals of `interval`.
-    pub(super) fn cut_unread(&self, timeout: Duration, interval: Duration) {
+    /// Cuts off the connections whose clients have not read anything of an answer for `timeout`, if the
+    /// last check is [`CHECK_INTERVAL`] ago.
+    pub(super) fn review_unread(&self, timeout: Duration) {
+        if !self.table.begin_check(self.intake.now(), CHECK_INTERVAL) {
+            return;
+        }
         for connection in self.table.list() {
-            let is_overdue = connection.record_check() * interval > timeout;
+            let is_overdue = connection.record_check() * CHECK_INTERVAL > timeout;
             if is_overdue && connection.activity().waits {
                 self.intake.cut(&connection, "unread");
             }
--- a/daisyhinge/src/shell/intake/accept.rs
+++ b/daisyhinge/src/shell/intake/accept.rs
@@ -6,9 +6,9 @@
 
 use tokio::net::{TcpListener, TcpSocket};
 
-use super::ClientPort;
 use super::connection::ClientGuard;
 use super::stream::ClientStream;
+use super::{CHECK_INTERVAL, ClientPort};
 use crate::intake::process_limits::RECEIVE_BUFFER_BYTES;
 use crate::prelude::*;
 
@@ -16,8 +16,6 @@
 const BACKLOG: u32 = 1_024;
 /// Delay before the next accept after a failed one, for example when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-/// Time between two checks for clients that do not read their answers.
-const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Listens on `address`. Connections have small receive buffers, so that what arrives beyond a running
 /// request stays at its client.
@@ -46,12 +44,11 @@
     unread_timeout: impl Fn() -> Duration,
 ) -> (ClientStream, ClientGuard) {
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = tokio::time::sleep(CHECK_INTERVAL) => {
-                port.cut_unread(unread_timeout(), CHECK_INTERVAL);
-                continue;
-            }
+        let accepted = tokio::time::timeout(CHECK_INTERVAL, listener.accept()).await;
+        // Also after an accept: others may connect all the time.
+        port.review_unread(unread_timeout());
+        let Ok(accepted) = accepted else {
+            continue;
         };
         let Ok((stream, _peer)) = accepted else {
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
--- a/daisyhinge/src/shell/intake/connection.rs
+++ b/daisyhinge/src/shell/intake/connection.rs
@@ -34,6 +34,8 @@
     connections_max: AtomicUsize,
     connections: Mutex<TableContent>,
     released: Notify,
+    /// Time of the last check for clients that do not read, in microseconds.
+    checked_at: AtomicU64,
 }
 
 #[derive(Debug, Default)]
@@ -51,9 +53,20 @@
             connections_max: AtomicUsize::new(connections_max),
             connections: Mutex::default(),
             released: Notify::new(),
+            checked_at: AtomicU64::new(0),
         }
     }
 
+    /// Whether a check is due that is made every `interval`. The caller then makes it.
+    pub(super) fn begin_check(&self, now: MonotonicTime, interval: Duration) -> bool {
+        let checked_at = MonotonicTime(self.checked_at.load(Ordering::Relaxed));
+        let is_due = now.since(checked_at) >= interval;
+        if is_due {
+            self.checked_at.store(now.0, Ordering::Relaxed);
+        }
+        is_due
+    }
+
     fn connections_max(&self) -> usize {
         self.connections_max.load(Ordering::Relaxed)
     }
