Links between our own entries: the system's receive buffers again

The listener of an entry's peers was opened like that of its callers, with receive buffers of 16 KiB, which a sub-answer of 1 MiB crosses in many round trips. Nobody but our own entries connects there.

Evidence: found in the read-through, not measured. The platform's links never had them.

--- a/daisyhinge/src/shell/entry.rs
+++ b/daisyhinge/src/shell/entry.rs
@@ -49,14 +49,16 @@
     /// # Errors
     ///
     /// [`ResultCode::BindFailed`] if an address cannot be bound.
-    #[expect(clippy::unused_async, reason = "callers await the start of an entry")]
     pub async fn spawn(
         mut settings: EntrySettings,
         metrics: EntryMetrics,
         event_sink: EventSink,
     ) -> Result<Self, ResultCode> {
-        let callers = bind_listener(&mut settings.caller_address)?;
-        let peers = bind_listener(&mut settings.peer_address)?;
+        let callers = bind_clients(settings.caller_address)?;
+        settings.caller_address = local_address(&callers)?;
+        let peers = TcpListener::bind(settings.peer_address).await;
+        let peers = peers.map_err(|_err| ResultCode::BindFailed)?;
+        settings.peer_address = local_address(&peers)?;
         let state = Arc::new(EntryState::new(settings, metrics, event_sink));
         let tasks = vec![
             tokio::spawn(http_server::serve_callers(Arc::clone(&state), callers)),
@@ -124,10 +126,6 @@
     }
 }
 
-fn bind_listener(address: &mut SocketAddr) -> Result<TcpListener, ResultCode> {
-    let listener = bind_clients(*address)?;
-    *address = listener
-        .local_addr()
-        .map_err(|_err| ResultCode::BindFailed)?;
-    Ok(listener)
+fn local_address(listener: &TcpListener) -> Result<SocketAddr, ResultCode> {
+    listener.local_addr().map_err(|_err| ResultCode::BindFailed)
 }
