Customers: an empty list does not end the need for keys

What callers saw: after a configuration removed the last customer, every entry let every request run: with the removed key, with a key that no configuration ever held, and without one.

Cause: the decoder kept a list, so an empty list of customers and an absent one were the same, and is_empty() stood for "requests are not authenticated" at arrival, before a send and where key and customer are taken out of the headers.

Ruled out: entries that had not adopted the version (their logs have view_adopted of it), the derived document (it keeps the empty list), requests accepted before the change (the case sends 3.5 s later).

Change: SiteConfig::customers and ActiveSite::customers are options, None without a list. With an empty one no key is in force: 401 (1015) on every route that is not public. view_adopted of an entry states the number of customers.

Why it works: a missing list can no longer be confused with an empty one, since the two have different types at each use.

--- a/daisyhinge/benches/customer.rs
+++ b/daisyhinge/benches/customer.rs
@@ -5,7 +5,7 @@
 
 use criterion::{Criterion, criterion_group, criterion_main};
 use daisyhinge::customer::{CustomerTable, digest_key};
-use daisyhinge::vocabulary::site::{SiteConfig, SiteCustomer};
+use daisyhinge::vocabulary::site::SiteCustomer;
 
 const CUSTOMERS: usize = 1_000;
 const KEYS: usize = 10;
@@ -14,7 +14,7 @@
     format!("key-{customer:010}-{number:05}")
 }
 
-fn make_config() -> SiteConfig {
+fn make_customers() -> Vec<Arc<SiteCustomer>> {
     let customer = |index| {
         let keys = (0..KEYS).map(|number| key(index, number));
         Arc::new(SiteCustomer {
@@ -25,15 +25,12 @@
             quota: None,
         })
     };
-    SiteConfig {
-        customers: (0..CUSTOMERS).map(customer).collect(),
-        ..SiteConfig::default()
-    }
+    (0..CUSTOMERS).map(customer).collect()
 }
 
 fn bench_lookups(criterion: &mut Criterion) {
-    let config = make_config();
-    let table = CustomerTable::open(&config);
+    let customers = make_customers();
+    let table = CustomerTable::open(customers.clone());
     let (known, unknown) = (key(500, 5), key(500, KEYS));
     criterion.bench_function("known key", |bencher| {
         bencher.iter(|| {
@@ -50,7 +47,7 @@
         });
     });
     criterion.bench_function("open table", |bencher| {
-        bencher.iter(|| CustomerTable::open(black_box(&config)));
+        bencher.iter(|| CustomerTable::open(black_box(customers.clone())));
     });
 }
 
--- a/daisyhinge/benches/gather.rs
+++ b/daisyhinge/benches/gather.rs
@@ -93,7 +93,7 @@
         routes: vec![Arc::new(route)],
         services: names.iter().map(service).collect(),
         limits: CallerLimits::default(),
-        customers: Vec::new(),
+        customers: None,
     })
 }
 
--- a/daisyhinge/src/customer.rs
+++ b/daisyhinge/src/customer.rs
@@ -10,7 +10,7 @@
 use subtle::{ConditionallySelectable, ConstantTimeEq};
 
 use crate::prelude::*;
-use crate::vocabulary::site::{KeyDigest, SiteConfig, SiteCustomer};
+use crate::vocabulary::site::{KeyDigest, SiteCustomer};
 
 /// Average number of keys of a bucket at most. All buckets are as wide as the fullest one; with
 /// 10,000 keys, that is 6 to 12 slots.
@@ -40,9 +40,8 @@
 }
 
 impl CustomerTable {
-    /// Creates the table from a configuration.
-    pub fn open(config: &SiteConfig) -> Self {
-        let customers = config.customers.clone();
+    /// Creates the table of the customers of a configuration.
+    pub fn open(customers: Vec<Arc<SiteCustomer>>) -> Self {
         let keys: usize = customers.iter().map(|one| one.digests.len()).sum();
         let bucket_count = (keys / KEYS_PER_BUCKET).next_power_of_two();
         let mut buckets: Vec<Vec<KeySlot>> = vec![Vec::new(); bucket_count];
@@ -69,11 +68,6 @@
         }
     }
 
-    /// Returns whether there are no customers, in which case requests are not authenticated.
-    pub fn is_empty(&self) -> bool {
-        self.customers.is_empty()
-    }
-
     /// Returns the customers in the order of the configuration.
     pub fn customers(&self) -> &[Arc<SiteCustomer>] {
         &self.customers
--- a/daisyhinge/src/shell/forward/access.rs
+++ b/daisyhinge/src/shell/forward/access.rs
@@ -8,7 +8,7 @@
 
 use super::state::{ActiveSite, ForwardState};
 use super::wire::HeaderNames;
-use crate::customer::digest_key;
+use crate::customer::{CustomerTable, digest_key};
 use crate::metric::forward::CustomerLabels;
 use crate::prelude::*;
 use crate::shell::line_budget::LineClass;
@@ -50,8 +50,8 @@
 }
 
 impl ForwardState {
-    /// Identifies the customer of a request. Returns `None` if the configuration has no customers,
-    /// or for a request without a known key on a public route.
+    /// Identifies the customer of a request. Returns `None` if requests are not authenticated, or for a
+    /// request without a known key on a public route.
     ///
     /// # Errors
     /// [`ResultCode::KeyRefused`] without a known key on a route that needs one,
@@ -62,14 +62,14 @@
         route: &SiteRoute,
         headers: &HeaderMap,
     ) -> Result<Option<RequestAccess>, ResultCode> {
-        if site.customers.is_empty() {
+        let Some(customers) = &site.customers else {
             return Ok(None);
-        }
+        };
         let digest = read_key(&self.names, headers).map(digest_key);
         if digest.is_some() && !route.is_public && !self.may_check_keys() {
             return Err(ResultCode::KeysUnconfirmed);
         }
-        let found = digest.and_then(|digest| Some((digest, site.customers.find(&digest)?)));
+        let found = digest.and_then(|digest| Some((digest, customers.find(&digest)?)));
         match found {
             Some((digest, customer)) => Ok(Some(RequestAccess {
                 customer: Arc::clone(customer),
@@ -97,12 +97,11 @@
         let Some(site) = self.site().filter(|site| site.version != access.version) else {
             return Ok(());
         };
-        // Without customers, the configuration in force needs no keys.
-        let permitted = site.customers.is_empty() || {
-            let current = site.customers.find(&access.digest);
+        let is_permitted = site.customers.as_ref().is_none_or(|customers| {
+            let current = customers.find(&access.digest);
             current.is_some_and(|customer| customer.name == access.customer.name)
-        };
-        if permitted {
+        });
+        if is_permitted {
             Ok(())
         } else {
             Err(ResultCode::KeyRefused)
@@ -149,7 +148,7 @@
     /// Removes the metrics of customers that a new configuration does not have.
     pub(super) fn remove_customer_metrics(&self, former: &ActiveSite, current: &ActiveSite) {
         let names = |site: &ActiveSite| -> std::collections::HashSet<CustomerName> {
-            let customers = site.customers.customers().iter();
+            let customers = site.customers.iter().flat_map(CustomerTable::customers);
             customers.map(|customer| customer.name.clone()).collect()
         };
         for name in names(former).difference(&names(current)) {
@@ -162,7 +161,8 @@
 }
 
 fn customer_labels(site: &ActiveSite, access: &RequestAccess) -> CustomerLabels {
-    let position = site.customers.find_position(&access.digest);
+    let customers = site.customers.as_ref();
+    let position = customers.and_then(|customers| customers.find_position(&access.digest));
     let has_own = position.is_some_and(|position| position < CUSTOMER_LABELS_MAX);
     let name = if has_own {
         access.customer.name.as_str()
--- a/daisyhinge/src/shell/forward/adoption.rs
+++ b/daisyhinge/src/shell/forward/adoption.rs
@@ -39,6 +39,8 @@
 pub(super) struct SiteSummary {
     pub version: u64,
     pub route_count: usize,
+    /// Number of customers; `None` if requests are not authenticated.
+    pub customer_count: Option<usize>,
     pub text: TextDigest,
 }
 
@@ -48,8 +50,10 @@
     in_force: &SiteSummary,
     origin: &StateOrigin,
 ) -> String {
+    let customers = in_force.customer_count;
+    let customers = customers.map_or_else(|| "-".to_owned(), |count| count.to_string());
     format!(
-        "former_revision={} former_version={} in_force={} routes={} {} {origin}",
+        "former_revision={} former_version={} in_force={} routes={} customers={customers} {} {origin}",
         former.revision, former.version, in_force.version, in_force.route_count, in_force.text
     )
 }
--- a/daisyhinge/src/shell/forward/answer.rs
+++ b/daisyhinge/src/shell/forward/answer.rs
@@ -228,7 +228,7 @@
 ) -> OutgoingRequest {
     let mut headers = head.headers;
     strip_connection_headers(&mut headers);
-    if !site.customers.is_empty() {
+    if site.customers.is_some() {
         set_customer_headers(&state.names, &mut headers, access.as_ref());
     }
     let id = headers.remove(&state.names.request_id);
--- a/daisyhinge/src/shell/forward/state.rs
+++ b/daisyhinge/src/shell/forward/state.rs
@@ -49,8 +49,8 @@
     pub routes: RouteTable,
     /// Limits for callers' connections and requests.
     pub limits: CallerLimits,
-    /// Customers by the digests of their keys.
-    pub customers: CustomerTable,
+    /// Customers by the digests of their keys; `None` if requests are not authenticated.
+    pub customers: Option<CustomerTable>,
     /// Number of routes.
     pub route_count: usize,
     /// Digest and size of the text.
@@ -183,13 +183,17 @@
         self.site.read().clone()
     }
 
-    /// Returns version, number of routes and digest of the configuration in force.
+    /// Returns a summary of the configuration in force.
     pub(super) fn summarise_site(&self) -> SiteSummary {
         let site = self.site();
-        site.map_or_else(SiteSummary::default, |site| SiteSummary {
-            version: site.version,
-            route_count: site.route_count,
-            text: site.text,
+        site.map_or_else(SiteSummary::default, |site| {
+            let customers = site.customers.as_ref();
+            SiteSummary {
+                version: site.version,
+                route_count: site.route_count,
+                customer_count: customers.map(|customers| customers.customers().len()),
+                text: site.text,
+            }
         })
     }
 
@@ -287,7 +291,7 @@
                     version: config.version,
                     routes: RouteTable::open(&config),
                     limits: config.limits,
-                    customers: CustomerTable::open(&config),
+                    customers: config.customers.map(CustomerTable::open),
                     route_count: config.routes.len(),
                     text: digest,
                 };
--- a/daisyhinge/src/vocabulary/site.rs
+++ b/daisyhinge/src/vocabulary/site.rs
@@ -238,8 +238,9 @@
     pub services: Vec<SiteService>,
     /// Limits on the connections and requests of callers.
     pub limits: CallerLimits,
-    /// Customers; if there are none, requests are not authenticated.
-    pub customers: Vec<Arc<SiteCustomer>>,
+    /// Customers, one of whose keys a request must carry; `None` if requests are not authenticated. An
+    /// empty list refuses every request on a route that is not public.
+    pub customers: Option<Vec<Arc<SiteCustomer>>>,
 }
 
 impl SiteConfig {
--- a/daisyhinge/tests/customer.rs
+++ b/daisyhinge/tests/customer.rs
@@ -5,7 +5,7 @@
 
 use daisyhinge::customer::{CustomerTable, digest_key, intersect_regions};
 use daisyhinge::prelude::*;
-use daisyhinge::vocabulary::site::{SiteConfig, SiteCustomer};
+use daisyhinge::vocabulary::site::SiteCustomer;
 
 /// Memory that the table of 1,000 customers with 10 keys each may take, in KiB. An entry may use
 /// 160 MB and holds two tables while it changes from one configuration to the next.
@@ -21,13 +21,6 @@
     })
 }
 
-fn table(customers: Vec<Arc<SiteCustomer>>) -> CustomerTable {
-    CustomerTable::open(&SiteConfig {
-        customers,
-        ..SiteConfig::default()
-    })
-}
-
 fn key(customer: usize, number: usize) -> String {
     format!("key-{customer}-{number}")
 }
@@ -54,7 +47,7 @@
 /// Guards against keys that are lost or mapped to another customer when buckets are filled.
 #[test]
 fn every_key_finds_its_customer_and_no_other_key_does() {
-    let table = table(many_customers());
+    let table = CustomerTable::open(many_customers());
     for index in 0..1_000 {
         for number in 0..10 {
             let found = table.find(&digest_key(key(index, number).as_bytes()));
@@ -70,11 +63,13 @@
 #[test]
 fn unused_slots_and_empty_tables_match_nothing() {
     let zero = daisyhinge::vocabulary::site::KeyDigest([0; 32]);
-    assert!(table(many_customers()).find(&zero).is_none());
-    assert!(table(Vec::new()).find(&digest_key(b"any")).is_none());
-    assert!(table(Vec::new()).is_empty());
-    let keyless = table(vec![customer("keyless", &[], &[])]);
-    assert!(!keyless.is_empty());
+    assert!(CustomerTable::open(many_customers()).find(&zero).is_none());
+    assert!(
+        CustomerTable::open(Vec::new())
+            .find(&digest_key(b"any"))
+            .is_none()
+    );
+    let keyless = CustomerTable::open(vec![customer("keyless", &[], &[])]);
     assert!(keyless.find(&digest_key(b"any")).is_none());
 }
 
@@ -114,12 +109,11 @@
 /// Guards against a table that grows out of proportion to the number of keys.
 #[test]
 fn table_of_ten_thousand_keys_is_small() {
-    let config = SiteConfig {
-        customers: many_customers(),
-        ..SiteConfig::default()
-    };
+    let customers = many_customers();
     let before = resident_kib();
-    let tables: Vec<CustomerTable> = (0..8).map(|_| CustomerTable::open(&config)).collect();
+    let tables: Vec<CustomerTable> = (0..8)
+        .map(|_| CustomerTable::open(customers.clone()))
+        .collect();
     let each = resident_kib().saturating_sub(before) / 8;
     println!("{each} KiB for each of {} tables", tables.len());
     assert!(each <= TABLE_MAX_KIB, "{each} KiB");
--- a/daisyhinge/tests/cut_answers/entry.rs
+++ b/daisyhinge/tests/cut_answers/entry.rs
@@ -75,7 +75,7 @@
         ],
         services: vec![service("cut"), service("whole")],
         limits: CallerLimits::default(),
-        customers: Vec::new(),
+        customers: None,
     })
 }
 
--- a/daisyhinge/tests/dispatch/support.rs
+++ b/daisyhinge/tests/dispatch/support.rs
@@ -102,7 +102,7 @@
         routes: routes.into_iter().map(Arc::new).collect(),
         services: services.iter().map(|name| service(name.as_str())).collect(),
         limits: CallerLimits::default(),
-        customers: Vec::new(),
+        customers: None,
     }
 }
 
--- a/daisyhinge/tests/forward/fixture.rs
+++ b/daisyhinge/tests/forward/fixture.rs
@@ -138,7 +138,7 @@
             cold_per_second: None,
         }],
         limits: CallerLimits::default(),
-        customers: Vec::new(),
+        customers: None,
     })
 }
 
--- a/daisyhinge/tests/keys.rs
+++ b/daisyhinge/tests/keys.rs
@@ -16,8 +16,8 @@
 use daisyhinge::shell::forward::relay::serve::bind_relay;
 use daisyhinge::shell::forward::state::ForwardState;
 use fixture::{
-    CUSTOMERS, Caller, RELAY_PORT, SeenHeads, bind_replica, bind_replica_with, call, host,
-    open_entry, prove, reply, serve, with_key, with_second_replica,
+    CUSTOMERS, Caller, NO_CUSTOMERS, RELAY_PORT, SeenHeads, bind_replica, bind_replica_with, call,
+    host, open_entry, prove, reply, serve, with_key, with_second_replica,
 };
 use hyper::StatusCode;
 use hyper::header::HeaderMap;
@@ -177,6 +177,34 @@
     replica.close().await;
 }
 
+/// Guards against requests that run without a key in force once the last customer was removed.
+#[tokio::test]
+async fn removal_of_the_last_customer_does_not_end_the_need_for_keys() {
+    let seen = SeenHeads::default();
+    let replica = bind_replica(125, &seen, Duration::from_millis(700)).await;
+    let state = open(25, CUSTOMERS).await;
+    let send = || tokio::spawn(call(25, "/card/1", &[("authorization", "Token key-1")]));
+    // The entry may send the replica one request at a time.
+    let running = send();
+    tokio::time::sleep(Duration::from_millis(150)).await;
+    let waiting = send();
+    tokio::time::sleep(Duration::from_millis(150)).await;
+    state.apply_reply(reply(125, "a", 2, NO_CUSTOMERS), true);
+    assert_eq!(waiting.await.expect("no panic"), REFUSED);
+    assert_eq!(running.await.expect("no panic"), OK, "it had been sent");
+    let forged = ("x-customer", "acme");
+    for key in ["Token key-1", "Token key-5"] {
+        let headers = [with_key(key)[0], forged];
+        assert_eq!(call(25, "/card/1", &headers).await, REFUSED);
+    }
+    assert_eq!(call(25, "/card/1", &[forged]).await, REFUSED);
+    assert_eq!(seen.lock().len(), 1);
+    let headers = [with_key("Token key-1")[0], forged];
+    assert_eq!(call(25, "/public/1", &headers).await, OK);
+    assert_customer(&seen.lock().pop().expect("a request"), None);
+    replica.close().await;
+}
+
 /// Guards against a hedge or a retry that is sent after the key of its request was removed.
 #[tokio::test]
 async fn request_is_not_sent_again_after_its_key_was_removed() {
--- a/daisyhinge/tests/keys/fixture.rs
+++ b/daisyhinge/tests/keys/fixture.rs
@@ -37,6 +37,9 @@
 pub const RELAY_PORT: u16 = 27_861;
 const REPLICA_PORT: u16 = 27_863;
 
+/// An empty list of customers.
+pub const NO_CUSTOMERS: &str = "none";
+
 /// Customers of most tests: the name, the allowed regions or `-`, the priority and the keys of each.
 pub const CUSTOMERS: &str = "acme - 3 key-1 key-2\nnorthern north 0 key-3\nsouthern south 0 key-4";
 
@@ -60,6 +63,15 @@
     })
 }
 
+/// Decodes the lines of a list; no lines for a configuration without a list.
+fn read_customers(lines: &[&str]) -> Option<Vec<Arc<SiteCustomer>>> {
+    match lines {
+        [] => None,
+        [NO_CUSTOMERS] => Some(Vec::new()),
+        _ => Some(lines.iter().map(|line| read_customer(line)).collect()),
+    }
+}
+
 fn read_customer(line: &str) -> Arc<SiteCustomer> {
     let words: Vec<&str> = line.split(' ').collect();
     Arc::new(SiteCustomer {
@@ -78,7 +90,7 @@
     })
 }
 
-/// Decodes a text whose first line is the version, and each other line a customer.
+/// Decodes a text whose first line is the version, and the others are the list of customers.
 #[expect(
     clippy::unnecessary_wraps,
     reason = "required by the type of a decoder"
@@ -113,7 +125,7 @@
             cold_per_second: None,
         }],
         limits: CallerLimits::default(),
-        customers: lines.map(read_customer).collect(),
+        customers: read_customers(&lines.collect::<Vec<_>>()),
     })
 }
 
