Registry: a record of another service takes no replica out of use

What callers saw: another writer sent one well-formed heartbeat for each of the three replicas of a service, under names of its own, for a service that no configuration names, at the replicas' addresses.

Cause: a heartbeat with a later start from the address of a known replica retired that replica for good, whatever service it named. The same belief kept a replica from registering at an address that another service had named with a later start, and a heartbeat under the name of a replica replaced its record, whatever service it named.

Ruled out: a lost or overloaded registry (the other service was served as before), entries that try and fail (503 came at once, nothing was offered to the replicas).

Change: only replicas of the same service succeed each other at an address.

The former replica falls silent, and 421 removes it at an entry.

Why it works: a record no longer has any effect on a replica of which it says nothing.

--- a/daisyhinge/src/registry.rs
+++ b/daisyhinge/src/registry.rs
@@ -17,7 +17,7 @@
 use crashes::CrashBoard;
 pub use level::LevelWatch;
 pub use order::supersedes;
-use order::{cold_end_differs, is_modified, is_newer, saturating_millis};
+use order::{cold_end_differs, contradicts, is_modified, is_newer, saturating_millis};
 pub use restored::RESTORED_HOLDER;
 use restored::RestoredReplicas;
 use rollouts::RolloutBoard;
@@ -54,6 +54,8 @@
     Confirmed,
     /// The message is older than the record and was ignored.
     Stale,
+    /// The message names a replica in use as one of another service and was ignored.
+    Contradicts,
 }
 
 #[derive(Clone, Debug)]
@@ -140,6 +142,9 @@
             self.replicas.insert(tracked.record.name.clone(), tracked);
             return HeartbeatOutcome::Changed;
         };
+        if contradicts(&tracked.record, &record) {
+            return HeartbeatOutcome::Contradicts;
+        }
         if !is_newer(&tracked.record, &record) {
             return HeartbeatOutcome::Stale;
         }
--- a/daisyhinge/src/registry/incarnations.rs
+++ b/daisyhinge/src/registry/incarnations.rs
@@ -1,6 +1,10 @@
 //! Earlier and later incarnations at the same address, and departures of unknown ones.
+//!
+//! Only replicas of the same service succeed each other. A record of another service at the address of
+//! a replica may come from another writer, and says nothing of the replica: if that has ended, it falls
+//! silent, and whoever has its address answers that it is another one.
 
-use super::order::is_established;
+use super::order::{is_established, is_in_use};
 use super::{SILENT_HEARTBEATS, ServerRegistry};
 use crate::prelude::*;
 use crate::vocabulary::registration::{ReplicaPhase, ReplicaRecord};
@@ -31,9 +35,7 @@
         let born = record.born_ms;
         born.is_some()
             && self.replicas.values().any(|tracked| {
-                tracked.record.address == record.address
-                    && tracked.record.name != record.name
-                    && tracked.record.born_ms > born
+                is_succession(&tracked.record, record) && tracked.record.born_ms > born
             })
     }
 
@@ -44,8 +46,7 @@
         }
         for tracked in self.replicas.values_mut() {
             let known = &mut tracked.record;
-            let is_predecessor = known.address == record.address
-                && known.name != record.name
+            let is_predecessor = is_succession(known, record)
                 && known.born_ms < record.born_ms
                 && known.phase != ReplicaPhase::Left;
             if is_predecessor {
@@ -55,4 +56,23 @@
             }
         }
     }
+
+    /// Returns the replicas in use that have the address of the replica `name` and another service. At
+    /// most one of them all is there.
+    pub fn list_sharing(&self, name: &ReplicaName) -> Vec<ReplicaRecord> {
+        let Some(tracked) = self.replicas.get(name) else {
+            return Vec::new();
+        };
+        let own = &tracked.record;
+        let records = self.replicas.values().map(|other| &other.record);
+        let sharing = records.filter(|other| {
+            other.address == own.address && other.service != own.service && is_in_use(other)
+        });
+        sharing.cloned().collect()
+    }
+}
+
+/// Returns whether one of two replicas has taken the place of the other.
+fn is_succession(one: &ReplicaRecord, other: &ReplicaRecord) -> bool {
+    one.address == other.address && one.service == other.service && one.name != other.name
 }
--- a/daisyhinge/src/registry/order.rs
+++ b/daisyhinge/src/registry/order.rs
@@ -21,6 +21,17 @@
     known.phase != ReplicaPhase::Left && next.sequence > known.sequence
 }
 
+/// Returns whether the replica may receive requests or still runs some.
+pub(super) fn is_in_use(record: &ReplicaRecord) -> bool {
+    matches!(record.phase, ReplicaPhase::Ready | ReplicaPhase::Draining)
+}
+
+/// Returns whether `next` names a replica that is in use as one of another service. A replica keeps its
+/// service, so `next` is from another writer.
+pub(super) fn contradicts(known: &ReplicaRecord, next: &ReplicaRecord) -> bool {
+    known.service != next.service && is_in_use(known)
+}
+
 /// Returns whether the replica has sent more heartbeats since its start than one that started within
 /// the last heartbeat interval.
 pub(super) fn is_established(record: &ReplicaRecord) -> bool {
