Backend servers: the answer to a cancel call has a limit, and pieces are copied

What callers saw: nothing yet. Other operators reported that a replica's bytes without end exhausted the machine that had called it; on our own interface the same could end an entry, and with it all requests that run there.

Cause: a keeper read the answer to a cancel call to its end without a limit on its size; only the call's timeout of 500 ms ended it. The answer to a sub-request had a limit on its bytes, but was kept in the pieces in which it came, each of which costs more than its bytes.

Ruled out: the firms' platform (all bytes count on the wire, in memory and in pieces; the test endless), heads, trailers and interim answers (limited or not kept).

Change: read_body copies both into one buffer, at most 4 KiB for a cancel call, and gives up pieces that are too small, by the rule that holds for replicas on the platform, which now stands once (piece_limit).

Evidence: answers_without_end_are_not_kept, with its bound of 4,096 KiB fixed before the change. The tests of cut answers, of answers that are not HTTP and of forwarding pass.

Why it works: what is held no longer depends on what the server sends, but on what the keeper has use for.

--- a/daisyhinge/src/shell.rs
+++ b/daisyhinge/src/shell.rs
@@ -19,6 +19,7 @@
 pub mod log;
 pub mod metric;
 pub mod operator;
+pub mod piece_limit;
 pub mod pool;
 mod port_drain;
 pub mod setting;
--- a/daisyhinge/src/shell/backend.rs
+++ b/daisyhinge/src/shell/backend.rs
@@ -4,20 +4,24 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 
+use crate::intake::held_memory::grow_capacity;
 use crate::keeper::sub_request::DispatchOutcome;
 use crate::prelude::*;
 use crate::shell::body::{CheckedBody, WriteCheck};
 use crate::shell::header;
+use crate::shell::piece_limit::PieceLimit;
 use crate::shell::pool::{PoolError, ServerConnection, ServerPool};
 use crate::vocabulary::subrequest::SubRequest;
 
 /// Timeout of a cancel call.
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Maximum size of the answer to a cancel call, whose content is not used.
+const CANCEL_MAX_BYTES: usize = 4 << 10;
 
 /// Outcome of a call to a backend server and its answer, if any.
 #[derive(Clone, Debug)]
@@ -140,12 +144,15 @@
     if !header::is_final_status(parts.status.as_u16()) {
         return DispatchOutcome::BadAnswer(ResultCode::AnswerDamaged).into();
     }
-    let body = match Limited::new(body, max_bytes).collect().await {
-        Ok(collected) => collected.to_bytes(),
-        Err(_) if parts.status == StatusCode::OK => {
-            return DispatchOutcome::BadAnswer(ResultCode::AnswerDamaged).into();
+    let Some(body) = read_body(body, max_bytes).await else {
+        let is_damaged = parts.status == StatusCode::OK;
+        let damaged = DispatchOutcome::BadAnswer(ResultCode::AnswerDamaged);
+        return if is_damaged {
+            damaged
+        } else {
+            DispatchOutcome::Reset
         }
-        Err(_) => return DispatchOutcome::Reset.into(),
+        .into();
     };
     if parts.status != StatusCode::OK {
         connection.release();
@@ -205,6 +212,28 @@
     (!is_intact || !json()).then_some(ResultCode::AnswerDamaged)
 }
 
+/// Reads a body, copied from the pieces in which it comes: a piece keeps the buffer into which it was
+/// read, however small it is. Returns `None` if it ends early, has more than `max_bytes`, or comes in
+/// pieces that are too small.
+async fn read_body(mut body: Incoming, max_bytes: usize) -> Option<Bytes> {
+    let mut content = Vec::new();
+    let mut pieces = PieceLimit::default();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.ok()?;
+        let Some(data) = frame.data_ref() else {
+            continue;
+        };
+        let needed = content.len() + data.len();
+        if needed > max_bytes || !pieces.add(data.len()) {
+            return None;
+        }
+        let capacity = grow_capacity(content.capacity(), needed, max_bytes);
+        content.reserve_exact(capacity - content.len());
+        content.extend_from_slice(data);
+    }
+    Some(content.into())
+}
+
 /// Asks the backend server to cancel an attempt. Returns whether the work has definitely stopped.
 pub async fn send_cancel(pool: &ServerPool, attempt: AttemptId) -> bool {
     tokio::time::timeout(CANCEL_TIMEOUT, exchange_cancel(pool, attempt))
@@ -234,7 +263,8 @@
         .headers()
         .get(header::CANCELLED)
         .is_some_and(|value| value == "true");
-    if response.into_body().collect().await.is_ok() {
+    let body = read_body(response.into_body(), CANCEL_MAX_BYTES).await;
+    if body.is_some() {
         connection.release();
     }
     stopped
--- a/daisyhinge/src/shell/forward/answer_body.rs
+++ b/daisyhinge/src/shell/forward/answer_body.rs
@@ -6,6 +6,7 @@
 use crate::dispatch::merge::RecordMerge;
 use crate::intake::held_memory::{MemoryLease, grow_capacity};
 use crate::shell::intake::ClientIntake;
+use crate::shell::piece_limit::PieceLimit;
 
 /// Maximum size of an answer that is returned to a caller, headers included, in bytes.
 const WHOLE_MAX_BYTES: usize = 8 << 20;
@@ -15,11 +16,6 @@
 /// Bytes of an answer that are not taken from the memory that bodies and large answers share.
 const OWN_BYTES: usize = 64 << 10;
 
-/// Number of pieces of a body that may be of any size.
-const PIECES_MAX: usize = 1_024;
-/// Minimum average size of further pieces, in bytes. Each piece costs processor time, however small.
-const PIECE_MIN_BYTES: usize = 256;
-
 /// Collects a body within the entry's limit on memory.
 #[derive(Debug)]
 pub(super) struct AnswerCollector {
@@ -28,8 +24,7 @@
     content: CollectedContent,
     /// Maximum size of the body, in bytes.
     bytes_max: usize,
-    pieces: usize,
-    received: usize,
+    pieces: PieceLimit,
 }
 
 #[derive(Debug)]
@@ -51,8 +46,7 @@
                 None => CollectedContent::Whole(Vec::new()),
             },
             bytes_max: WHOLE_MAX_BYTES,
-            pieces: 0,
-            received: 0,
+            pieces: PieceLimit::default(),
         }
     }
 
@@ -76,9 +70,7 @@
     /// [`DropReason::Fragmented`] if the pieces are too small, [`DropReason::NoMemory`] if there is no
     /// memory for the piece.
     pub(super) async fn add_piece(&mut self, bytes: &[u8]) -> Result<(), DropReason> {
-        self.pieces += 1;
-        self.received += bytes.len();
-        if self.pieces > PIECES_MAX + self.received / PIECE_MIN_BYTES {
+        if !self.pieces.add(bytes.len()) {
             return Err(DropReason::Fragmented);
         }
         let fits = match &mut self.content {
