--- a/daisyhinge/tests/endless_backend.rs
+++ b/daisyhinge/tests/endless_backend.rs
@@ -56,7 +56,7 @@
 
 async fn answer(mut stream: TcpStream, start: &str, repeated: &str) -> std::io::Result<()> {
     let mut buffer = [0; 4_096];
-    stream.read(&mut buffer).await?;
+    let _request_is_not_examined = stream.read(&mut buffer).await?;
     stream.write_all(start.as_bytes()).await?;
     let piece = repeated.repeat(PIECE_BYTES / repeated.len());
     loop {
--- a/daisyhinge/tests/endless_backend/allocator.rs
+++ b/daisyhinge/tests/endless_backend/allocator.rs
@@ -41,9 +41,9 @@
         unsafe { System.alloc(layout) }
     }
 
-    unsafe fn dealloc(&self, pointer: *mut u8, layout: Layout) {
+    unsafe fn dealloc(&self, ptr: *mut u8, layout: Layout) {
         self.used.fetch_sub(layout.size(), Ordering::SeqCst);
-        // SAFETY: the caller keeps the conditions of the trait, and `alloc` returned the pointer.
-        unsafe { System.dealloc(pointer, layout) }
+        // SAFETY: the caller keeps the conditions of the trait, and `alloc` returned it.
+        unsafe { System.dealloc(ptr, layout) }
     }
 }
