--- a/daisyhinge/src/shell/backend.rs
+++ b/daisyhinge/src/shell/backend.rs
@@ -144,15 +144,12 @@
     if !header::is_final_status(parts.status.as_u16()) {
         return DispatchOutcome::BadAnswer(ResultCode::AnswerDamaged).into();
     }
-    let Some(body) = read_body(body, max_bytes).await else {
-        let is_damaged = parts.status == StatusCode::OK;
-        let damaged = DispatchOutcome::BadAnswer(ResultCode::AnswerDamaged);
-        return if is_damaged {
-            damaged
-        } else {
-            DispatchOutcome::Reset
+    let body = match read_body(body, max_bytes).await {
+        Some(body) => body,
+        None if parts.status == StatusCode::OK => {
+            return DispatchOutcome::BadAnswer(ResultCode::AnswerDamaged).into();
         }
-        .into();
+        None => return DispatchOutcome::Reset.into(),
     };
     if parts.status != StatusCode::OK {
         connection.release();
