--- a/daisyhinge/tests/registry.rs
+++ b/daisyhinge/tests/registry.rs
@@ -1,53 +1,17 @@
 //! Registry: precedence between heartbeats and departures, and merging between control processes.
 
-use std::net::SocketAddr;
+#[path = "support/registry_records.rs"]
+mod registry_records;
+
 use std::time::Duration;
 
 use daisyhinge::prelude::*;
 use daisyhinge::registry::{HeartbeatOutcome, ServerRegistry};
-use daisyhinge::vocabulary::feature::FeatureLevel;
 use daisyhinge::vocabulary::quota::{CustomerUsage, UsageReport, UsageRequest};
-use daisyhinge::vocabulary::registration::{
-    CrashReport, EntryPhase, EntryPresence, ReplicaPhase, ReplicaRecord,
-};
+use daisyhinge::vocabulary::registration::{CrashReport, EntryPhase, ReplicaPhase};
 use daisyhinge::vocabulary::replica::CrashRecord;
 use proptest::prelude::*;
-
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_200);
-
-fn at(ms: u64) -> MonotonicTime {
-    MonotonicTime(1_000_000_000 + ms * 1_000)
-}
-
-fn heartbeat(
-    name: &str,
-    port: u16,
-    born_ms: u64,
-    sequence: u64,
-    phase: ReplicaPhase,
-) -> ReplicaRecord {
-    ReplicaRecord {
-        name: name.into(),
-        service: "labels".into(),
-        address: SocketAddr::from(([10, 0, 0, 1], port)),
-        data_centre: "a".into(),
-        version: "v1".into(),
-        slots: 2,
-        phase,
-        born_ms: Some(born_ms),
-        sequence,
-        cold_left_ms: 0,
-        holder: 0,
-    }
-}
-
-fn phase_of(registry: &ServerRegistry, name: &str) -> Option<ReplicaPhase> {
-    let records = registry.replicas_after(at(0), 0);
-    let found = records
-        .into_iter()
-        .find(|replica| replica.name.as_str() == name);
-    found.map(|record| record.phase)
-}
+use registry_records::{HEARTBEAT_INTERVAL, at, heartbeat, phase_of, presence};
 
 #[test]
 fn late_heartbeat_is_ignored() {
@@ -163,19 +127,6 @@
     assert_eq!(phase_of(&second, "r"), Some(ReplicaPhase::Silent));
 }
 
-fn presence(vm: &str, phase: EntryPhase) -> EntryPresence {
-    EntryPresence {
-        vm: vm.into(),
-        incarnation: 7,
-        address: SocketAddr::from(([10, 0, 0, 9], 80)),
-        data_centre: "a".into(),
-        phase,
-        stamp: 0,
-        holder: 0,
-        feature_level: FeatureLevel::BASE,
-    }
-}
-
 #[test]
 fn entry_stays_listed_when_it_changes_control_process() {
     let mut first = ServerRegistry::open(1, HEARTBEAT_INTERVAL);
--- a/daisyhinge/tests/registry_contact.rs
+++ b/daisyhinge/tests/registry_contact.rs
@@ -1,63 +1,13 @@
 //! Registry: silence that is only a loss of contact between control processes, or a pause of one.
 
-use std::net::SocketAddr;
+#[path = "support/registry_records.rs"]
+mod registry_records;
+
 use std::time::Duration;
 
-use daisyhinge::prelude::*;
 use daisyhinge::registry::ServerRegistry;
-use daisyhinge::vocabulary::feature::FeatureLevel;
-use daisyhinge::vocabulary::registration::{
-    EntryPhase, EntryPresence, ReplicaPhase, ReplicaRecord,
-};
-
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_200);
-
-fn at(ms: u64) -> MonotonicTime {
-    MonotonicTime(1_000_000_000 + ms * 1_000)
-}
-
-fn heartbeat(
-    name: &str,
-    port: u16,
-    born_ms: u64,
-    sequence: u64,
-    phase: ReplicaPhase,
-) -> ReplicaRecord {
-    ReplicaRecord {
-        name: name.into(),
-        service: "labels".into(),
-        address: SocketAddr::from(([10, 0, 0, 1], port)),
-        data_centre: "a".into(),
-        version: "v1".into(),
-        slots: 2,
-        phase,
-        born_ms: Some(born_ms),
-        sequence,
-        cold_left_ms: 0,
-        holder: 0,
-    }
-}
-
-fn phase_of(registry: &ServerRegistry, name: &str) -> Option<ReplicaPhase> {
-    let records = registry.replicas_after(at(0), 0);
-    let found = records
-        .into_iter()
-        .find(|replica| replica.name.as_str() == name);
-    found.map(|record| record.phase)
-}
-
-fn presence(vm: &str, phase: EntryPhase) -> EntryPresence {
-    EntryPresence {
-        vm: vm.into(),
-        incarnation: 7,
-        address: SocketAddr::from(([10, 0, 0, 9], 80)),
-        data_centre: "a".into(),
-        phase,
-        stamp: 0,
-        holder: 0,
-        feature_level: FeatureLevel::BASE,
-    }
-}
+use daisyhinge::vocabulary::registration::{EntryPhase, ReplicaPhase};
+use registry_records::{HEARTBEAT_INTERVAL, at, heartbeat, phase_of, presence};
 
 /// A control process that had been stopped took everything that others hold for lost, and told so.
 #[test]
--- a/daisyhinge/tests/shared_address.rs
+++ b/daisyhinge/tests/shared_address.rs
@@ -1,44 +1,26 @@
 //! Registry: heartbeats that name the address or the name of a replica of another service.
 
-use std::net::SocketAddr;
-use std::time::Duration;
+#[expect(dead_code, reason = "shared with other tests of the registry")]
+#[path = "support/registry_records.rs"]
+mod registry_records;
 
-use daisyhinge::prelude::*;
 use daisyhinge::registry::{HeartbeatOutcome, ServerRegistry};
 use daisyhinge::vocabulary::registration::{ReplicaPhase, ReplicaRecord};
+use registry_records::{HEARTBEAT_INTERVAL, at, phase_of, record_of};
 
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_200);
 /// Service of the replica that runs.
 const LABELS: &str = "labels";
 /// Service that no configuration names.
 const AGENT: &str = "metrics-agent";
 
-fn at(ms: u64) -> MonotonicTime {
-    MonotonicTime(1_000_000_000 + ms * 1_000)
-}
-
 /// Returns a heartbeat from the only address of this test.
 fn heartbeat(name: &str, service: &str, born_ms: u64, sequence: u64) -> ReplicaRecord {
     ReplicaRecord {
-        name: name.into(),
         service: service.into(),
-        address: SocketAddr::from(([10, 0, 0, 1], 1)),
-        data_centre: "a".into(),
-        version: "v1".into(),
-        slots: 2,
-        phase: ReplicaPhase::Ready,
-        born_ms: Some(born_ms),
-        sequence,
-        cold_left_ms: 0,
-        holder: 0,
+        ..registry_records::heartbeat(name, 1, born_ms, sequence, ReplicaPhase::Ready)
     }
 }
 
-fn record_of(registry: &ServerRegistry, name: &str) -> Option<ReplicaRecord> {
-    let mut records = registry.replicas_after(at(0), 0).into_iter();
-    records.find(|record| record.name.as_str() == name)
-}
-
 fn open(epoch: u64) -> ServerRegistry {
     ServerRegistry::open(epoch, HEARTBEAT_INTERVAL)
 }
@@ -58,8 +40,7 @@
     second.record_heartbeat(at(10), heartbeat("agent", AGENT, 900, 1));
     sync(&second, &mut first);
     for registry in [&first, &second] {
-        let record = record_of(registry, "r").expect("a record");
-        assert_eq!(record.phase, ReplicaPhase::Ready);
+        assert_eq!(phase_of(registry, "r"), Some(ReplicaPhase::Ready));
     }
     let next = first.record_heartbeat(at(1_200), heartbeat("r", LABELS, 100, 6));
     assert_eq!(next, HeartbeatOutcome::Confirmed);
