--- a/daisyhinge/src/shell/site.rs
+++ b/daisyhinge/src/shell/site.rs
@@ -19,6 +19,7 @@
 mod reported_usage;
 pub mod rollouts;
 pub mod serve;
+mod shared_address;
 pub mod state_log;
 mod store_request;
 pub mod stored;
