Own entry: worker threads follow from the memory

Cause: the allocator keeps what a thread has freed for that thread, for 10 ms, and the entry ran one thread for each of eight cores. A crowd whose bodies come and go leaves freed memory at each of them.

Change: one worker thread for each 32 MiB of limits.memory_mb, at most one for each core: 3 in the test, 8 of 8 with the default of 1,024.

Weighed: returning freed memory at once, by an option of the allocator that needs unsafe code and a number from its C sources. Why it works: the part of the memory that is left for everything else now covers what threads keep.

--- a/daisyhinge-entry/src/main.rs
+++ b/daisyhinge-entry/src/main.rs
@@ -1,11 +1,14 @@
 //! Entry process: answers callers' queries and is the keeper of replicas, with the only connection
 //! to each of them.
 
+use std::num::NonZeroUsize;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
+use std::thread;
 
 use clap::Parser;
+use daisyhinge::intake::process_limits::derive_threads;
 use daisyhinge::metric::EntryMetrics;
 use daisyhinge::prelude::*;
 use daisyhinge::setting::check_entry_settings;
@@ -17,6 +20,7 @@
 use daisyhinge::shell::timeline::EventLog;
 use daisyhinge::vocabulary::setting::EntrySettings;
 use prometheus_client::registry::Registry;
+use tokio::runtime;
 use tokio::signal::unix::{SignalKind, signal};
 
 #[global_allocator]
@@ -49,7 +53,7 @@
     if arguments.check {
         return ExitCode::SUCCESS;
     }
-    match run_entry(settings) {
+    match run_threads(settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(code) => {
             eprintln!(
@@ -62,7 +66,17 @@
     }
 }
 
-#[tokio::main]
+/// Runs the entry on as many threads as its memory allows.
+fn run_threads(settings: EntrySettings) -> Result<(), ResultCode> {
+    let cores = thread::available_parallelism().map_or(1, NonZeroUsize::get);
+    let memory_mb = usize::try_from(settings.limits.memory_mb).unwrap_or(usize::MAX);
+    let threads = derive_threads(memory_mb.saturating_mul(1 << 20), cores);
+    let mut builder = runtime::Builder::new_multi_thread();
+    let runtime = builder.worker_threads(threads).enable_all().build();
+    let runtime = runtime.map_err(|_error| ResultCode::StorageFailed)?;
+    runtime.block_on(run_entry(settings))
+}
+
 async fn run_entry(settings: EntrySettings) -> Result<(), ResultCode> {
     open_log()?;
     let mut terminate =
--- a/daisyhinge/src/intake/process_limits.rs
+++ b/daisyhinge/src/intake/process_limits.rs
@@ -23,6 +23,9 @@
 const SHARED_DIVISOR: usize = 5;
 /// Divisor of the memory that gives the part for small answers and the beginnings of large ones.
 const OWN_DIVISOR: usize = 10;
+/// Memory for each worker thread, in bytes. The allocator keeps what a thread has freed for some time,
+/// for that thread alone.
+const THREAD_BYTES: usize = 32 << 20;
 /// Minimum number of connections, whatever the settings.
 const CONNECTIONS_MIN: usize = 16;
 /// Divisor of the connections that gives the maximum for a port that only monitoring needs.
@@ -55,6 +58,12 @@
     }
 }
 
+/// Derives the number of worker threads from the memory of the process in bytes: at most one for each
+/// of `cores`.
+pub fn derive_threads(memory_bytes: usize, cores: usize) -> usize {
+    (memory_bytes / THREAD_BYTES).min(cores).max(1)
+}
+
 impl ProcessLimits {
     /// Returns how many of `connections` have room if a head may have `head_max_bytes`.
     pub fn connections_with_heads(&self, connections: usize, head_max_bytes: usize) -> usize {
--- a/daisyhinge/tests/intake.rs
+++ b/daisyhinge/tests/intake.rs
@@ -2,7 +2,7 @@
 
 use daisyhinge::intake::connection_choice::{ConnectionActivity, RoomNeed, find_longest_waiting};
 use daisyhinge::intake::held_memory::{HeldMemory, MemoryLease, MemoryLimits, grow_capacity};
-use daisyhinge::intake::process_limits::{CONNECTION_BYTES, derive_limits};
+use daisyhinge::intake::process_limits::{CONNECTION_BYTES, derive_limits, derive_threads};
 use daisyhinge::prelude::*;
 
 const KIB: usize = 1 << 10;
@@ -149,6 +149,13 @@
     assert_eq!(memory.held_bytes(), 0);
 }
 
+#[test]
+fn threads_of_a_small_process_keep_more_freed_memory_than_it_has() {
+    let threads = [1, 32, 64, 96, 160, 1_024].map(|memory_mb| derive_threads(memory_mb * MIB, 8));
+    assert_eq!(threads, [1, 1, 2, 3, 5, 8]);
+    assert_eq!(derive_threads(usize::MAX, 1), 1);
+}
+
 #[test]
 fn announced_size_takes_memory_before_the_bytes_arrive() {
     let announced = 4 * MIB;
