--- a/daisyhinge/src/registry/incarnations.rs
+++ b/daisyhinge/src/registry/incarnations.rs
@@ -57,8 +57,8 @@
         }
     }
 
-    /// Returns the replicas in use that have the address of the replica `name` and another service. At
-    /// most one of them all is there.
+    /// Returns the replicas in use that have announced the address of the replica `name` for another
+    /// service. Only one of all these can be at the address.
     pub fn list_sharing(&self, name: &ReplicaName) -> Vec<ReplicaRecord> {
         let Some(tracked) = self.replicas.get(name) else {
             return Vec::new();
